--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks package."""
--- /dev/null
+++ b/crocusrudder/__init__.py
@@ -0,0 +1,1 @@
+"""Schedule colocated latency-critical and batch work."""
--- /dev/null
+++ b/crocusrudder/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent process beside the endpoints of a worker."""
--- /dev/null
+++ b/crocusrudder/conf/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of the processes: JSON files, defaults and checks."""
--- /dev/null
+++ b/crocusrudder/core/events.py
@@ -0,0 +1,128 @@
+"""Events: what the process around a core component reports to it."""
+
+from typing import Any
+
+import msgspec
+
+from crocusrudder.core import effects
+from crocusrudder.core import ids
+
+
+class Event(msgspec.Struct, frozen=True):
+    """Base of all events."""
+
+
+class Received(Event, frozen=True):
+    """A message from another process arrived."""
+
+    sender: ids.ProcessId
+    incarnation: ids.Incarnation
+    message: msgspec.Struct
+
+
+class Committed(Event, frozen=True):
+    """A transaction took effect; ``versions`` maps each written key to its new version."""
+
+    operation: ids.OperationId
+    versions: dict[str, int]
+
+
+class CommitConflicted(Event, frozen=True):
+    """A transaction had no effect because a version differed.
+
+    ``rows`` maps each key of the transaction to the current row, or None where it is absent.
+    """
+
+    operation: ids.OperationId
+    rows: dict[str, effects.Row | None]
+
+
+class CommitUnknown(Event, frozen=True):
+    """The answer to a transaction was lost; it may have taken effect, or may yet do so."""
+
+    operation: ids.OperationId
+
+
+class StoreUnavailable(Event, frozen=True):
+    """A store operation certainly had no effect, because the store did not process it."""
+
+    operation: ids.OperationId
+
+
+class RowsRead(Event, frozen=True):
+    """Rows read by key or scan; keys that do not exist are missing."""
+
+    operation: ids.OperationId
+    rows: dict[str, effects.Row]
+
+
+class ObjectStored(Event, frozen=True):
+    """An object is stored."""
+
+    operation: ids.OperationId
+
+
+class ObjectRead(Event, frozen=True):
+    """An object was read; ``data`` is None if it does not exist."""
+
+    operation: ids.OperationId
+    data: bytes | None
+
+
+class RuntimeAnswered(Event, frozen=True):
+    """The worker runtime answered; ``answer`` is one of the structs in ``platform.runtime``."""
+
+    operation: ids.OperationId
+    answer: msgspec.Struct
+
+
+class RuntimeUnknown(Event, frozen=True):
+    """The worker runtime's answer was lost; the call may have taken effect."""
+
+    operation: ids.OperationId
+
+
+class EndpointAnswered(Event, frozen=True):
+    """An endpoint returned a whole response."""
+
+    operation: ids.OperationId
+    response: effects.EndpointResponse
+
+
+class EndpointUnreached(Event, frozen=True):
+    """No byte of the request reached the endpoint, so it did not run."""
+
+    operation: ids.OperationId
+
+
+class EndpointBroken(Event, frozen=True):
+    """The connection failed or timed out after bytes were sent; the request may have run."""
+
+    operation: ids.OperationId
+
+
+class CallerArrived(Event, frozen=True):
+    """A caller's request was read in full. ``arrival`` is a struct of ``requests.outcomes``."""
+
+    request: ids.RequestId
+    arrival: msgspec.Struct
+
+
+class CallerLeft(Event, frozen=True):
+    """A caller closed its connection before it was answered."""
+
+    request: ids.RequestId
+
+
+class OperatorAsked(Event, frozen=True):
+    """An operator's call arrived: method, path segments, query and JSON body."""
+
+    operation: ids.OperationId
+    method: str
+    path: tuple[str, ...]
+    query: dict[str, str]
+    body: Any
+
+
+class StopRequested(Event, frozen=True):
+    """A planned stop began (SIGTERM)."""
--- /dev/null
+++ b/crocusrudder/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry process."""
--- /dev/null
+++ b/crocusrudder/hosting/__init__.py
@@ -0,0 +1,1 @@
+"""The event loop around a process core."""
--- /dev/null
+++ b/crocusrudder/hosting/host.py
@@ -0,0 +1,123 @@
+"""Run a process core: feed it events one by one and carry out its effects."""
+
+import signal
+import socket
+import time
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Mapping
+from typing import Protocol
+
+import curio
+import curio.io
+
+from crocusrudder.core import components
+from crocusrudder.core import effects
+from crocusrudder.core import events
+from crocusrudder.wire import messages
+from crocusrudder.wire import transport
+
+Answer = Callable[[effects.Effect], Awaitable[events.Event]]
+Handle = Callable[[effects.Effect], None]
+
+
+class ProcessCore(components.Component, Protocol):
+    """The core of a whole process."""
+
+    @property
+    def finished(self) -> bool:
+        """Return whether a planned stop is complete, so that the process may exit."""
+        ...
+
+
+class _Tick(events.Event, frozen=True):
+    """Time passed."""
+
+
+class Host:
+    """Own the core of a process and its event queue.
+
+    ``answering`` maps types of effects to coroutines that carry them out and return the answering
+    event. ``immediate`` maps the other types to plain functions. Both are looked up by exact type.
+    """
+
+    def __init__(
+        self,
+        core: ProcessCore,
+        link: transport.Transport,
+        answering: Mapping[type, Answer],
+        immediate: Mapping[type, Handle],
+    ) -> None:
+        self._core = core
+        self._link = link
+        self._answering = dict(answering)
+        self._immediate = {effects.Send: self._send, **immediate}
+        self._queue: curio.Queue = curio.Queue()
+
+    @property
+    def core(self) -> ProcessCore:
+        """Return the core, for the state dump."""
+        return self._core
+
+    async def post(self, event: events.Event) -> None:
+        """Queue an event for the core."""
+        await self._queue.put(event)
+
+    async def deliver(self, envelope: messages.Envelope, message: messages.Message) -> None:
+        """Queue a received message for the core."""
+        received = events.Received(envelope.sender, envelope.sender_incarnation, message)
+        await self._queue.put(received)
+
+    async def run(self) -> None:
+        """Run until the core has finished a planned stop."""
+        services = curio.TaskGroup()
+        for service in (
+            self._link.receive_forever(self.deliver),
+            self._link.retry_forever(),
+            self._tick_forever(),
+            self._wait_for_stop(),
+        ):
+            await services.spawn(service)
+        try:
+            await self._run_core()
+        finally:
+            await services.cancel_remaining()
+
+    async def _run_core(self) -> None:
+        while not self._core.finished:
+            event = await self._queue.get()
+            now = time.monotonic()
+            if isinstance(event, _Tick):
+                produced = self._core.tick(now)
+            else:
+                produced = self._core.handle(event, now)
+            for effect in produced:
+                await self._perform(effect)
+
+    async def _perform(self, effect: effects.Effect) -> None:
+        handle = self._immediate.get(type(effect))
+        if handle is not None:
+            handle(effect)
+            return
+        await curio.spawn(self._answer(effect), daemon=True)
+
+    async def _answer(self, effect: effects.Effect) -> None:
+        event = await self._answering[type(effect)](effect)
+        await self._queue.put(event)
+
+    def _send(self, effect: effects.Send) -> None:
+        self._link.send(effect.to, effect.message, effect.incarnation)
+
+    async def _tick_forever(self) -> None:
+        while True:
+            await curio.sleep(components.TICK_SECONDS)
+            await self._queue.put(_Tick())
+
+    async def _wait_for_stop(self) -> None:
+        reader, writer = socket.socketpair()
+        writer.setblocking(False)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: writer.send(b"s"))
+        async with curio.io.Socket(reader) as notifications:
+            while await notifications.recv(1):
+                await self._queue.put(events.StopRequested())
--- /dev/null
+++ b/crocusrudder/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Batch jobs: scheduling by the cell's owner and execution by the agent."""
--- /dev/null
+++ b/crocusrudder/management/__init__.py
@@ -0,0 +1,1 @@
+"""The operator's command line."""
--- /dev/null
+++ b/crocusrudder/management/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands, one module each."""
--- /dev/null
+++ b/crocusrudder/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Ownership of cells, leases of workers and the directory of endpoints."""
--- /dev/null
+++ b/crocusrudder/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and state dumps."""
--- /dev/null
+++ b/crocusrudder/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Placement policy: interference, scoring, quotas and blame."""
--- /dev/null
+++ b/crocusrudder/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform: table service, object store and worker runtime."""
--- /dev/null
+++ b/crocusrudder/records/__init__.py
@@ -0,0 +1,1 @@
+"""Versioned placement records and their replication."""
--- /dev/null
+++ b/crocusrudder/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Requests of callers: routing, ledger, retries and admission."""
--- /dev/null
+++ b/crocusrudder/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between the processes and their transport."""
--- /dev/null
+++ b/crocusrudder/wire/transport.py
@@ -0,0 +1,168 @@
+"""Carry envelopes between processes over TCP (pyzmq under curio).
+
+Each process binds one ROUTER socket and opens one DEALER socket for each peer that it sends to.
+Delivery is best effort: a message that cannot be handed to a connection within
+``CONNECT_PATIENCE_SECONDS`` is dropped and counted.
+"""
+
+import collections
+import time
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+import curio
+import curio.traps
+import zmq
+
+from crocusrudder.core import ids
+from crocusrudder.wire import codec
+from crocusrudder.wire import errors
+from crocusrudder.wire import messages
+
+CONNECT_PATIENCE_SECONDS = 1.0
+RETRY_SECONDS = 0.02
+RECEIVE_BATCH = 64
+PEER_QUEUE_MESSAGES = 512
+HEARTBEAT_INTERVAL_MS = 5_000
+HEARTBEAT_TIMEOUT_MS = 15_000
+MAX_SOCKETS = 4_096
+
+Deliver = Callable[[messages.Envelope, messages.Message], Awaitable[None]]
+CountDrop = Callable[[str], None]
+
+
+class _Peer:
+    """One outgoing connection and the messages that wait for it."""
+
+    def __init__(self, context: zmq.Context, address: str) -> None:
+        self._socket = context.socket(zmq.DEALER)
+        self._socket.setsockopt(zmq.LINGER, 0)
+        # Without IMMEDIATE, messages queue for an absent peer and arrive long after they matter.
+        self._socket.setsockopt(zmq.IMMEDIATE, 1)
+        self._socket.setsockopt(zmq.SNDHWM, PEER_QUEUE_MESSAGES)
+        self._socket.setsockopt(zmq.RECONNECT_IVL, 50)
+        self._socket.setsockopt(zmq.RECONNECT_IVL_MAX, 1_000)
+        self._socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_INTERVAL_MS)
+        self._socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
+        self._socket.connect(f"tcp://{address}")
+        self._waiting: collections.deque[tuple[float, bytes]] = collections.deque(
+            maxlen=PEER_QUEUE_MESSAGES
+        )
+
+    @property
+    def has_waiting(self) -> bool:
+        """Return whether messages wait for the connection."""
+        return bool(self._waiting)
+
+    def send(self, data: bytes, now: float) -> None:
+        """Queue the message behind those that wait, and send what the connection takes."""
+        self._waiting.append((now + CONNECT_PATIENCE_SECONDS, data))
+
+    def flush(self, now: float) -> int:
+        """Send waiting messages; return how many were dropped for their age."""
+        dropped = 0
+        while self._waiting:
+            deadline, data = self._waiting[0]
+            try:
+                self._socket.send(data, zmq.NOBLOCK)
+            except zmq.Again:
+                if now < deadline:
+                    return dropped
+                dropped += 1
+            self._waiting.popleft()
+        return dropped
+
+    def close(self) -> None:
+        """Close the connection and drop what waits."""
+        self._socket.close(0)
+
+
+class Transport:
+    """Send and receive messages under one identity."""
+
+    def __init__(self, sender: codec.Sender, bind_address: str, count: CountDrop) -> None:
+        self._sender = sender
+        self._count = count
+        self._context = zmq.Context()
+        self._context.set(zmq.MAX_SOCKETS, MAX_SOCKETS)
+        self._router = self._context.socket(zmq.ROUTER)
+        self._router.setsockopt(zmq.LINGER, 0)
+        self._router.setsockopt(zmq.MAXMSGSIZE, codec.MAX_ENVELOPE_BYTES)
+        self._addresses: dict[ids.ProcessId, str] = {}
+        self._peers: dict[str, _Peer] = {}
+        self._bind(bind_address)
+
+    def _bind(self, address: str) -> None:
+        try:
+            self._router.bind(f"tcp://{address}")
+        except zmq.ZMQError as error:
+            raise errors.TransportError(f"cannot bind {address}: {error}") from error
+
+    def learn_address(self, process: ids.ProcessId, address: str) -> None:
+        """Remember where a process listens, as ``host:port``."""
+        if address:
+            self._addresses[process] = address
+
+    def send(
+        self, to: ids.ProcessId, message: messages.Message, incarnation: ids.Incarnation
+    ) -> None:
+        """Send a message to a process whose address is known; otherwise count it as dropped."""
+        address = self._addresses.get(to)
+        if address is None:
+            self._count("wire_dropped_unknown_peer")
+            return
+        peer = self._peers.get(address)
+        if peer is None:
+            peer = self._peers[address] = _Peer(self._context, address)
+        now = time.monotonic()
+        peer.send(self._sender.encode(message, incarnation), now)
+        self._count_expired(peer.flush(now))
+
+    async def receive_forever(self, deliver: Deliver) -> None:
+        """Decode each arriving message and pass it on; count those that cannot be decoded."""
+        while True:
+            received = await self._receive_batch(deliver)
+            if received == RECEIVE_BATCH:
+                await curio.sleep(0)
+            elif not self._router.getsockopt(zmq.EVENTS) & zmq.POLLIN:
+                # The descriptor is edge-triggered, hence the look at the events before the wait.
+                await curio.traps._read_wait(self._router.fileno())
+
+    async def retry_forever(self) -> None:
+        """Retry messages that wait for their connections."""
+        while True:
+            await curio.sleep(RETRY_SECONDS)
+            now = time.monotonic()
+            for peer in [peer for peer in self._peers.values() if peer.has_waiting]:
+                self._count_expired(peer.flush(now))
+
+    def close(self) -> None:
+        """Close all sockets."""
+        for peer in self._peers.values():
+            peer.close()
+        self._router.close(0)
+        self._context.term()
+
+    def _count_expired(self, dropped: int) -> None:
+        for _ in range(dropped):
+            self._count("wire_dropped_unconnected")
+
+    async def _receive_batch(self, deliver: Deliver) -> int:
+        for received in range(RECEIVE_BATCH):
+            try:
+                frames = self._router.recv_multipart(zmq.NOBLOCK)
+            except zmq.Again:
+                return received
+            await self._deliver(frames[-1], deliver)
+        return RECEIVE_BATCH
+
+    async def _deliver(self, data: bytes, deliver: Deliver) -> None:
+        try:
+            envelope, message = codec.decode(data, self._sender.incarnation)
+        except errors.WrongIncarnationError:
+            self._count("wire_refused_incarnation")
+        except errors.WireError as error:
+            self._count(f"wire_refused_{error.code}")
+        else:
+            self.learn_address(envelope.sender, envelope.sender_address)
+            await deliver(envelope, message)
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests mirror the layout of the product."""
--- /dev/null
+++ b/tests/agent/__init__.py
@@ -0,0 +1,1 @@
+"""Agent package."""
--- /dev/null
+++ b/tests/conf/__init__.py
@@ -0,0 +1,1 @@
+"""Conf package."""
--- /dev/null
+++ b/tests/core/__init__.py
@@ -0,0 +1,1 @@
+"""Core package."""
--- /dev/null
+++ b/tests/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Entry package."""
--- /dev/null
+++ b/tests/hosting/test_host.py
@@ -0,0 +1,78 @@
+"""Tests of the host with two real transports on loopback."""
+
+import unittest
+
+import curio
+
+from crocusrudder.core import effects
+from crocusrudder.core import events
+from crocusrudder.core import ids
+from crocusrudder.hosting import host
+from crocusrudder.wire import codec
+from crocusrudder.wire import messages
+from crocusrudder.wire import transport
+
+PING = messages.ConfigurationRequest(ids.Revision(5))
+ADDRESSES = {"a": "127.0.0.1:29471", "b": "127.0.0.1:29472"}
+
+
+class PingCore:
+    """Send a message to the other process until it hears from it."""
+
+    def __init__(self, other):
+        self._other = other
+        self._heard = []
+        self.stored = False
+
+    @property
+    def finished(self):
+        return self.stored
+
+    @property
+    def heard(self):
+        return self._heard
+
+    def handle(self, event, now):
+        if isinstance(event, events.Received):
+            self._heard.append(event.message)
+            return [effects.Send(self._other, PING), effects.ReadRows("x:1", ())]
+        self.stored = isinstance(event, events.RowsRead)
+        return []
+
+    def tick(self, now):
+        return [effects.Send(self._other, PING)]
+
+    def dump(self):
+        return {}
+
+
+async def read_nothing(effect):
+    """Answer a read with no rows."""
+    return events.RowsRead(effect.operation, {})
+
+
+def make_host(name, other):
+    """Return a host for a ping core with a bound transport."""
+    sender = codec.Sender(ids.ProcessId(name), ids.Incarnation("1"), ADDRESSES[name])
+    link = transport.Transport(sender, ADDRESSES[name], lambda counter: None)
+    link.learn_address(ids.ProcessId(other), ADDRESSES[other])
+    return host.Host(PingCore(other), link, {effects.ReadRows: read_nothing}, {}), link
+
+
+class HostTest(unittest.TestCase):
+    """Guards against messages that are not delivered and answers that do not reach the core."""
+
+    def test_exchanges_messages_and_answers_operations(self):
+        first, first_link = make_host("a", "b")
+        second, second_link = make_host("b", "a")
+
+        async def run_both():
+            async with curio.TaskGroup() as group:
+                await group.spawn(first.run())
+                await group.spawn(second.run())
+
+        curio.run(run_both)
+        first_link.close()
+        second_link.close()
+        self.assertEqual(first.core.heard[0], PING)
+        self.assertEqual(second.core.heard[0], PING)
--- /dev/null
+++ b/tests/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs package."""
--- /dev/null
+++ b/tests/management/__init__.py
@@ -0,0 +1,1 @@
+"""Management package."""
--- /dev/null
+++ b/tests/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Membership package."""
--- /dev/null
+++ b/tests/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Observability package."""
--- /dev/null
+++ b/tests/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Placement package."""
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Platform package."""
--- /dev/null
+++ b/tests/records/__init__.py
@@ -0,0 +1,1 @@
+"""Records package."""
--- /dev/null
+++ b/tests/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Requests package."""
--- /dev/null
+++ b/tests/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""Scenarios package."""
--- /dev/null
+++ b/tests/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Wire package."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools package."""
--- /dev/null
+++ b/tools/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Demo package."""
--- /dev/null
+++ b/tools/experiment/__init__.py
@@ -0,0 +1,1 @@
+"""Experiment package."""
