--- a/crocusrudder/core/clocks.py
+++ b/crocusrudder/core/clocks.py
@@ -7,3 +7,14 @@
 def wait_for_remote(seconds: float) -> float:
     """Return how long to wait locally so that ``seconds`` have passed on any other clock."""
     return seconds * (1 + CLOCK_RATE_ERROR)
+
+
+RUNTIME_GRACE_SECONDS = 10.0
+"""Time after a run's lease deadline at which the worker runtime stops it for good."""
+
+REASSIGN_MARGIN_SECONDS = 2.0
+
+
+def wait_for_task_lease(lease_seconds: float) -> float:
+    """Return how long after its last renewal an owner must wait before it restarts a task."""
+    return wait_for_remote(lease_seconds + RUNTIME_GRACE_SECONDS) + REASSIGN_MARGIN_SECONDS
--- a/crocusrudder/core/effects.py
+++ b/crocusrudder/core/effects.py
@@ -23,6 +23,13 @@
     """The incarnation that may accept the message; empty for any."""
 
 
+class LearnAddress(Effect, frozen=True):
+    """Remember that a process listens at ``address`` (``host:port``)."""
+
+    process: ids.ProcessId
+    address: str
+
+
 class RowWrite(msgspec.Struct, frozen=True):
     """Write one table row, or delete it when ``value`` is None.
 
--- a/crocusrudder/hosting/host.py
+++ b/crocusrudder/hosting/host.py
@@ -51,7 +51,11 @@
         self._core = core
         self._link = link
         self._answering = dict(answering)
-        self._immediate = {effects.Send: self._send, **immediate}
+        self._immediate = {
+            effects.Send: self._send,
+            effects.LearnAddress: self._learn_address,
+            **immediate,
+        }
         self._queue: curio.Queue = curio.Queue()
 
     @property
@@ -108,6 +112,9 @@
     def _send(self, effect: effects.Send) -> None:
         self._link.send(effect.to, effect.message, effect.incarnation)
 
+    def _learn_address(self, effect: effects.LearnAddress) -> None:
+        self._link.learn_address(effect.process, effect.address)
+
     async def _tick_forever(self) -> None:
         while True:
             await curio.sleep(components.TICK_SECONDS)
--- /dev/null
+++ b/crocusrudder/membership/cells.py
@@ -0,0 +1,416 @@
+"""Ownership of cells: which entry schedules the workers of a cell.
+
+The owner renews the row ``cell/<id>/lease`` and acts as owner only while the last confirmed
+renewal, counted from the time it was sent, is younger than the cell lease. A challenger takes a
+cell over by raising the epoch in ``cell/<id>/epoch`` after it has seen the lease row unchanged for
+longer than the lease on its own clock. Commits of an owner check the version of the epoch row.
+"""
+
+import enum
+import functools
+from collections.abc import Callable
+from collections.abc import Iterable
+from typing import Any
+
+import msgspec
+
+from crocusrudder.core import clocks
+from crocusrudder.core import components
+from crocusrudder.core import effects
+from crocusrudder.core import events
+from crocusrudder.core import ids
+from crocusrudder.membership import errors
+
+CELL_LEASE_SECONDS = 6.0
+RENEW_SECONDS = 2.0
+RETRY_SECONDS = 0.5
+CHECK_SECONDS = 1.0
+REMOTE_CHECK_SECONDS = 10.0
+TAKEOVER_MARGIN_SECONDS = 1.0
+REMOTE_TAKEOVER_SECONDS = 20.0
+"""Extra patience with cells of other data centres, whose own entries go first."""
+OWNED_CELL_DELAY_SECONDS = 1.0
+"""Delay before a claim for each cell already owned, so that cells spread over the entries."""
+HANDOVER_SECONDS = 30.0
+"""How long another entry must be alive before a surplus cell is released to it."""
+
+
+class CellConfig(msgspec.Struct, frozen=True):
+    """A cell as the settings of the region list it."""
+
+    cell: ids.CellId
+    data_centre: ids.DataCentre
+
+
+class CellState(enum.Enum):
+    """What this process knows and does about a cell."""
+
+    WATCHING = "watching"
+    CLAIMING = "claiming"
+    RESOLVING_CLAIM = "resolving-claim"
+    OWNED = "owned"
+
+
+class _Cell:
+    """Observed rows and own lease of one cell."""
+
+    def __init__(self, config: CellConfig) -> None:
+        self.config = config
+        self.state = CellState.WATCHING
+        self.lease: effects.Row | None = None
+        self.seen = False
+        self.changed_at = 0.0
+        self.checked_at = float("-inf")
+        self.epoch = ids.CellEpoch(0)
+        self.epoch_version = 0
+        self.counter = 0
+        self.valid_until = float("-inf")
+        self.sent_at = float("-inf")
+        self.busy = False
+        self.releasing = False
+        """A release was sent or is due. It may take effect at any time, so ownership has ended."""
+        self.release_sent = False
+        self.announced = False
+
+    @property
+    def lease_version(self) -> int:
+        """Return the version of the lease row; 0 if it does not exist."""
+        return self.lease.version if self.lease else 0
+
+
+def _lease_key(cell: ids.CellId) -> str:
+    return f"cell/{cell}/lease"
+
+
+def _epoch_key(cell: ids.CellId) -> str:
+    return f"cell/{cell}/epoch"
+
+
+class CellOwnership:
+    """Claim, renew, release and watch the cells of the region.
+
+    ``count_alive`` returns how many other entries of this data centre have been alive for at least
+    ``HANDOVER_SECONDS``.
+    """
+
+    def __init__(
+        self,
+        process: ids.ProcessId,
+        incarnation: ids.Incarnation,
+        address: str,
+        data_centre: ids.DataCentre,
+        cells: Iterable[CellConfig],
+        count_alive: Callable[[float], int] = lambda now: 0,
+        lease_seconds: float = CELL_LEASE_SECONDS,
+    ) -> None:
+        self._process = process
+        self._incarnation = incarnation
+        self._address = address
+        self._data_centre = data_centre
+        self._count_alive = count_alive
+        self._lease_seconds = lease_seconds
+        self._cells = {config.cell: _Cell(config) for config in cells}
+        self._operations = components.OperationIds("cell")
+        self._pending: dict[ids.OperationId, tuple[str, ids.CellId]] = {}
+        self._stopping = False
+
+    @property
+    def stopping(self) -> bool:
+        """Return whether the process gives up its cells for a planned stop."""
+        return self._stopping
+
+    @property
+    def released(self) -> bool:
+        """Return whether no cell is owned or being claimed."""
+        return all(cell.state is CellState.WATCHING for cell in self._cells.values())
+
+    def owned(self, now: float) -> dict[ids.CellId, ids.CellEpoch]:
+        """Return the cells that this process owns at this moment, with their epochs."""
+        return {
+            name: cell.epoch
+            for name, cell in self._cells.items()
+            if cell.state is CellState.OWNED and now < cell.valid_until and not cell.releasing
+        }
+
+    def epoch_check(self, cell: ids.CellId) -> effects.RowCheck:
+        """Return the check that makes a commit fail once another process has taken the cell.
+
+        Raises ``NotOwnerError`` if this process has never claimed the cell or has lost it.
+        """
+        known = self._cells[cell]
+        if known.state is not CellState.OWNED:
+            raise errors.NotOwnerError(f"cell {cell}")
+        return effects.RowCheck(_epoch_key(cell), known.epoch_version)
+
+    def get_owner(self, cell: ids.CellId) -> tuple[ids.ProcessId, str] | None:
+        """Return the process and address of the owner last seen in the table."""
+        known = self._cells.get(cell)
+        if known is None or known.lease is None or known.lease.value["released"]:
+            return None
+        value = known.lease.value
+        return ids.ProcessId(value["owner"]), value["address"]
+
+    def get_epoch(self, cell: ids.CellId) -> ids.CellEpoch:
+        """Return the highest epoch seen for the cell; 0 if none."""
+        known = self._cells.get(cell)
+        if known is None:
+            return ids.CellEpoch(0)
+        seen = known.lease.value["epoch"] if known.lease else 0
+        return ids.CellEpoch(max(seen, known.epoch))
+
+    def handle(self, event: events.Event, now: float) -> list[effects.Effect]:
+        """Take one event and return the effects to carry out."""
+        return self._dispatch(event, now)
+
+    def tick(self, now: float) -> list[effects.Effect]:
+        """Renew, check and claim what is due."""
+        produced: list[effects.Effect] = []
+        for cell in self._cells.values():
+            if cell.busy:
+                continue
+            if cell.state is CellState.OWNED:
+                produced += self._tick_owned(cell, now)
+            elif cell.state is CellState.RESOLVING_CLAIM:
+                produced += self._read(cell, "resolve", now)
+            else:
+                produced += self._tick_watched(cell, now)
+        return produced
+
+    def dump(self) -> dict[str, object]:
+        """Return the state of all cells."""
+        return {
+            name: {
+                "state": cell.state.value,
+                "epoch": self.get_epoch(name),
+                "owner": cell.lease.value["owner"] if cell.lease else None,
+                "valid_until": cell.valid_until if cell.state is CellState.OWNED else None,
+            }
+            for name, cell in self._cells.items()
+        }
+
+    def release_surplus(self, now: float) -> list[effects.Effect]:
+        """Release one cell if this process owns more than its share of the data centre."""
+        owned = self._owned_here(now)
+        here = sum(cell.config.data_centre == self._data_centre for cell in self._cells.values())
+        share = -(-here // (1 + self._count_alive(now)))
+        if len(owned) <= share:
+            return []
+        owned[-1].releasing = True
+        return [effects.Count("cells_released")]
+
+    def _owned_here(self, now: float) -> list[_Cell]:
+        return [self._cells[name] for name in self.owned(now)]
+
+    def _tick_owned(self, cell: _Cell, now: float) -> list[effects.Effect]:
+        cell.releasing = cell.releasing or self._stopping
+        due = RENEW_SECONDS if now < cell.valid_until else RETRY_SECONDS
+        if cell.releasing:
+            due = RETRY_SECONDS if cell.release_sent else 0.0
+        if now - cell.sent_at < due:
+            return []
+        cell.release_sent = cell.releasing
+        return self._renew(cell, now)
+
+    def _renew(self, cell: _Cell, now: float) -> list[effects.Effect]:
+        cell.sent_at = now
+        cell.counter += 1
+        value = self._lease_value(cell, cell.releasing)
+        write = effects.RowWrite(_lease_key(cell.config.cell), value, cell.lease_version)
+        return [self._commit(cell, "renew", (write,))]
+
+    def _tick_watched(self, cell: _Cell, now: float) -> list[effects.Effect]:
+        if self._stopping:
+            return []
+        if cell.seen and self._may_claim(cell, now):
+            return self._read(cell, "claim", now)
+        local = cell.config.data_centre == self._data_centre
+        interval = CHECK_SECONDS if local else REMOTE_CHECK_SECONDS
+        if now - cell.checked_at < interval:
+            return []
+        return self._read(cell, "check", now)
+
+    def _may_claim(self, cell: _Cell, now: float) -> bool:
+        if now - cell.sent_at < RETRY_SECONDS:
+            return False
+        held = sum(other.state is not CellState.WATCHING for other in self._cells.values())
+        delay = OWNED_CELL_DELAY_SECONDS * held
+        if cell.config.data_centre != self._data_centre:
+            delay += REMOTE_TAKEOVER_SECONDS
+        if cell.lease is not None and not cell.lease.value["released"]:
+            delay += clocks.wait_for_remote(self._lease_seconds) + TAKEOVER_MARGIN_SECONDS
+        return now - cell.changed_at >= delay
+
+    def _lease_value(self, cell: _Cell, released: bool) -> dict[str, Any]:
+        return {
+            "owner": self._process,
+            "incarnation": self._incarnation,
+            "address": self._address,
+            "epoch": cell.epoch,
+            "counter": cell.counter,
+            "released": released,
+        }
+
+    def _commit(
+        self, cell: _Cell, purpose: str, writes: tuple[effects.RowWrite, ...]
+    ) -> effects.Commit:
+        cell.busy = True
+        operation = self._operations.next()
+        self._pending[operation] = (purpose, cell.config.cell)
+        return effects.Commit(operation, writes)
+
+    def _read(self, cell: _Cell, purpose: str, now: float) -> list[effects.Effect]:
+        cell.busy = True
+        cell.checked_at = now
+        operation = self._operations.next()
+        self._pending[operation] = (purpose, cell.config.cell)
+        name = cell.config.cell
+        keys = (_lease_key(name),) if purpose == "check" else (_lease_key(name), _epoch_key(name))
+        return [effects.ReadRows(operation, keys)]
+
+    def _finish(self, operation: ids.OperationId) -> tuple[str, _Cell] | None:
+        purpose, name = self._pending.pop(operation, ("", None))
+        if name is None:
+            return None
+        cell = self._cells[name]
+        cell.busy = False
+        return purpose, cell
+
+    def _observe_lease(self, cell: _Cell, row: effects.Row | None, now: float) -> None:
+        version = row.version if row else 0
+        if cell.seen and version == cell.lease_version:
+            return
+        cell.lease = row
+        cell.seen = True
+        cell.changed_at = now
+
+    @functools.singledispatchmethod
+    def _dispatch(self, event: events.Event, now: float) -> list[effects.Effect]:
+        return []
+
+    @_dispatch.register
+    def _on_stop(self, event: events.StopRequested, now: float) -> list[effects.Effect]:
+        self._stopping = True
+        return []
+
+    @_dispatch.register
+    def _on_read(self, event: events.RowsRead, now: float) -> list[effects.Effect]:
+        finished = self._finish(event.operation)
+        if finished is None:
+            return []
+        purpose, cell = finished
+        self._observe_lease(cell, event.rows.get(_lease_key(cell.config.cell)), now)
+        epoch_row = event.rows.get(_epoch_key(cell.config.cell))
+        if purpose == "claim" and self._may_claim(cell, now):
+            return self._claim(cell, epoch_row, now)
+        if purpose == "resolve":
+            return self._resolve(cell, epoch_row, now)
+        return []
+
+    def _claim(
+        self, cell: _Cell, epoch_row: effects.Row | None, now: float
+    ) -> list[effects.Effect]:
+        name = cell.config.cell
+        previous = epoch_row.value["epoch"] if epoch_row else 0
+        cell.state = CellState.CLAIMING
+        cell.epoch = ids.CellEpoch(previous + 1)
+        cell.epoch_version = epoch_row.version if epoch_row else 0
+        cell.counter = 0
+        cell.sent_at = now
+        owner = {"owner": self._process, "incarnation": self._incarnation, "epoch": cell.epoch}
+        writes = (
+            effects.RowWrite(_epoch_key(name), owner, cell.epoch_version),
+            effects.RowWrite(_lease_key(name), self._lease_value(cell, False), cell.lease_version),
+        )
+        return [self._commit(cell, "claim", writes)]
+
+    def _resolve(
+        self, cell: _Cell, epoch_row: effects.Row | None, now: float
+    ) -> list[effects.Effect]:
+        """Decide by the rows whether a claim or renewal with a lost answer took effect."""
+        mine = (
+            epoch_row is not None
+            and epoch_row.value["incarnation"] == self._incarnation
+            and epoch_row.value["epoch"] == cell.epoch
+        )
+        if not mine or cell.lease is None or cell.lease.value["released"]:
+            return self._lose(cell)
+        cell.epoch_version = epoch_row.version
+        # The time at which the write took effect is not known, so only a further renewal that is
+        # confirmed extends the validity.
+        cell.state = CellState.OWNED
+        return []
+
+    def _gain(self, cell: _Cell) -> list[effects.Effect]:
+        cell.state = CellState.OWNED
+        cell.valid_until = cell.sent_at + self._lease_seconds
+        if cell.announced:
+            return []
+        cell.announced = True
+        fields = {"cell": cell.config.cell, "epoch": cell.epoch}
+        return [effects.Count("cells_claimed"), effects.LogChange("cell_owned", fields)]
+
+    def _lose(self, cell: _Cell) -> list[effects.Effect]:
+        was_announced = cell.announced
+        cell.state = CellState.WATCHING
+        cell.valid_until = float("-inf")
+        cell.releasing = False
+        cell.release_sent = False
+        cell.announced = False
+        if not was_announced:
+            return [effects.Count("cell_claims_lost")]
+        fields = {"cell": cell.config.cell, "epoch": cell.epoch}
+        return [effects.Count("cells_lost"), effects.LogChange("cell_lost", fields)]
+
+    @_dispatch.register
+    def _on_committed(self, event: events.Committed, now: float) -> list[effects.Effect]:
+        finished = self._finish(event.operation)
+        if finished is None:
+            return []
+        purpose, cell = finished
+        name = cell.config.cell
+        released = purpose == "renew" and cell.releasing
+        value = self._lease_value(cell, released)
+        version = event.versions[_lease_key(name)]
+        self._observe_lease(cell, effects.Row(_lease_key(name), value, version), now)
+        if released:
+            return self._lose(cell)
+        if purpose == "claim":
+            cell.epoch_version = event.versions[_epoch_key(name)]
+        return self._gain(cell)
+
+    @_dispatch.register
+    def _on_conflict(self, event: events.CommitConflicted, now: float) -> list[effects.Effect]:
+        finished = self._finish(event.operation)
+        if finished is None:
+            return []
+        _, cell = finished
+        row = event.rows.get(_lease_key(cell.config.cell))
+        self._observe_lease(cell, row, now)
+        if row is not None and row.value["incarnation"] == self._incarnation:
+            # An earlier write of this process took effect after its answer was given up.
+            cell.state = CellState.RESOLVING_CLAIM
+            return []
+        return self._lose(cell)
+
+    @_dispatch.register
+    def _on_unknown(self, event: events.CommitUnknown, now: float) -> list[effects.Effect]:
+        finished = self._finish(event.operation)
+        if finished is None:
+            return []
+        _, cell = finished
+        if cell.state is CellState.CLAIMING:
+            cell.state = CellState.RESOLVING_CLAIM
+            return []
+        return self._read(cell, "resolve", now)
+
+    @_dispatch.register
+    def _on_unavailable(self, event: events.StoreUnavailable, now: float) -> list[effects.Effect]:
+        finished = self._finish(event.operation)
+        if finished is None:
+            return []
+        _, cell = finished
+        if cell.state is CellState.CLAIMING:
+            cell.state = CellState.WATCHING
+        # After a store outage every lease looks old; the owners get the time to renew first.
+        cell.changed_at = now
+        return []
--- /dev/null
+++ b/crocusrudder/membership/directory.py
@@ -0,0 +1,320 @@
+"""The endpoints and cells of the region, as the entries tell each other."""
+
+import collections
+import functools
+import itertools
+from collections.abc import Callable
+from collections.abc import Iterable
+
+import msgspec
+
+from crocusrudder.core import effects
+from crocusrudder.core import events
+from crocusrudder.core import ids
+from crocusrudder.membership import cells
+from crocusrudder.membership import workers
+from crocusrudder.wire import messages
+
+DIGEST_SECONDS = 5.0
+REMOTE_DIGEST_SECONDS = 30.0
+FULL_DIGEST_SECONDS = 30.0
+"""Interval at which endpoints are repeated even if unchanged, which repairs lost digests."""
+ALIVE_SECONDS = 15.0
+FORGET_SECONDS = 90.0
+"""Endpoints of a cell whose owner is silent are kept until another owner reports or this passes."""
+BEHIND_LIMIT = 8
+
+
+class Peer(msgspec.Struct, frozen=True):
+    """Another entry as the settings list it."""
+
+    process: ids.ProcessId
+    address: str
+    data_centre: ids.DataCentre
+    same_region: bool = True
+
+
+class EntryView(msgspec.Struct):
+    """What is known about another entry."""
+
+    process: ids.ProcessId
+    data_centre: ids.DataCentre
+    revision: ids.Revision
+    sequence: int
+    incarnation: ids.Incarnation
+    alive_since: float
+    heard_at: float
+    stopping: bool = False
+
+
+class _RemoteCell(msgspec.Struct):
+    """Latest digest and endpoints of a cell that another entry owns."""
+
+    digest: messages.CellDigest
+    owner: ids.ProcessId
+    heard_at: float
+    endpoints: tuple[messages.EndpointAt, ...] = ()
+
+
+_ServiceKey = tuple[ids.ServiceName, int]
+
+
+class Directory:
+    """Exchange digests with the other entries and look up endpoints.
+
+    ``count_pending`` returns the number of pending tasks in an owned cell.
+    """
+
+    def __init__(
+        self,
+        data_centre: ids.DataCentre,
+        peers: Iterable[Peer],
+        ownership: cells.CellOwnership,
+        worker_table: workers.WorkerTable,
+        get_revision: Callable[[], ids.Revision],
+        get_address: Callable[[ids.ProcessId], str],
+        count_pending: Callable[[ids.CellId], int] = lambda cell: 0,
+    ) -> None:
+        self._data_centre = data_centre
+        self._peers = {peer.process: peer for peer in peers}
+        self._ownership = ownership
+        self._workers = worker_table
+        self._get_revision = get_revision
+        self._get_address = get_address
+        self._count_pending = count_pending
+        self._entries: dict[ids.ProcessId, EntryView] = {}
+        self._remote: dict[ids.CellId, _RemoteCell] = {}
+        self._index: dict[_ServiceKey, list[messages.EndpointAt]] = {}
+        self._indexed_generation = -1
+        self._sent_generation = -1
+        self._sent_at: dict[ids.ProcessId, float] = {}
+        self._full_sent_at: dict[ids.ProcessId, float] = {}
+        self._sequence = itertools.count(1)
+        self._stopping = False
+        self._now = 0.0
+
+    def find_endpoints(
+        self, service: ids.ServiceName, schema_version: int
+    ) -> list[messages.EndpointAt]:
+        """Return the endpoints of a service that are not draining, in no particular order."""
+        if self._indexed_generation != self._workers.generation:
+            self._rebuild_index()
+        return self._index.get((service, schema_version), [])
+
+    def list_entries(self) -> list[EntryView]:
+        """Return the other entries that are alive."""
+        return [entry for entry in self._entries.values() if self._is_alive(entry, self._now)]
+
+    def count_alive(self, now: float, at_least_seconds: float) -> int:
+        """Return how many entries of this data centre have been alive for a time."""
+        return sum(
+            entry.data_centre == self._data_centre
+            and not entry.stopping
+            and self._is_alive(entry, now)
+            and now - entry.alive_since >= at_least_seconds
+            for entry in self._entries.values()
+        )
+
+    def digests(self) -> list[messages.CellDigest]:
+        """Return the digests of all known cells, own ones first."""
+        own = [self._digest_cell(cell) for cell in self._ownership.owned(self._now)]
+        names = {digest.cell for digest in own}
+        return own + [remote.digest for cell, remote in self._remote.items() if cell not in names]
+
+    def get_cell_owner(self, cell: ids.CellId) -> ids.ProcessId | None:
+        """Return the entry that last reported a cell as its own; None for own or unknown cells."""
+        remote = self._remote.get(cell)
+        return remote.owner if remote else None
+
+    def handle(self, event: events.Event, now: float) -> list[effects.Effect]:
+        """Take one event and return the effects to carry out."""
+        self._now = now
+        return self._dispatch(event, now)
+
+    def tick(self, now: float) -> list[effects.Effect]:
+        """Send the digests that are due and forget silent cells."""
+        self._now = now
+        self._forget_silent(now)
+        changed = self._sent_generation != self._workers.generation
+        self._sent_generation = self._workers.generation
+        due = [peer for peer in self._peers.values() if changed or self._is_due(peer, now)]
+        return [self._send_digest(peer, changed, now) for peer in due]
+
+    def dump(self) -> dict[str, object]:
+        """Return the entries, cells and endpoints that are known."""
+        return {
+            "entries": {
+                name: {"alive": self._is_alive(entry, self._now), "revision": entry.revision}
+                for name, entry in self._entries.items()
+            },
+            "cells": [msgspec.to_builtins(digest) for digest in self.digests()],
+            "endpoints": {
+                f"{service}@{version}": [found.status.endpoint for found in endpoints]
+                for (service, version), endpoints in self._index.items()
+            },
+        }
+
+    def _is_alive(self, entry: EntryView, now: float) -> bool:
+        silence = ALIVE_SECONDS
+        peer = self._peers.get(entry.process)
+        if peer is not None and not peer.same_region:
+            silence += REMOTE_DIGEST_SECONDS
+        return now - entry.heard_at <= silence
+
+    def _is_due(self, peer: Peer, now: float) -> bool:
+        interval = DIGEST_SECONDS if peer.same_region else REMOTE_DIGEST_SECONDS
+        return now - self._sent_at.get(peer.process, float("-inf")) >= interval
+
+    def _send_digest(self, peer: Peer, changed: bool, now: float) -> effects.Effect:
+        self._sent_at[peer.process] = now
+        last_full = self._full_sent_at.get(peer.process, float("-inf"))
+        full = changed or now - last_full >= FULL_DIGEST_SECONDS
+        owned = self._ownership.owned(now)
+        if full:
+            self._full_sent_at[peer.process] = now
+        digest = messages.EntryDigest(
+            data_centre=self._data_centre,
+            revision=self._get_revision(),
+            sequence=next(self._sequence),
+            stopping=self._stopping,
+            cells=tuple(self._digest_cell(cell) for cell in owned),
+            full_cells=tuple(owned) if full else (),
+            endpoints=tuple(self._list_own_endpoints(owned)) if full else (),
+        )
+        return effects.Send(peer.process, digest)
+
+    def _digest_cell(self, cell: ids.CellId) -> messages.CellDigest:
+        views = self._workers.list_workers(cell)
+        usable = [view for view in views if not view.draining and not view.is_silent(self._now)]
+        free = [subtract(view.capacity, view.reserved) for view in usable]
+        revision = self._get_revision()
+        behind = [view.agent for view in views if view.revision < revision]
+        return messages.CellDigest(
+            cell=cell,
+            data_centre=self._data_centre,
+            cell_epoch=self._ownership.get_epoch(cell),
+            workers=len(views),
+            free=functools.reduce(add, free, messages.Resources()),
+            largest_free=functools.reduce(_largest, free, messages.Resources()),
+            pending_tasks=self._count_pending(cell),
+            lowest_revision=min((view.revision for view in views), default=revision),
+            behind=tuple(behind[:BEHIND_LIMIT]),
+        )
+
+    def _list_own_endpoints(self, owned: Iterable[ids.CellId]) -> Iterable[messages.EndpointAt]:
+        views = itertools.chain.from_iterable(map(self._workers.list_workers, owned))
+        for view in views:
+            for status in view.endpoints:
+                yield messages.EndpointAt(
+                    status=msgspec.structs.replace(
+                        status, draining=status.draining or view.draining
+                    ),
+                    agent=view.agent,
+                    incarnation=view.incarnation,
+                    address=self._get_address(view.agent),
+                    data_centre=self._data_centre,
+                    cell=view.cell,
+                )
+
+    def _rebuild_index(self) -> None:
+        self._indexed_generation = self._workers.generation
+        index: dict[_ServiceKey, list[messages.EndpointAt]] = collections.defaultdict(list)
+        owned = self._ownership.owned(self._now)
+        remote = (cell.endpoints for name, cell in self._remote.items() if name not in owned)
+        own = self._list_own_endpoints(owned)
+        for found in itertools.chain(own, itertools.chain.from_iterable(remote)):
+            if not found.status.draining:
+                index[(found.status.service, found.status.schema_version)].append(found)
+        self._index = dict(index)
+
+    def _forget_silent(self, now: float) -> None:
+        owned = self._ownership.owned(now)
+        silent = [
+            name
+            for name, cell in self._remote.items()
+            if name in owned or now - cell.heard_at > FORGET_SECONDS
+        ]
+        for name in silent:
+            del self._remote[name]
+        if silent:
+            self._indexed_generation = -1
+
+    @functools.singledispatchmethod
+    def _dispatch(self, event: events.Event, now: float) -> list[effects.Effect]:
+        return []
+
+    @_dispatch.register
+    def _on_stop(self, event: events.StopRequested, now: float) -> list[effects.Effect]:
+        self._stopping = True
+        return [self._send_digest(peer, True, now) for peer in self._peers.values()]
+
+    @_dispatch.register
+    def _on_received(self, event: events.Received, now: float) -> list[effects.Effect]:
+        if not isinstance(event.message, messages.EntryDigest):
+            return []
+        digest = event.message
+        if not self._note_entry(event, digest, now):
+            return [effects.Count("digests_out_of_order")]
+        for summary in digest.cells:
+            self._note_cell(event.sender, summary, digest, now)
+        return [effects.LearnAddress(found.agent, found.address) for found in digest.endpoints]
+
+    def _note_entry(self, event: events.Received, digest: messages.EntryDigest, now: float) -> bool:
+        known = self._entries.get(event.sender)
+        same = known is not None and known.incarnation == event.incarnation
+        if same and digest.sequence <= known.sequence:
+            return False
+        alive = same and self._is_alive(known, now)
+        self._entries[event.sender] = EntryView(
+            process=event.sender,
+            data_centre=digest.data_centre,
+            revision=digest.revision,
+            sequence=digest.sequence,
+            incarnation=event.incarnation,
+            alive_since=known.alive_since if alive else now,
+            heard_at=now,
+            stopping=digest.stopping,
+        )
+        return True
+
+    def _note_cell(
+        self,
+        sender: ids.ProcessId,
+        summary: messages.CellDigest,
+        digest: messages.EntryDigest,
+        now: float,
+    ) -> None:
+        known = self._remote.get(summary.cell)
+        if known is not None and known.digest.cell_epoch > summary.cell_epoch:
+            return
+        endpoints = known.endpoints if known else ()
+        if summary.cell in digest.full_cells:
+            endpoints = tuple(at for at in digest.endpoints if at.cell == summary.cell)
+            self._indexed_generation = -1
+        self._remote[summary.cell] = _RemoteCell(summary, sender, now, endpoints)
+
+
+def add(first: messages.Resources, second: messages.Resources) -> messages.Resources:
+    """Return the sum of two amounts."""
+    return messages.Resources(
+        first.millicores + second.millicores,
+        first.memory_mb + second.memory_mb,
+        first.accelerators + second.accelerators,
+    )
+
+
+def subtract(first: messages.Resources, second: messages.Resources) -> messages.Resources:
+    """Return the difference of two amounts, at least 0 of each resource."""
+    return messages.Resources(
+        max(0, first.millicores - second.millicores),
+        max(0, first.memory_mb - second.memory_mb),
+        max(0, first.accelerators - second.accelerators),
+    )
+
+
+def _largest(first: messages.Resources, second: messages.Resources) -> messages.Resources:
+    return messages.Resources(
+        max(first.millicores, second.millicores),
+        max(first.memory_mb, second.memory_mb),
+        max(first.accelerators, second.accelerators),
+    )
--- /dev/null
+++ b/crocusrudder/membership/workers.py
@@ -0,0 +1,286 @@
+"""The owner's view of the workers in its cells, and the leases it has granted to them."""
+
+import functools
+import itertools
+from collections.abc import Iterable
+
+import msgspec
+
+from crocusrudder.core import clocks
+from crocusrudder.core import effects
+from crocusrudder.core import events
+from crocusrudder.core import ids
+from crocusrudder.membership import cells
+from crocusrudder.wire import messages
+
+TASK_LEASE_SECONDS = 300.0
+SILENT_SECONDS = 15.0
+"""Three missed heartbeats; the worker then gets no new work."""
+
+REPLACED_LIMIT = 1024
+
+Runs = dict[tuple[ids.TaskId, ids.TaskEpoch], messages.TaskStatus]
+
+_ENDED = frozenset(
+    {
+        messages.RunState.SUCCEEDED,
+        messages.RunState.FAILED,
+        messages.RunState.CHECKPOINTED,
+        messages.RunState.STOPPED,
+        messages.RunState.REFUSED,
+    }
+)
+
+
+class WorkerView(msgspec.Struct):
+    """What the owner of a cell knows about one worker under the current cell epoch."""
+
+    worker: ids.WorkerId
+    agent: ids.ProcessId
+    incarnation: ids.Incarnation
+    cell: ids.CellId
+    cell_epoch: ids.CellEpoch
+    capacity: messages.Resources
+    reserved: messages.Resources
+    draining: bool
+    heartbeat: int
+    """Sequence of the latest heartbeat."""
+    heard_at: float
+    lost_after: float
+    """Time after which every lease that this owner granted to the worker has expired."""
+    revision: ids.Revision
+    inventoried: bool = False
+    """Whether a full heartbeat of this incarnation under the current cell epoch has arrived."""
+    runs: Runs = msgspec.field(default_factory=dict)
+    endpoints: tuple[messages.EndpointStatus, ...] = ()
+    latencies: tuple[tuple[ids.ServiceName, float], ...] = ()
+
+    def is_silent(self, now: float) -> bool:
+        """Return whether heartbeats are missing."""
+        return now - self.heard_at > SILENT_SECONDS
+
+
+class _CellView:
+    """Workers of one owned cell under one epoch."""
+
+    def __init__(self, epoch: ids.CellEpoch, now: float) -> None:
+        self.epoch = epoch
+        self.owned_since = now
+        self.workers: dict[ids.WorkerId, WorkerView] = {}
+
+
+class WorkerTable:
+    """Receive heartbeats for owned cells, grant leases and keep a view of each worker."""
+
+    def __init__(
+        self,
+        ownership: cells.CellOwnership,
+        task_lease_seconds: float = TASK_LEASE_SECONDS,
+    ) -> None:
+        self._ownership = ownership
+        self._lease_seconds = task_lease_seconds
+        self._cells: dict[ids.CellId, _CellView] = {}
+        self._generation = 0
+        self._replaced: dict[ids.Incarnation, None] = {}
+
+    @property
+    def lease_seconds(self) -> float:
+        """Return the task lease that acknowledgements and starts grant."""
+        return self._lease_seconds
+
+    @property
+    def generation(self) -> int:
+        """Return a number that grows when the endpoints of any owned cell change."""
+        return self._generation
+
+    def list_workers(self, cell: ids.CellId) -> list[WorkerView]:
+        """Return the workers of an owned cell that have reported under its current epoch."""
+        view = self._cells.get(cell)
+        return list(view.workers.values()) if view else []
+
+    def get_worker(self, worker: ids.WorkerId) -> WorkerView | None:
+        """Return the view of a worker, or None if it has not reported under the current epoch."""
+        for view in self._cells.values():
+            if worker in view.workers:
+                return view.workers[worker]
+        return None
+
+    def lost_after(self, cell: ids.CellId, worker: ids.WorkerId) -> float:
+        """Return the time after which no lease of the worker can be valid any more."""
+        view = self._cells.get(cell)
+        if view is None:
+            return float("inf")
+        if worker in view.workers:
+            return view.workers[worker].lost_after
+        return view.owned_since + clocks.wait_for_task_lease(self._lease_seconds)
+
+    def note_start(self, worker: ids.WorkerId, now: float) -> None:
+        """Extend ``lost_after`` because a start grants a lease."""
+        known = self.get_worker(worker)
+        if known is not None:
+            known.lost_after = now + clocks.wait_for_task_lease(self._lease_seconds)
+
+    def handle(self, event: events.Event, now: float) -> list[effects.Effect]:
+        """Take one event and return the effects to carry out."""
+        if isinstance(event, events.Received):
+            return self._receive(event.message, event, now)
+        return []
+
+    def tick(self, now: float) -> list[effects.Effect]:
+        """Follow the changes of ownership."""
+        owned = self._ownership.owned(now)
+        ended = [cell for cell in self._cells if owned.get(cell) != self._cells[cell].epoch]
+        produced = list(itertools.chain.from_iterable(map(self._drop_cell, ended)))
+        for cell, epoch in owned.items():
+            self._view_cell(cell, epoch, now)
+        return produced
+
+    def dump(self) -> dict[str, object]:
+        """Return the workers of each owned cell."""
+        return {
+            cell: {name: msgspec.to_builtins(_shorten(w)) for name, w in view.workers.items()}
+            for cell, view in self._cells.items()
+        }
+
+    def _drop_cell(self, cell: ids.CellId) -> list[effects.Effect]:
+        """Forget a cell and tell its agents to look for the next owner."""
+        # Leases granted under a lapsed ownership still run. If the same epoch resumes, the wait
+        # counts from the resumption, which is later than any of them.
+        view = self._cells.pop(cell)
+        self._generation += 1
+        notice = messages.OwnerIs(cell, ids.ProcessId(""), "", view.epoch)
+        return [
+            effects.Send(known.agent, notice, known.incarnation) for known in view.workers.values()
+        ]
+
+    def _view_cell(self, cell: ids.CellId, epoch: ids.CellEpoch, now: float) -> _CellView:
+        view = self._cells.get(cell)
+        if view is None or view.epoch != epoch:
+            view = self._cells[cell] = _CellView(epoch, now)
+        return view
+
+    @functools.singledispatchmethod
+    def _receive(
+        self, message: messages.Message, event: events.Received, now: float
+    ) -> list[effects.Effect]:
+        return []
+
+    @_receive.register
+    def _on_hello(
+        self, message: messages.Hello, event: events.Received, now: float
+    ) -> list[effects.Effect]:
+        return [self._answer_for_cell(message.cell, event, now)]
+
+    @_receive.register
+    def _on_heartbeat(
+        self, message: messages.Heartbeat, event: events.Received, now: float
+    ) -> list[effects.Effect]:
+        epoch = self._ownership.owned(now).get(message.cell)
+        if epoch is None or epoch != message.cell_epoch:
+            return [self._answer_for_cell(message.cell, event, now)]
+        view = self._view_cell(message.cell, epoch, now)
+        if event.incarnation in self._replaced:
+            return [effects.Count("heartbeats_from_replaced_agents")]
+        known = view.workers.get(message.worker)
+        if known is None or known.incarnation != event.incarnation:
+            return self._admit_agent(view, known, message, event, now)
+        if message.sequence <= known.heartbeat:
+            return [effects.Count("heartbeats_out_of_order")]
+        self._update(known, message, now)
+        return [self._acknowledge(known)]
+
+    def _answer_for_cell(
+        self, cell: ids.CellId, event: events.Received, now: float
+    ) -> effects.Effect:
+        epoch = self._ownership.owned(now).get(cell)
+        if epoch is not None:
+            answer: messages.Message = messages.Welcome(cell, epoch)
+        else:
+            owner, address = self._ownership.get_owner(cell) or (ids.ProcessId(""), "")
+            answer = messages.OwnerIs(cell, owner, address, self._ownership.get_epoch(cell))
+        return effects.Send(event.sender, answer, event.incarnation)
+
+    def _admit_agent(
+        self,
+        view: _CellView,
+        known: WorkerView | None,
+        message: messages.Heartbeat,
+        event: events.Received,
+        now: float,
+    ) -> list[effects.Effect]:
+        """Accept a new agent by its full heartbeat; ask for one otherwise."""
+        if not message.full:
+            welcome = messages.Welcome(message.cell, view.epoch)
+            return [effects.Send(event.sender, welcome, event.incarnation)]
+        if known is not None:
+            self._note_replaced(known.incarnation)
+        admitted = WorkerView(
+            worker=message.worker,
+            agent=event.sender,
+            incarnation=event.incarnation,
+            cell=message.cell,
+            cell_epoch=view.epoch,
+            capacity=message.capacity,
+            reserved=message.reserved,
+            draining=message.draining,
+            heartbeat=message.sequence,
+            heard_at=now,
+            lost_after=now,
+            revision=message.revision,
+        )
+        view.workers[message.worker] = admitted
+        self._update(admitted, message, now)
+        fields = {"worker": message.worker, "incarnation": event.incarnation}
+        return [self._acknowledge(admitted), effects.LogChange("worker_admitted", fields)]
+
+    def _note_replaced(self, incarnation: ids.Incarnation) -> None:
+        """Refuse delayed heartbeats of an agent that another one has replaced."""
+        self._replaced[incarnation] = None
+        if len(self._replaced) > REPLACED_LIMIT:
+            del self._replaced[next(iter(self._replaced))]
+
+    def _update(self, known: WorkerView, message: messages.Heartbeat, now: float) -> None:
+        known.heartbeat = message.sequence
+        known.heard_at = now
+        known.lost_after = now + clocks.wait_for_task_lease(self._lease_seconds)
+        known.capacity = message.capacity
+        known.reserved = message.reserved
+        known.revision = message.revision
+        known.latencies = message.latencies
+        if message.full:
+            known.inventoried = True
+            known.runs = {}
+        _merge_runs(known.runs, message.tasks)
+        if message.has_endpoints or message.draining != known.draining:
+            known.endpoints = message.endpoints if message.has_endpoints else known.endpoints
+            known.draining = message.draining
+            self._generation += 1
+
+    def _acknowledge(self, known: WorkerView) -> effects.Effect:
+        ack = messages.HeartbeatAck(
+            known.heartbeat, known.cell, known.cell_epoch, self._lease_seconds
+        )
+        return effects.Send(known.agent, ack, known.incarnation)
+
+
+def _merge_runs(runs: Runs, statuses: Iterable[messages.TaskStatus]) -> None:
+    for status in statuses:
+        if status.state in _ENDED:
+            runs.pop((status.task, status.epoch), None)
+        else:
+            runs[(status.task, status.epoch)] = status
+
+
+def _shorten(worker: WorkerView) -> dict[str, object]:
+    return {
+        "agent": worker.agent,
+        "incarnation": worker.incarnation,
+        "heartbeat": worker.heartbeat,
+        "draining": worker.draining,
+        "inventoried": worker.inventoried,
+        "capacity": worker.capacity,
+        "reserved": worker.reserved,
+        "runs": sorted(f"{task}/{epoch}" for task, epoch in worker.runs),
+        "endpoints": [endpoint.endpoint for endpoint in worker.endpoints],
+        "revision": worker.revision,
+    }
--- a/crocusrudder/wire/messages.py
+++ b/crocusrudder/wire/messages.py
@@ -125,6 +125,8 @@
     tasks: tuple[TaskStatus, ...] = ()
     latencies: tuple[tuple[ids.ServiceName, float], ...] = ()
     """Latest p99 latency in milliseconds of each service on the worker."""
+    has_endpoints: bool = False
+    """Whether ``endpoints`` is the complete list; otherwise it is unchanged and left out."""
 
 
 class TaskReport(Message, frozen=True):
@@ -344,6 +346,7 @@
     incarnation: ids.Incarnation
     address: str
     data_centre: ids.DataCentre
+    cell: ids.CellId = ids.CellId("")
 
 
 class EntryDigest(Message, frozen=True):
--- /dev/null
+++ b/tests/membership/test_ownership.py
@@ -0,0 +1,311 @@
+"""Tests of cell ownership, worker leases and the directory, on a simulated network and store."""
+
+import itertools
+import os
+import unittest
+
+from crocusrudder.core import clocks
+from crocusrudder.core import events
+from crocusrudder.core import ids
+from crocusrudder.membership import announcer
+from crocusrudder.membership import cells
+from crocusrudder.membership import directory
+from crocusrudder.membership import workers
+from crocusrudder.wire import messages
+from tests.support import simulation
+
+DATA_CENTRE = ids.DataCentre("bilbao")
+CELLS = tuple(cells.CellConfig(ids.CellId(name), DATA_CENTRE) for name in ("c1", "c2"))
+ENTRIES = tuple(map(ids.ProcessId, ("e1", "e2", "e3")))
+TASK_LEASE_SECONDS = 20.0
+SEEDS = int(os.environ.get("CROCUSRUDDER_SEEDS", "6"))
+STEPS = 30
+ENDPOINT = messages.EndpointStatus(
+    ids.EndpointId("d1"), ids.ServiceName("dispatch"), 1, slots=8, connections=60
+)
+
+
+class EntryPart:
+    """The membership components of an entry."""
+
+    def __init__(self, name, incarnation):
+        self.ownership = cells.CellOwnership(
+            name,
+            incarnation,
+            f"127.0.0.1:{name}",
+            DATA_CENTRE,
+            CELLS,
+            lambda now: self.directory.count_alive(now, cells.HANDOVER_SECONDS),
+        )
+        self.workers = workers.WorkerTable(self.ownership, TASK_LEASE_SECONDS)
+        peers = [directory.Peer(peer, "", DATA_CENTRE) for peer in ENTRIES if peer != name]
+        self.directory = directory.Directory(
+            DATA_CENTRE,
+            peers,
+            self.ownership,
+            self.workers,
+            lambda: ids.Revision(0),
+            lambda process: "127.0.0.1:1",
+        )
+        self._parts = (self.ownership, self.workers, self.directory)
+
+    def handle(self, event, now):
+        return list(itertools.chain.from_iterable(part.handle(event, now) for part in self._parts))
+
+    def tick(self, now):
+        ticked = list(itertools.chain.from_iterable(part.tick(now) for part in self._parts))
+        return ticked + self.ownership.release_surplus(now)
+
+    def dump(self):
+        return {}
+
+
+class WorkerSources:
+    """A worker with one endpoint and no tasks."""
+
+    draining = False
+
+    def get_revision(self):
+        return ids.Revision(0)
+
+    def is_ready(self):
+        return True
+
+    def is_draining(self):
+        return self.draining
+
+    def get_capacity(self):
+        return messages.Resources(60_000, 250_000, 0)
+
+    def get_reserved(self):
+        return messages.Resources()
+
+    def list_endpoints(self):
+        return (ENDPOINT,)
+
+    def list_runs(self):
+        return ()
+
+    def take_changed_runs(self):
+        return ()
+
+    def list_latencies(self):
+        return ()
+
+
+class AgentPart:
+    """The announcer of an agent, with the lease deadline that acknowledgements grant."""
+
+    def __init__(self, worker, cell):
+        self.sources = WorkerSources()
+        self.announcer = announcer.Announcer(worker, cell, ENTRIES, self.sources)
+        self.deadline = float("-inf")
+
+    def handle(self, event, now):
+        produced = self.announcer.handle(event, now)
+        message = event.message if isinstance(event, events.Received) else None
+        if isinstance(message, messages.HeartbeatAck) and self.announcer.accepts(
+            event.sender, message.cell_epoch
+        ):
+            deadline = self.announcer.lease_deadline(message.sequence, message.lease_seconds)
+            self.deadline = max(self.deadline, deadline or self.deadline)
+        return produced
+
+    def tick(self, now):
+        return self.announcer.tick(now)
+
+    def dump(self):
+        return {}
+
+
+class World(simulation.Simulation):
+    """Three entries and four workers in two cells; checks the two safety properties always."""
+
+    def __init__(self, seed):
+        super().__init__(seed)
+        self.agents = {}
+        for name in ENTRIES:
+            self.start_entry(name)
+        for number in range(4):
+            self.start_agent(f"w{number}")
+        self.invariants += [self.check_single_owner, self.check_leases]
+
+    def start_entry(self, name):
+        self.start(name, lambda incarnation: EntryPart(name, incarnation))
+
+    def start_agent(self, name):
+        cell = CELLS[int(name[1:]) % 2].cell
+        self.start(name, lambda incarnation: AgentPart(ids.WorkerId(name), cell))
+
+    def live(self, name):
+        process = self.processes[name]
+        return process if process.core is not None and not process.paused else None
+
+    def owners(self, cell):
+        entries = [process for process in map(self.live, ENTRIES) if process]
+        return [
+            process
+            for process in entries
+            if cell in process.core.ownership.owned(process.local(self.now))
+        ]
+
+    def check_single_owner(self):
+        for config in CELLS:
+            names = [process.name for process in self.owners(config.cell)]
+            assert len(names) <= 1, f"{config.cell} has owners {names} at {self.now}"
+
+    def check_leases(self):
+        """No owner takes a worker's leases for expired while the runtime still honours one."""
+        for worker, process in self.processes.items():
+            if worker in ENTRIES or process.core is None:
+                continue
+            cell = process.core.announcer.cell
+            honoured = process.core.deadline + clocks.RUNTIME_GRACE_SECONDS
+            if process.local(self.now) >= honoured:
+                continue
+            for owner in self.owners(cell):
+                lost_after = owner.core.workers.lost_after(cell, ids.WorkerId(worker))
+                assert owner.local(self.now) <= lost_after, f"{worker} at {self.now}"
+
+    def has_owners(self):
+        return all(self.owners(config.cell) for config in CELLS)
+
+    def is_settled(self):
+        """Return whether each cell has an owner that knows both of its workers."""
+        return all(
+            any(len(owner.core.workers.list_workers(c.cell)) == 2 for owner in self.owners(c.cell))
+            for c in CELLS
+        )
+
+
+class OwnershipTest(unittest.TestCase):
+    """Guards against two owners of a cell, and against restarts while a lease still holds."""
+
+    def setUp(self):
+        self.world = World(seed=7)
+        self.world.run_until(self.world.is_settled, 20)
+
+    def find_owner(self):
+        return self.world.owners(CELLS[0].cell)[0].name
+
+    def test_cells_spread_over_the_entries(self):
+        names = {self.world.owners(config.cell)[0].name for config in CELLS}
+        self.assertEqual(len(names), 2)
+
+    def test_a_dead_owner_is_replaced(self):
+        self.world.kill(self.find_owner())
+        taken = self.world.run_until(self.world.is_settled, 20)
+        self.assertLess(taken, cells.CELL_LEASE_SECONDS * 1.01 + 1 + 1 + 1 + 3)
+
+    def test_a_paused_owner_is_replaced_and_gives_way_when_it_wakes(self):
+        paused = self.find_owner()
+        self.world.pause(paused)
+        self.world.run_until(self.world.is_settled, 20)
+        self.world.resume(paused)
+        self.world.run(10)
+        self.assertNotEqual(self.find_owner(), paused)
+
+    def test_a_planned_stop_hands_over_without_waiting_for_the_lease(self):
+        stopping = self.find_owner()
+        self.world.post(self.world.processes[stopping], events.StopRequested())
+        taken = self.world.run_until(
+            lambda: self.world.is_settled() and self.find_owner() != stopping, 20
+        )
+        self.assertLess(taken, cells.CELL_LEASE_SECONDS)
+
+    def test_owners_go_on_after_a_store_outage(self):
+        before = [self.world.owners(config.cell)[0].name for config in CELLS]
+        self.world.faults.store_down = {"*"}
+        self.world.run(3600)
+        self.assertFalse(self.world.has_owners())
+        self.world.faults.store_down = set()
+        self.world.run_until(self.world.is_settled, 20)
+        after = [self.world.owners(config.cell)[0].name for config in CELLS]
+        self.assertEqual(before, after)
+
+    def test_an_owner_without_the_store_loses_its_cells_to_one_with_it(self):
+        cut = self.find_owner()
+        self.world.faults.store_down = {cut}
+        self.world.run_until(lambda: self.world.is_settled() and self.find_owner() != cut, 30)
+
+    def test_endpoints_are_known_to_every_entry(self):
+        self.world.run(10)
+        for name in ENTRIES:
+            found = self.world.processes[name].core.directory.find_endpoints(
+                ids.ServiceName("dispatch"), 1
+            )
+            self.assertEqual(len(found), 4, name)
+
+    def test_a_draining_worker_disappears_from_every_directory(self):
+        self.world.processes["w0"].core.sources.draining = True
+
+        def is_gone():
+            parts = [self.world.processes[name].core.directory for name in ENTRIES]
+            return all(len(part.find_endpoints("dispatch", 1)) == 3 for part in parts)
+
+        self.assertLess(self.world.run_until(is_gone, 10), 2)
+
+    def test_a_replaced_agent_is_admitted_with_a_new_inventory(self):
+        old = self.world.processes["w0"].incarnation
+        self.world.kill("w0")
+        self.world.start_agent("w0")
+        owner = self.world.owners(CELLS[0].cell)[0].core.workers
+
+        def is_replaced():
+            return owner.get_worker(ids.WorkerId("w0")).incarnation != old
+
+        self.world.run_until(is_replaced, 10)
+        self.assertTrue(owner.get_worker(ids.WorkerId("w0")).inventoried)
+
+
+class RandomFaultsTest(unittest.TestCase):
+    """Guards the same two properties under seeded mixtures of faults."""
+
+    def test_properties_hold_under_mixed_faults(self):
+        for seed in range(SEEDS):
+            with self.subTest(seed=seed):
+                self.run_mixture(seed)
+
+    def run_mixture(self, seed):
+        world = World(seed)
+        for _ in range(STEPS):
+            self.choose_fault(world)
+            world.run(world.random.uniform(0.2, 12))
+        self.heal(world)
+        world.run_until(world.is_settled, 60)
+
+    def choose_fault(self, world):
+        entry = world.random.choice(ENTRIES)
+        agent = f"w{world.random.randrange(4)}"
+        faults = world.faults
+        world.random.choice(
+            (
+                lambda: world.pause(entry),
+                lambda: world.resume(entry),
+                lambda: world.pause(agent),
+                lambda: world.resume(agent),
+                lambda: (world.kill(entry), world.start_entry(entry)),
+                lambda: (world.kill(agent), world.start_agent(agent)),
+                lambda: setattr(faults, "store_down", {"*"}),
+                lambda: setattr(faults, "store_down", {entry}),
+                lambda: setattr(faults, "store_down", set()),
+                lambda: setattr(faults, "lost_answers", 0.5),
+                lambda: setattr(faults, "lost_answers", 0.0),
+                lambda: setattr(faults, "store_delay", (0.5, 3.0)),
+                lambda: setattr(faults, "store_delay", (0.002, 0.01)),
+                lambda: faults.cut.add(frozenset((entry, agent))),
+                faults.cut.clear,
+                lambda: setattr(faults, "isolated", {entry}),
+                lambda: setattr(faults, "isolated", set()),
+                lambda: setattr(faults, "loss", 0.3),
+                lambda: setattr(faults, "duplication", 0.3),
+                lambda: setattr(faults, "delay", (0.001, 8.0)),
+                lambda: setattr(faults, "delay", (0.001, 0.005)),
+            )
+        )()
+
+    def heal(self, world):
+        world.faults = simulation.Faults()
+        for name, process in list(world.processes.items()):
+            if process.paused:
+                world.resume(name)
