--- /dev/null
+++ b/tools/standin/objects.py
@@ -0,0 +1,55 @@
+"""The logic of the object store, without input or output."""
+
+import msgspec
+
+
+class ObjectsDownError(Exception):
+    """The object store is switched off."""
+
+
+class ObjectStats(msgspec.Struct):
+    """What the object store has done so far; checkpoints by the runtime are not counted."""
+
+    object_puts: int = 0
+    object_gets: int = 0
+    object_overwrites: int = 0
+
+
+class Objects:
+    """Objects by key; ``down`` refuses every operation."""
+
+    def __init__(self) -> None:
+        self._objects: dict[str, bytes] = {}
+        self._stats = ObjectStats()
+        self.down = False
+
+    @property
+    def stats(self) -> ObjectStats:
+        """Return the counters."""
+        return self._stats
+
+    def put(self, key: str, data: bytes) -> None:
+        """Store an object; raises ``ObjectsDownError``."""
+        self._require_up()
+        self._stats.object_puts += 1
+        self._stats.object_overwrites += self._objects.get(key, data) != data
+        self._objects[key] = data
+
+    def replace(self, key: str, data: bytes) -> None:
+        """Store a new state of an object that changes; raises ``ObjectsDownError``."""
+        self._require_up()
+        self._objects[key] = data
+
+    def get(self, key: str) -> bytes | None:
+        """Return an object or None; raises ``ObjectsDownError``."""
+        self._require_up()
+        self._stats.object_gets += 1
+        return self._objects.get(key)
+
+    def list_keys(self, prefix: str) -> list[str]:
+        """Return the keys that start with ``prefix``, in order."""
+        return sorted(key for key in self._objects if key.startswith(prefix))
+
+    def _require_up(self) -> None:
+        if self.down:
+            raise ObjectsDownError
--- /dev/null
+++ b/tools/standin/platform.py
@@ -0,0 +1,38 @@
+"""Serve the stand-in platform: ``python -m tools.standin.platform --port N``."""
+
+import click
+import curio
+from loguru import logger
+
+from crocusrudder.wire import messages
+from tools.standin import runtime
+from tools.standin import server
+from tools.standin import service
+from tools.standin import signals
+
+
+async def serve(host: str, port: int, capacity: messages.Resources) -> None:
+    """Serve until SIGTERM or SIGINT."""
+    platform = service.Platform(capacity)
+    async with curio.TaskGroup(wait=any) as group:
+        await group.spawn(server.Server(host, port, platform.handle).run)
+        await group.spawn(signals.wait_for_stop)
+        logger.info("stand-in platform listens on {}:{}", host, port)
+
+
+@click.command()
+@click.option("--host", default="127.0.0.1", show_default=True)
+@click.option("--port", type=int, required=True)
+@click.option("--millicores", default=runtime.DEFAULT_CAPACITY.millicores, show_default=True)
+@click.option("--memory-mb", default=runtime.DEFAULT_CAPACITY.memory_mb, show_default=True)
+@click.option("--accelerators", default=runtime.DEFAULT_CAPACITY.accelerators, show_default=True)
+def main(host: str, port: int, millicores: int, memory_mb: int, accelerators: int) -> None:
+    """Serve the table service, the object store and the worker runtime.
+
+    The sizes are the capacity of a worker for which none is set with PUT /runtime/<worker>.
+    """
+    curio.run(serve, host, port, messages.Resources(millicores, memory_mb, accelerators))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tools/standin/runs.py
@@ -0,0 +1,291 @@
+"""The logic of one run of a task, without input or output.
+
+A run does ``worked`` seconds of work; commands are cut into steps of equal length. Times are in
+seconds on the worker's monotonic clock.
+"""
+
+import collections
+import contextlib
+import math
+
+import msgspec
+
+from crocusrudder.core import ids
+from crocusrudder.platform import runtime_calls
+from crocusrudder.wire import messages
+from tools.standin import objects
+
+OBJECT_RETRY_SECONDS = 0.1
+USAGE_HISTORY = 64
+
+State = runtime_calls.RuntimeState
+ACTIVE = frozenset({State.RUNNING, State.SUSPENDED})
+
+
+class Command(msgspec.Struct, frozen=True):
+    """A parsed command. ``steps`` is 0 for a command that fails at once."""
+
+    steps: int
+    step_seconds: float
+    audited: bool = False
+    object_key: str = "output"
+
+
+class Checkpoint(msgspec.Struct, frozen=True):
+    """Content of a checkpoint object."""
+
+    step: int
+    worked: float
+
+
+class Step(msgspec.Struct, frozen=True):
+    """One executed step in the audit log."""
+
+    worker: ids.WorkerId
+    task: ids.TaskId
+    epoch: ids.TaskEpoch
+    step: int
+    at: float
+
+
+class Transition(msgspec.Struct, frozen=True):
+    """One change of state of a run in the audit log."""
+
+    worker: ids.WorkerId
+    task: ids.TaskId
+    epoch: ids.TaskEpoch
+    state: State
+    at: float
+
+
+class Audit(msgspec.Struct):
+    """What the runs of all workers did, in order."""
+
+    steps: list[Step] = msgspec.field(default_factory=list)
+    runs: list[Transition] = msgspec.field(default_factory=list)
+
+
+def parse_command(text: str) -> Command | None:
+    """Return the command, or None if the runtime does not understand it."""
+    try:
+        match text.split():
+            case ["fail"]:
+                return Command(0, 0.0)
+            case ["sleep", seconds]:
+                return Command(1, _parse_seconds(seconds))
+            case ["count", key, steps, seconds]:
+                return Command(int(steps), _parse_seconds(seconds), True, key)
+    except ValueError:
+        return None
+    return None
+
+
+def _parse_seconds(text: str) -> float:
+    seconds = float(text)
+    if not 0 <= seconds < math.inf:
+        raise ValueError(text)
+    return seconds
+
+
+class Run:
+    """One run of a task on one worker."""
+
+    def __init__(
+        self,
+        worker: ids.WorkerId,
+        call: runtime_calls.StartRun,
+        store: objects.Objects,
+        audit: Audit,
+        now: float,
+    ) -> None:
+        self._worker = worker
+        self._call = call
+        self._store = store
+        self._audit = audit
+        self._command = parse_command(call.command)
+        self._deadline = call.lease_deadline
+        self._share = 1.0
+        self._step = 0
+        self._worked = 0.0
+        self._advanced_at = now
+        self._checkpoint = call.checkpoint
+        self._output = ""
+        self._reason = ""
+        self._blocked = False
+        self._dropped = False
+        self._usage: collections.deque[tuple[float, messages.Resources]] = collections.deque(
+            maxlen=USAGE_HISTORY
+        )
+        self._state = State.RUNNING
+        self._enter(State.RUNNING, now)
+
+    @property
+    def active(self) -> bool:
+        """Return whether the run holds its reservation."""
+        return self._state in ACTIVE and not self._dropped
+
+    @property
+    def state(self) -> State:
+        """Return the state of the run."""
+        return self._state
+
+    @property
+    def size(self) -> messages.Resources:
+        """Return the reservation."""
+        return self._call.size
+
+    def restore(self, data: bytes) -> None:
+        """Continue from the content of a checkpoint; raises ``msgspec.MsgspecError``."""
+        checkpoint = msgspec.json.decode(data, type=Checkpoint)
+        self._step = checkpoint.step
+        self._worked = checkpoint.worked
+
+    def drop(self) -> None:
+        """Do nothing from now on, as when the VM is lost."""
+        self._dropped = True
+
+    def fail(self, reason: str, now: float) -> None:
+        """End the run as failed."""
+        self._reason = reason
+        self._enter(State.FAILED, now)
+
+    def renew(self, deadline: float, now: float) -> None:
+        """Move the deadline; a suspended run continues."""
+        self.advance(now)
+        if not self.active or deadline <= self._deadline:
+            return
+        self._deadline = deadline
+        if self._state is State.SUSPENDED and deadline > now:
+            self._enter(State.RUNNING, now)
+
+    def throttle(self, share: float, now: float) -> None:
+        """Limit the run to a share of its processors."""
+        self.advance(now)
+        self._share = min(1.0, max(0.0, share))
+        self._record_usage(now)
+
+    def stop(self, now: float) -> None:
+        """End the run as stopped, if it is active."""
+        self.advance(now)
+        if self.active:
+            self._enter(State.STOPPED, now)
+
+    def checkpoint(self, now: float) -> None:
+        """Store a checkpoint and end the run; raises ``objects.ObjectsDownError``."""
+        self.advance(now)
+        if self.active:
+            self._store_checkpoint()
+            self._enter(State.CHECKPOINTED, now)
+
+    def advance(self, now: float) -> None:
+        """Do the work up to ``now``.
+
+        Steps that a delayed call would execute after the deadline are not executed.
+        """
+        if self._dropped:
+            return
+        if self._state is State.RUNNING and now >= self._deadline:
+            self._suspend(now)
+        if self._state is State.SUSPENDED:
+            if now >= self._deadline + runtime_calls.STOP_GRACE_SECONDS:
+                self._enter(State.STOPPED, now)
+        elif self._state is State.RUNNING:
+            self._work(now)
+        self._advanced_at = now
+
+    def find_next_time(self, now: float) -> float:
+        """Return the time of the next change of state, infinity if there is none."""
+        if self._state is State.SUSPENDED:
+            return self._deadline + runtime_calls.STOP_GRACE_SECONDS
+        if self._state is not State.RUNNING:
+            return math.inf
+        if self._blocked:
+            return min(now + OBJECT_RETRY_SECONDS, self._deadline)
+        if not self._share:
+            return self._deadline
+        missing = self._due(self._step + 1) - self._worked
+        return min(self._advanced_at + max(0.0, missing) / self._share, self._deadline)
+
+    def describe(self, measured_until: float) -> runtime_calls.RunInfo:
+        """Return the run as the runtime lists it, with the usage at ``measured_until``."""
+        measured = [usage for at, usage in self._usage if at <= measured_until]
+        return runtime_calls.RunInfo(
+            self._call.task,
+            self._call.epoch,
+            self._state,
+            self._call.size,
+            self._checkpoint,
+            self._output,
+            self._reason,
+            measured[-1] if measured else messages.Resources(),
+        )
+
+    def _due(self, step: int) -> float:
+        return step * self._command.step_seconds if self._command else 0.0
+
+    def _work(self, now: float) -> None:
+        if self._command is None:
+            self.fail(f"unknown command: {self._call.command}", now)
+            return
+        if not self._command.steps:
+            self.fail("the command failed", now)
+            return
+        self._worked += max(0.0, now - self._advanced_at) * self._share
+        try:
+            self._execute_steps(now)
+            self._blocked = False
+        except objects.ObjectsDownError:
+            # The next step waits for its checkpoint, so that no step is executed twice.
+            self._blocked = True
+            self._worked = min(self._worked, self._due(self._step + 1))
+
+    def _execute_steps(self, now: float) -> None:
+        while self._step < self._command.steps and self._worked >= self._due(self._step + 1):
+            if self._command.audited:
+                self._store_checkpoint(self._step + 1)
+                self._append_step(now)
+            self._step += 1
+        if self._step == self._command.steps:
+            output = f"{self._prefix}/{self._command.object_key}"
+            self._store.put(output, str(self._step).encode())
+            self._output = output
+            self._enter(State.SUCCEEDED, now)
+
+    @property
+    def _prefix(self) -> str:
+        return f"{self._call.task}/{self._call.epoch}"
+
+    def _append_step(self, now: float) -> None:
+        step = Step(self._worker, self._call.task, self._call.epoch, self._step + 1, now)
+        self._audit.steps.append(step)
+
+    def _store_checkpoint(self, step: int | None = None) -> None:
+        content = Checkpoint(self._step if step is None else step, self._worked)
+        key = f"{self._prefix}/checkpoint"
+        self._store.replace(key, msgspec.json.encode(content))
+        self._checkpoint = key
+
+    def _suspend(self, now: float) -> None:
+        # While the object store is down, the checkpoint of the last step remains.
+        with contextlib.suppress(objects.ObjectsDownError):
+            self._store_checkpoint()
+        self._enter(State.SUSPENDED, now)
+
+    def _enter(self, state: State, now: float) -> None:
+        self._state = state
+        self._advanced_at = now
+        transition = Transition(self._worker, self._call.task, self._call.epoch, state, now)
+        self._audit.runs.append(transition)
+        self._record_usage(now)
+
+    def _record_usage(self, now: float) -> None:
+        size = self._call.size
+        if self._state is State.RUNNING:
+            used = messages.Resources(
+                int(size.millicores * self._share), size.memory_mb, size.accelerators
+            )
+        elif self._state is State.SUSPENDED:
+            used = messages.Resources(0, size.memory_mb, size.accelerators)
+        else:
+            used = messages.Resources()
+        self._usage.append((now, used))
