Add settings of entries and agents with checks that report all problems

Settings are msgspec structs. core/documents.py walks decoded JSON against a struct type field by field, because msgspec stops at the first mistake.

--- /dev/null
+++ b/crocusrudder/conf/errors.py
@@ -0,0 +1,15 @@
+"""Errors of the settings."""
+
+from crocusrudder.core import errors
+
+
+class SettingsError(errors.CrocusrudderError):
+    """Base of the settings' errors."""
+
+    code = "CR-CONF-000"
+
+
+class SettingsUnreadableError(SettingsError):
+    """The settings file cannot be read."""
+
+    code = "CR-CONF-001"
--- /dev/null
+++ b/crocusrudder/conf/loader.py
@@ -0,0 +1,66 @@
+"""Read settings files."""
+
+import pathlib
+from typing import Any
+
+import msgspec
+
+from crocusrudder.conf import checks as conf_checks
+from crocusrudder.conf import errors
+from crocusrudder.conf import settings
+from crocusrudder.core import checks
+from crocusrudder.core import documents
+
+_REGISTRIES = {
+    settings.EntrySettings: conf_checks.ENTRY_CHECKS,
+    settings.AgentSettings: conf_checks.AGENT_CHECKS,
+}
+
+
+def read_file(path: pathlib.Path) -> bytes:
+    """Return the file's bytes; raise ``SettingsUnreadableError``."""
+    try:
+        return path.read_bytes()
+    except OSError as error:
+        hint = "check the path and the permissions"
+        raise errors.SettingsUnreadableError(str(error), hint) from error
+
+
+def find_problems(data: bytes, type_: type[settings.Settings]) -> list[checks.Problem]:
+    """Return all problems of a settings document, warnings included."""
+    return _examine(data, type_)[1]
+
+
+def parse(data: bytes, type_: type[settings.Settings]) -> settings.Settings:
+    """Return the settings; raise ``CheckFailedError`` with all problems."""
+    document, problems = _examine(data, type_)
+    if any(problem.severity is checks.Severity.ERROR for problem in problems):
+        raise checks.CheckFailedError(problems)
+    return document
+
+
+def load_entry(path: pathlib.Path) -> settings.EntrySettings:
+    """Return an entry's settings; raise ``CheckFailedError`` or ``SettingsUnreadableError``."""
+    return parse(read_file(path), settings.EntrySettings)
+
+
+def load_agent(path: pathlib.Path) -> settings.AgentSettings:
+    """Return an agent's settings; raise ``CheckFailedError`` or ``SettingsUnreadableError``."""
+    return parse(read_file(path), settings.AgentSettings)
+
+
+def guess_type(value: Any) -> type[settings.Settings]:
+    """Return which settings a decoded document holds: only an agent's name a worker."""
+    is_agent = isinstance(value, dict) and ("worker" in value or "capacity" in value)
+    return settings.AgentSettings if is_agent else settings.EntrySettings
+
+
+def _examine(data: bytes, type_: type[settings.Settings]) -> tuple[Any, list[checks.Problem]]:
+    value, problems = documents.decode_json(data)
+    if value is None and problems:
+        return None, problems
+    problems += documents.find_problems(value, type_)
+    if problems:
+        return None, problems
+    document = msgspec.convert(value, type_)
+    return document, _REGISTRIES[type_].run(document)
