--- a/crocusrudder/conf/checks.py
+++ b/crocusrudder/conf/checks.py
@@ -19,7 +19,7 @@
 NO_LOCAL_CELL = "CR-CONF-018"
 
 MIN_CELL_LEASE_SECONDS = 1.0
-"""Owners renew a cell lease every 2 s by default, a third of it; less leaves no time for a retry."""
+"""A lease is renewed every third of its length; less than this leaves no time for a retry."""
 MIN_TASK_LEASE_SECONDS = 2.0
 
 ENTRY_CHECKS = checks.CheckRegistry()
--- /dev/null
+++ b/crocusrudder/records/replica.py
@@ -0,0 +1,444 @@
+"""Replicas of the configuration in entries and agents.
+
+An entry reads the table and pushes changes to the other entries and to the agents of its cells;
+a push is repeated until the receiver reports the revision. ``ConfigurationRequest`` asks for what
+is missing and at the same time reports the sender's revision.
+"""
+
+import functools
+import random
+from collections.abc import Iterable
+from typing import Any
+from typing import Protocol
+
+from crocusrudder.conf import settings
+from crocusrudder.core import components
+from crocusrudder.core import effects
+from crocusrudder.core import events
+from crocusrudder.core import ids
+from crocusrudder.records import reader
+from crocusrudder.records import receivers
+from crocusrudder.records import schema
+from crocusrudder.records import state
+from crocusrudder.records import status
+from crocusrudder.wire import messages
+
+PREFIX = "config"
+ASK_SECONDS = 1.0
+PUSH_CHANGES = 16
+"""Changes in a first push at most."""
+STORE_SILENT_SECONDS = 3.0
+"""Without the table for this long, entries ask each other for changes."""
+
+
+class ChangeAccepted(events.Event, frozen=True):
+    """A change that this entry committed took effect."""
+
+    change: messages.ConfigurationChange
+
+
+class Ownership(Protocol):
+    """What a replica reads of ``membership.cells.CellOwnership``."""
+
+    def owned(self, now: float) -> dict[ids.CellId, ids.CellEpoch]:
+        """Return the cells that this entry owns now."""
+        ...
+
+
+def _is_confirmation(update: messages.ConfigurationUpdate) -> bool:
+    """Return whether an update only says that the sender has no later revision."""
+    return update.base == update.revision and not update.snapshot
+
+
+def _is_complete(update: messages.ConfigurationUpdate) -> bool:
+    """Return whether the update leads to the sender's own revision; parts and pushes may not."""
+    return update.snapshot or _is_confirmation(update)
+
+
+class _Records:
+    """What entries and agents read of their configuration."""
+
+    def __init__(self) -> None:
+        self._configuration = state.Configuration()
+        self._verified = False
+        self._ready = False
+
+    @property
+    def revision(self) -> ids.Revision:
+        """Return the revision in force in this process."""
+        return self._configuration.revision
+
+    @property
+    def verified(self) -> bool:
+        """Return whether the table or a majority of entries has confirmed the revision."""
+        return self._verified
+
+    @property
+    def ready(self) -> bool:
+        """Return whether the table or another entry has answered since the start."""
+        return self._ready
+
+    @property
+    def configuration(self) -> state.Configuration:
+        """Return the records as stored, for reading."""
+        return self._configuration
+
+    def get_record(
+        self, kind: str, name: str, schema_version: int | None = None
+    ) -> dict[str, Any] | None:
+        """Return a record in the fields of schema version 2, or None.
+
+        Without a schema version, the highest one that exists.
+        """
+        wanted = reversed(schema.SCHEMA_VERSIONS) if schema_version is None else (schema_version,)
+        for version in wanted:
+            stored = self._configuration.records.get(schema.RecordKey(kind, name, version))
+            if stored is not None:
+                return stored.newest
+        return None
+
+    def list_records(self, kind: str = "") -> list[dict[str, Any]]:
+        """Return the records of a kind, or all, in the fields of schema version 2, in order."""
+        records = self._configuration.records
+        return [records[key].newest for key in sorted(records) if kind in ("", key.kind)]
+
+    def resolve_schema_version(self, service: ids.ServiceName, order_kind: str) -> int | None:
+        """Return the schema version that serves an order kind, None if there is no such service.
+
+        Order kinds that no cutover names are served by the lowest version.
+        """
+        cutover = self.get_record("cutover", service)
+        named = cutover["order_kinds"].get(order_kind) if cutover else None
+        if named is not None:
+            return named["schema_version"]
+        for version in schema.SCHEMA_VERSIONS:
+            if schema.RecordKey("service", service, version) in self._configuration.records:
+                return version
+        return None
+
+    def _adopt(self, update: messages.ConfigurationUpdate) -> bool:
+        """Adopt an update if it leads to a higher revision; return whether it did."""
+        if update.snapshot:
+            return self._configuration.load(state.read_snapshot(update), update.revision)
+        if not state.is_contiguous(update):
+            return False
+        return self._configuration.apply(update.changes)
+
+    def _ask(self, to: ids.ProcessId) -> effects.Effect:
+        return effects.Send(to, messages.ConfigurationRequest(self.revision))
+
+    def _note_adopted(self, before: ids.Revision) -> list[effects.Effect]:
+        if self.revision <= before:
+            return []
+        fields = {"from": before, "to": self.revision, "verified": self._verified}
+        return [
+            effects.Count("configuration_adopted"),
+            effects.LogChange("configuration_adopted", fields),
+        ]
+
+
+class Replica(_Records):
+    """The configuration of an entry."""
+
+    def __init__(
+        self,
+        process: ids.ProcessId,
+        data_centre: ids.DataCentre,
+        peers: Iterable[settings.Peer],
+        cells: Iterable[settings.CellSettings],
+        ownership: Ownership,
+        randomness: random.Random,
+    ) -> None:
+        super().__init__()
+        self._process = process
+        self._data_centre = data_centre
+        self._cells = {cell.cell: cell.data_centre for cell in cells}
+        self._ownership = ownership
+        self._random = randomness
+        self._receivers = receivers.Receivers(
+            receivers.Receiver(peer.process, peer.data_centre) for peer in peers
+        )
+        operations = components.OperationIds(PREFIX)
+        self._reader = reader.StoreReader(self._configuration, operations)
+        self._origin = 0
+        self._next_ask = 0.0
+        self._confirmations: set[ids.ProcessId] = set()
+
+    @classmethod
+    def from_settings(
+        cls, document: settings.EntrySettings, ownership: Ownership, randomness: random.Random
+    ) -> "Replica":
+        """Return the replica of the entry with these settings."""
+        return cls(
+            ids.ProcessId(document.process),
+            ids.DataCentre(document.data_centre),
+            document.peers,
+            document.cells,
+            ownership,
+            randomness,
+        )
+
+    def handle(self, event: events.Event, now: float) -> list[effects.Effect]:
+        """Take a message, an answer of the table or an accepted change."""
+        before = self.revision
+        produced = self._handle(event, now)
+        return produced + self._finish(before, now)
+
+    def tick(self, now: float) -> list[effects.Effect]:
+        """Poll the table, repeat pushes and ask for what is missing."""
+        self._receivers.keep_cells(self._ownership.owned(now))
+        produced = self._reader.tick(now)
+        produced += self._push(now)
+        if now >= self._next_ask:
+            self._next_ask = now + ASK_SECONDS
+            produced += [self._ask(process) for process in self._choose_asked(now)]
+        return produced
+
+    def status(self, now: float) -> dict[str, Any]:
+        """Return the revision in force per data centre and which processes are behind."""
+        own = receivers.Receiver(
+            self._process, self._data_centre, revision=self.revision, heard_at=now
+        )
+        return status.compose(own, self._receivers, self._cells, self._ownership.owned(now), now)
+
+    def summarise_cell(self, cell: ids.CellId) -> tuple[ids.Revision, tuple[ids.ProcessId, ...]]:
+        """Return the lowest revision in an owned cell and which agents are behind, for digests."""
+        return status.summarise_cell(cell, self._receivers, self.revision)
+
+    def dump(self) -> dict[str, object]:
+        """Return the state for the state dump."""
+        return {
+            "revision": self.revision,
+            "verified": self._verified,
+            "ready": self._ready,
+            "records": len(self._configuration.records),
+            "bytes": self._configuration.size_bytes,
+            "log_start": self._configuration.log_start,
+            "store_revision": self._reader.confirmed,
+            "accepted_here": self._origin,
+            "reported": {
+                receiver.process: receiver.revision
+                for receiver in self._receivers.entries + self._receivers.agents
+            },
+        }
+
+    def _finish(self, before: ids.Revision, now: float) -> list[effects.Effect]:
+        """Update what follows from a new revision or a new confirmation."""
+        confirmed = self._reader.confirmed
+        if confirmed is not None and confirmed <= self.revision:
+            self._ready = True
+            self._verified = True
+        produced = self._note_adopted(before)
+        if self.revision > before:
+            produced += self._push(now)
+        return produced
+
+    def _push(self, now: float) -> list[effects.Effect]:
+        if not self._ready:
+            return []
+        origin = min(self._origin, self.revision)
+        due = list(self._receivers.iterate_due(self.revision, origin, now))
+        return [self._push_to(receiver, now) for receiver in due]
+
+    def _push_to(self, receiver: receivers.Receiver, now: float) -> effects.Effect:
+        base = self._choose_base(receiver)
+        receiver.note_push(self.revision, now)
+        update = self._configuration.make_update(base, self._verified)
+        return effects.Send(receiver.process, update)
+
+    def _choose_base(self, receiver: receivers.Receiver) -> ids.Revision:
+        """Return from where a push starts; a receiver that lacks more asks for it.
+
+        Repeats hold one change only, so that they cost little while a receiver is unreachable.
+        """
+        repeated = receiver.pushed_revision >= self.revision
+        lowest = max(self.revision - (1 if repeated else PUSH_CHANGES), 0)
+        reported = self.revision - 1 if receiver.revision is None else receiver.revision
+        return ids.Revision(max(lowest, min(reported, self.revision)))
+
+    def _choose_asked(self, now: float) -> list[ids.ProcessId]:
+        entries = [entry.process for entry in self._receivers.entries]
+        if not self._ready or not self._verified:
+            return entries
+        if entries and self._reader.is_silent(now, STORE_SILENT_SECONDS):
+            return [self._random.choice(entries)]
+        return []
+
+    @functools.singledispatchmethod
+    def _handle(self, event: events.Event, now: float) -> list[effects.Effect]:
+        return self._reader.handle(event, now) if hasattr(event, "operation") else []
+
+    @_handle.register
+    def _(self, event: ChangeAccepted, now: float) -> list[effects.Effect]:
+        self._origin = max(self._origin, event.change.revision)
+        if not self._configuration.apply((event.change,)):
+            self._reader.hasten(now)
+        return []
+
+    @_handle.register
+    def _(self, event: events.Received, now: float) -> list[effects.Effect]:
+        return self._receive(event.message, event, now)
+
+    @functools.singledispatchmethod
+    def _receive(
+        self, message: messages.Message, event: events.Received, now: float
+    ) -> list[effects.Effect]:
+        return []
+
+    @_receive.register
+    def _(
+        self, message: messages.ConfigurationUpdate, event: events.Received, now: float
+    ) -> list[effects.Effect]:
+        if self._receivers.get_entry(event.sender) is None:
+            return []
+        self._note_report(event, message.revision, now)
+        self._adopt(message)
+        if _is_complete(message) and message.revision <= self.revision:
+            self._ready = True
+            self._confirm(event.sender, message.verified)
+        return [] if _is_confirmation(message) else [self._ask(event.sender)]
+
+    @_receive.register
+    def _(
+        self, message: messages.ConfigurationRequest, event: events.Received, now: float
+    ) -> list[effects.Effect]:
+        if self._receivers.get(event.sender) is not None:
+            self._note_report(event, message.revision, now)
+        return self._answer(event.sender, message.revision, now)
+
+    @_receive.register
+    def _(
+        self, message: messages.EntryDigest, event: events.Received, now: float
+    ) -> list[effects.Effect]:
+        entry = self._receivers.get_entry(event.sender)
+        if entry is None:
+            return []
+        self._note_report(event, message.revision, now)
+        entry.cells = message.cells
+        return [self._ask(event.sender)] if message.revision > self.revision else []
+
+    @_receive.register
+    def _(
+        self, message: messages.Heartbeat, event: events.Received, now: float
+    ) -> list[effects.Effect]:
+        if message.cell not in self._ownership.owned(now):
+            return []
+        data_centre = ids.DataCentre(self._cells.get(message.cell, self._data_centre))
+        agent = self._receivers.add_agent(event.sender, message.cell, data_centre)
+        self._note_report(event, message.revision, now)
+        if message.revision > self.revision:
+            return self._refresh(now)
+        if self._ready and agent.needs_push(self.revision, now):
+            return [self._push_to(agent, now)]
+        return []
+
+    @_receive.register
+    def _(
+        self, message: messages.RequestAnswer, event: events.Received, now: float
+    ) -> list[effects.Effect]:
+        return self._refresh(now) if message.revision > self.revision else []
+
+    def _note_report(self, event: events.Received, revision: ids.Revision, now: float) -> None:
+        receiver = self._receivers.get(event.sender)
+        if receiver is not None:
+            receiver.note_report(event.incarnation, revision, now)
+
+    def _answer(
+        self, sender: ids.ProcessId, revision: ids.Revision, now: float
+    ) -> list[effects.Effect]:
+        if not self._ready:
+            return []
+        if revision > self.revision:
+            return [] if self._receivers.get_entry(sender) is None else [self._ask(sender)]
+        receiver = self._receivers.get(sender)
+        if receiver is not None:
+            receiver.note_push(self.revision, now)
+        update = self._configuration.make_update(revision, self._verified)
+        return [effects.Send(sender, update)]
+
+    def _confirm(self, process: ids.ProcessId, verified: bool) -> None:
+        """Count a verified entry whose revision this one has reached, and this entry itself.
+
+        Unverified entries do not count: they may all repeat what a single one said.
+        """
+        if self._verified or not verified:
+            return
+        self._confirmations.add(process)
+        known = len(self._receivers.entries) + 1
+        if 2 * (len(self._confirmations) + 1) > known:
+            self._verified = True
+
+    def _refresh(self, now: float) -> list[effects.Effect]:
+        self._reader.hasten(now)
+        entries = [entry.process for entry in self._receivers.entries]
+        return [self._ask(self._random.choice(entries))] if entries else []
+
+
+class AgentReplica(_Records):
+    """The configuration of an agent, which learns it from the entries."""
+
+    def __init__(self, entries: Iterable[ids.ProcessId], randomness: random.Random) -> None:
+        super().__init__()
+        self._entries = tuple(entries)
+        self._random = randomness
+        self._next_ask = 0.0
+        self._known = 0
+
+    @classmethod
+    def from_settings(
+        cls, document: settings.AgentSettings, randomness: random.Random
+    ) -> "AgentReplica":
+        """Return the replica of the agent with these settings."""
+        return cls((entry.process for entry in document.entries), randomness)
+
+    def handle(self, event: events.Event, now: float) -> list[effects.Effect]:
+        """Take an update, or learn from a request that a higher revision exists."""
+        if not isinstance(event, events.Received):
+            return []
+        before = self.revision
+        produced = self._receive(event.message, event, now)
+        return produced + self._note_adopted(before)
+
+    def tick(self, now: float) -> list[effects.Effect]:
+        """Ask an entry until the configuration is known and up to date."""
+        behind = not self._ready or not self._verified or self._known > self.revision
+        if not behind or now < self._next_ask or not self._entries:
+            return []
+        self._next_ask = now + ASK_SECONDS
+        return [self._ask(self._random.choice(self._entries))]
+
+    def dump(self) -> dict[str, object]:
+        """Return the state for the state dump."""
+        return {
+            "revision": self.revision,
+            "verified": self._verified,
+            "ready": self._ready,
+            "records": len(self._configuration.records),
+            "known_revision": self._known,
+        }
+
+    @functools.singledispatchmethod
+    def _receive(
+        self, message: messages.Message, event: events.Received, now: float
+    ) -> list[effects.Effect]:
+        return []
+
+    @_receive.register
+    def _(
+        self, message: messages.ConfigurationUpdate, event: events.Received, now: float
+    ) -> list[effects.Effect]:
+        self._known = max(self._known, message.revision)
+        self._adopt(message)
+        if _is_complete(message) and message.revision <= self.revision:
+            self._ready = True
+            self._verified = self._verified or message.verified
+        return [] if _is_confirmation(message) else [self._ask(event.sender)]
+
+    @_receive.register
+    def _(
+        self, message: messages.ForwardRequest, event: events.Received, now: float
+    ) -> list[effects.Effect]:
+        if message.revision <= self.revision:
+            return []
+        self._known = max(self._known, message.revision)
+        return [self._ask(event.sender)]
--- a/crocusrudder/wire/messages.py
+++ b/crocusrudder/wire/messages.py
@@ -319,6 +319,8 @@
     revision: ids.Revision
     snapshot: bool
     changes: tuple[ConfigurationChange, ...]
+    verified: bool = True
+    """Whether the sender's configuration was confirmed by the store or a majority of entries."""
 
 
 class CellDigest(msgspec.Struct, frozen=True, array_like=True):
