--- /dev/null
+++ b/crocusrudder/placement/filters.py
@@ -0,0 +1,81 @@
+"""Bayesian linear regression that forgets: a Kalman filter with a sparse design row."""
+
+import math
+from collections.abc import Mapping
+
+INTERCEPT = ""
+"""Name of the coefficient that every observation contains with weight 1."""
+
+OUTLIER_DEVIATIONS = 4.0
+"""Innovations beyond this many standard deviations count less, as in Huber's estimator."""
+
+
+class ShrinkageFilter:
+    """Estimate the coefficients of a linear model from noisy observations.
+
+    Each coefficient starts from a Gaussian prior, which is what shrinks it while data are few.
+    Coefficients drift as random walks, so that old observations lose weight (Kalman, 1960).
+    """
+
+    def __init__(self, noise_deviation: float) -> None:
+        self._noise_variance = noise_deviation**2
+        self._index: dict[str, int] = {}
+        self._means: list[float] = []
+        self._covariance: list[list[float]] = []
+        self._prior_variances: list[float] = []
+        self._drifts: list[float] = []
+
+    @property
+    def names(self) -> list[str]:
+        """Return the names of the coefficients."""
+        return list(self._index)
+
+    def add(self, name: str, mean: float, deviation: float, drift: float) -> None:
+        """Add a coefficient with its prior; ``drift`` is variance per second."""
+        size = len(self._means)
+        for row in self._covariance:
+            row.append(0.0)
+        self._covariance.append([0.0] * size + [deviation**2])
+        self._index[name] = size
+        self._means.append(mean)
+        self._prior_variances.append(deviation**2)
+        self._drifts.append(drift)
+
+    def get(self, name: str) -> tuple[float, float]:
+        """Return mean and standard deviation of a coefficient; ``KeyError`` if unknown."""
+        index = self._index[name]
+        return self._means[index], math.sqrt(max(self._covariance[index][index], 0.0))
+
+    def predict(self, row: Mapping[str, float]) -> float:
+        """Return the expected value of an observation with this design row."""
+        return sum(self._means[self._index[name]] * weight for name, weight in row.items())
+
+    def advance(self, seconds: float) -> None:
+        """Let the coefficients drift; no variance grows beyond its prior."""
+        for index, drift in enumerate(self._drifts):
+            diagonal = self._covariance[index]
+            room = max(self._prior_variances[index] - diagonal[index], 0.0)
+            diagonal[index] += min(drift * seconds, room)
+
+    def observe(self, row: Mapping[str, float], value: float) -> float:
+        """Update the coefficients with one observation and return the innovation."""
+        entries = [(self._index[name], weight) for name, weight in row.items() if weight]
+        gains = [
+            sum(line[index] * weight for index, weight in entries) for line in self._covariance
+        ]
+        explained = sum(gains[index] * weight for index, weight in entries)
+        innovation = value - sum(self._means[index] * weight for index, weight in entries)
+        noise = self._noise_variance
+        limit = OUTLIER_DEVIATIONS * math.sqrt(explained + noise)
+        if abs(innovation) > limit:
+            noise *= abs(innovation) / limit
+        scale = 1.0 / (explained + noise)
+        for index, gain in enumerate(gains):
+            if gain == 0.0:
+                continue
+            self._means[index] += gain * scale * innovation
+            factor = gain * scale
+            line = self._covariance[index]
+            for other, other_gain in enumerate(gains):
+                line[other] -= factor * other_gain
+        return innovation
--- /dev/null
+++ b/crocusrudder/placement/interference.py
@@ -0,0 +1,220 @@
+"""Pairwise slowdown of services by batch job classes, learned from lagging p99 reports.
+
+The logarithm of a service's p99 on a worker is modelled as an intercept, which follows the load of
+the service, plus a slope for each job class times the exposure to it (running tasks of the class,
+weighted by their processor share).
+"""
+
+import collections
+import math
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from crocusrudder.core import ids
+from crocusrudder.placement import filters
+
+REPORT_AGE_SECONDS = 8.0
+"""Typical time between the measurement of a p99 and the arrival of its report."""
+MEASUREMENT_WINDOW_SECONDS = 10.0
+"""Length of the window over which an agent takes a p99."""
+HISTORY_SECONDS = 60.0
+"""How long past placements are kept; beyond it no report is attributed."""
+
+NOISE_DEVIATION = 0.25
+"""Standard deviation of the logarithm of a reported p99."""
+INTERCEPT_DEVIATION = 1.0
+INTERCEPT_DRIFT = 1e-4
+"""Variance per second; lets the intercept follow a load that doubles within a few minutes."""
+PAIR_MEAN = 0.05
+PAIR_DEVIATION = 0.3
+"""Prior of a pair; most pairs are harmless, a few multiply the p99 by 1.5 to 2.5."""
+PAIR_DRIFT = 1e-5
+CLASS_PRIOR_REPORTS = 20
+"""Reports on other services after which their mean is the prior of a new pair by half."""
+TESTED_REPORTS = 2
+"""Reports with the class present after which a pair counts as tested."""
+TESTED_EXPOSURE = 0.5
+MAX_CLASSES = 32
+"""Classes per service; further classes share one slope. Bounds an update to about 0.1 ms."""
+OTHER_CLASS = "(other)"
+EXCESS_SMOOTHING = 0.4
+"""Weight of the newest report in the smoothed excess of a service on a worker."""
+
+
+class PairEstimate(NamedTuple):
+    """Logarithm of the slowdown by one task of a class: mean and standard deviation."""
+
+    mean: float
+    deviation: float
+    reports: int
+
+
+class Excess(NamedTuple):
+    """Smoothed logarithm of a service's p99 on a worker over its undisturbed level."""
+
+    value: float
+    reports: int
+    last_report: float
+
+
+class _Service:
+    """Regression of one service."""
+
+    def __init__(self, log_p99: float, now: float) -> None:
+        self.filter = filters.ShrinkageFilter(NOISE_DEVIATION)
+        self.filter.add(filters.INTERCEPT, log_p99, INTERCEPT_DEVIATION, INTERCEPT_DRIFT)
+        self.classes: dict[str, str] = {}
+        self.reports: collections.Counter[str] = collections.Counter()
+        self.updated = now
+
+
+class InterferenceModel:
+    """Learn the slowdown of each (service, job class) pair."""
+
+    def __init__(self) -> None:
+        self._services: dict[ids.ServiceName, _Service] = {}
+        self._history: dict[ids.WorkerId, collections.deque[tuple[float, dict[str, float]]]] = {}
+        self._excess: dict[ids.WorkerId, dict[ids.ServiceName, Excess]] = {}
+        self._estimates: dict[tuple[ids.ServiceName, str], PairEstimate] = {}
+
+    def record_placement(
+        self, worker: ids.WorkerId, exposure: Mapping[str, float], now: float
+    ) -> None:
+        """Record the exposure to each class that is in force on a worker from now on."""
+        history = self._history.setdefault(worker, collections.deque())
+        if history and history[-1][1] == exposure:
+            return
+        history.append((now, dict(exposure)))
+        while len(history) > 1 and history[1][0] < now - HISTORY_SECONDS:
+            history.popleft()
+
+    def record_report(
+        self, worker: ids.WorkerId, service: ids.ServiceName, p99_ms: float, now: float
+    ) -> None:
+        """Learn from one p99; it is attributed to the placement in force when it was measured."""
+        if not p99_ms > 0.0 or math.isinf(p99_ms):
+            return
+        value = math.log(p99_ms)
+        state = self._services.get(service)
+        if state is None:
+            state = self._services[service] = _Service(value, now)
+        row = self._design_row(service, state, self._measured_exposure(worker, now))
+        state.filter.advance(now - state.updated)
+        state.updated = now
+        state.filter.observe(row, value)
+        for name, weight in row.items():
+            if name != filters.INTERCEPT and weight >= TESTED_EXPOSURE:
+                state.reports[name] += 1
+        self._refresh(service, state)
+        self._smooth_excess(worker, service, value, now)
+
+    def estimate(self, service: ids.ServiceName, job_class: str) -> PairEstimate:
+        """Return what is known of a pair; the prior if it was never observed."""
+        found = self._estimates.get((service, job_class))
+        if found is not None:
+            return found
+        state = self._services.get(service)
+        if state is not None and job_class in state.classes:
+            return self._estimates[(service, state.classes[job_class])]
+        return PairEstimate(self._prior_mean(service, job_class), PAIR_DEVIATION, 0)
+
+    def is_tested(self, service: ids.ServiceName, job_class: str) -> bool:
+        """Return whether enough reports cover the pair to place it freely."""
+        return self.estimate(service, job_class).reports >= TESTED_REPORTS
+
+    def services_on(self, worker: ids.WorkerId) -> Mapping[ids.ServiceName, Excess]:
+        """Return the services that reported a p99 from the worker, with their excess."""
+        return self._excess.get(worker, {})
+
+    def predict(
+        self, service: ids.ServiceName, exposure: Mapping[str, float], deviations: float = 0.0
+    ) -> float:
+        """Return the expected logarithm of the slowdown of a service under an exposure."""
+        total = 0.0
+        for job_class, weight in exposure.items():
+            mean, deviation, _ = self.estimate(service, job_class)
+            total += weight * max(mean + deviations * deviation, 0.0)
+        return total
+
+    def remove_worker(self, worker: ids.WorkerId) -> None:
+        """Forget the placements of a worker; what it taught about pairs stays."""
+        self._history.pop(worker, None)
+        self._excess.pop(worker, None)
+
+    def dump(self) -> dict[str, object]:
+        """Return the estimates by service and class."""
+        result: dict[str, dict[str, list[float]]] = {}
+        for (service, job_class), pair in sorted(self._estimates.items()):
+            rounded = [round(pair.mean, 3), round(pair.deviation, 3), pair.reports]
+            result.setdefault(service, {})[job_class] = rounded
+        return dict(result)
+
+    def _measured_exposure(self, worker: ids.WorkerId, now: float) -> dict[str, float]:
+        """Return the mean exposure over the window in which the p99 was measured."""
+        end = now - REPORT_AGE_SECONDS
+        begin = end - MEASUREMENT_WINDOW_SECONDS
+        total: dict[str, float] = {}
+        until = end
+        for since, exposure in reversed(self._history.get(worker, ())):
+            if since >= until:
+                continue
+            overlap = until - max(since, begin)
+            for job_class, weight in exposure.items():
+                share = weight * overlap / MEASUREMENT_WINDOW_SECONDS
+                total[job_class] = total.get(job_class, 0.0) + share
+            until = since
+            if since <= begin:
+                break
+        return total
+
+    def _design_row(
+        self, service: ids.ServiceName, state: _Service, exposure: Mapping[str, float]
+    ) -> dict[str, float]:
+        row = {filters.INTERCEPT: 1.0}
+        for job_class, weight in exposure.items():
+            name = state.classes.get(job_class)
+            if name is None:
+                name = self._add_class(service, state, job_class)
+            row[name] = row.get(name, 0.0) + weight
+        return row
+
+    def _add_class(self, service: ids.ServiceName, state: _Service, job_class: str) -> str:
+        name = job_class if len(state.filter.names) < MAX_CLASSES else OTHER_CLASS
+        if name not in state.filter.names:
+            mean = self._prior_mean(service, job_class)
+            state.filter.add(name, mean, PAIR_DEVIATION, PAIR_DRIFT)
+        state.classes[job_class] = name
+        return name
+
+    def _prior_mean(self, service: ids.ServiceName, job_class: str) -> float:
+        """Return the prior of a pair: the class's mean over other services, shrunk."""
+        total = 0.0
+        reports = 0
+        for other, state in self._services.items():
+            if other == service or job_class not in state.classes:
+                continue
+            pair = self._estimates.get((other, state.classes[job_class]))
+            if pair is not None:
+                total += pair.mean * pair.reports
+                reports += pair.reports
+        weight = CLASS_PRIOR_REPORTS + reports
+        return (PAIR_MEAN * CLASS_PRIOR_REPORTS + total) / weight
+
+    def _refresh(self, service: ids.ServiceName, state: _Service) -> None:
+        for name in state.filter.names:
+            if name != filters.INTERCEPT:
+                mean, deviation = state.filter.get(name)
+                pair = PairEstimate(mean, deviation, state.reports[name])
+                self._estimates[(service, name)] = pair
+
+    def _smooth_excess(
+        self, worker: ids.WorkerId, service: ids.ServiceName, value: float, now: float
+    ) -> None:
+        intercept, _ = self._services[service].filter.get(filters.INTERCEPT)
+        excess = value - intercept
+        by_service = self._excess.setdefault(worker, {})
+        last = by_service.get(service)
+        if last is not None:
+            excess = EXCESS_SMOOTHING * excess + (1.0 - EXCESS_SMOOTHING) * last.value
+        reports = 1 if last is None else last.reports + 1
+        by_service[service] = Excess(excess, reports, now)
--- a/crocusrudder/placement/policy.py
+++ b/crocusrudder/placement/policy.py
@@ -5,10 +5,46 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 
+import msgspec
+
 from crocusrudder.core import ids
+from crocusrudder.placement import blame
+from crocusrudder.placement import demand
+from crocusrudder.placement import interference
 from crocusrudder.placement import model
+from crocusrudder.placement import reactions
+from crocusrudder.placement import scoring
+from crocusrudder.placement import tracking
 from crocusrudder.wire import messages
 
+TRIAL_SECONDS = 45.0
+"""Time after which an untested pair may be tried on another worker, if no report came."""
+TRIAL_TASKS = 2
+"""Tasks of an untested class beside a service; more teach nothing and may harm."""
+LEVELS_SECONDS = 5.0
+"""Age after which predicted slowdowns are computed anew; one heartbeat interval."""
+AVOID_SECONDS = 300.0
+"""How long a task stays away from a worker that it was moved off."""
+PREEMPT_AFTER_SECONDS = 60.0
+"""Batch that has run for less is not preempted, so that it makes progress."""
+TIE_BREAK = 1e-6
+"""Weight of the random part of a score; decides between equal workers only."""
+
+
+class PolicySettings(msgspec.Struct, frozen=True):
+    """What an operator may tune. Slowdowns are factors on a service's undisturbed p99."""
+
+    slowdown_limit: float = 1.5
+    """Predicted slowdown above which batch waits rather than starts."""
+    patience_seconds: float = 60.0
+    """Time after which a waiting job gets one start in spite of the limit."""
+    deviations: float = 1.0
+    """Standard deviations of uncertainty added to the predicted slowdown."""
+    balance: float = 0.1
+    """Weight of utilisation in the score."""
+    reaction: reactions.ReactionSettings = reactions.ReactionSettings()
+    use_interference: bool = True
+
 
 class PlacementPolicy:
     """Decide placements and reactions for the workers of an owner's cells.
@@ -17,25 +53,49 @@
     scheduler tells it every start and every end that it decides or learns of.
     """
 
-    def __init__(self, random: random_module.Random) -> None:
+    def __init__(
+        self,
+        random: random_module.Random,
+        settings: PolicySettings | None = None,
+        pairs: interference.InterferenceModel | None = None,
+        sizes: demand.DemandModel | None = None,
+    ) -> None:
         self._random = random
-        self._started: dict[ids.WorkerId, dict[ids.TaskId, model.PlacementTask]] = {}
+        self._settings = settings or PolicySettings()
+        self._pairs = pairs or interference.InterferenceModel()
+        self._sizes = sizes or demand.DemandModel()
+        self._blame = blame.BlameModel()
+        self._planner = reactions.ReactionPlanner(self._pairs, self._settings.reaction)
+        self._workers: dict[ids.WorkerId, tracking.WorkerState] = {}
+        self._held_since: dict[ids.JobId, float] = {}
+        self._avoid: dict[ids.TaskId, tuple[ids.WorkerId, float]] = {}
+        self._trials: dict[tuple[ids.ServiceName, str], tuple[ids.WorkerId, float]] = {}
 
     def choose_worker(
         self, task: model.PlacementTask, workers: Sequence[model.WorkerView], now: float
     ) -> ids.WorkerId | None:
         """Return the worker to start the task on, or None if it should wait for now."""
-        fitting = [view for view in workers if self._fits(task, view)]
-        if not fitting:
+        if not self._blame.may_start(task.job, now):
+            return None
+        candidates = self._list_candidates(task, workers, now)
+        if not candidates:
             return None
-        return min(fitting, key=lambda view: view.reserved.millicores).worker
+        return self._choose_by_score(task, candidates, now)
 
     def record_start(self, task: model.PlacementTask, worker: ids.WorkerId, now: float) -> None:
         """Record a start when it is decided, or a run that was adopted at a takeover.
 
         Until the run appears in the worker's ``runs``, the policy counts its size itself.
         """
-        self._started.setdefault(worker, {})[task.task] = task
+        worker_state = self._state(worker)
+        worker_state.runs[task.task] = tracking.Run(task, now)
+        worker_state.take_token(now)
+        self._blame.record_start(task.task, task.job, worker, now)
+        self._held_since.pop(task.job, None)
+        self._record_placement(worker, worker_state, now)
+        for service in self._pairs.services_on(worker):
+            if not self._pairs.is_tested(service, task.job_class):
+                self._trials.setdefault((service, task.job_class), (worker, now))
 
     def record_report(
         self,
@@ -48,6 +108,12 @@
 
         ``latencies`` is empty when the heartbeat brought none; the classes are recorded anyway.
         """
+        worker_state = self._state(worker)
+        exposure = worker_state.correct_exposure(running_classes)
+        self._pairs.record_placement(worker, exposure, now)
+        for service, p99_ms in latencies.items():
+            self._pairs.record_report(worker, service, p99_ms, now)
+        worker_state.levels = None
 
     def record_end(
         self,
@@ -58,69 +124,267 @@
         usage: messages.Resources | None = None,
         reason: str = "",
     ) -> None:
-        """Record the end of a run.
+        """Record the end of a run; a run that is not known is ignored.
 
-        ``state`` is how it ended: SUCCEEDED and FAILED count for blame, CHECKPOINTED, STOPPED and
-        REFUSED do not. ``usage`` is the largest measured usage, if any was reported.
+        ``state`` is how it ended: SUCCEEDED and FAILED count for blame, CHECKPOINTED, STOPPED
+        and REFUSED do not. ``usage`` is the largest measured usage, if any was reported.
         """
-        self._started.get(worker, {}).pop(task, None)
+        worker_state = self._state(worker)
+        run = worker_state.runs.pop(task, None)
+        if run is None:
+            return
+        if usage is not None:
+            run.record_usage(usage)
+        self._record_outcome(run, worker, state, now, reason)
+        if run.move_asked_at is not None:
+            self._avoid[task] = (worker, now)
+        self._record_placement(worker, worker_state, now)
 
     def propose_reactions(
         self, workers: Sequence[model.WorkerView], now: float
     ) -> list[model.Reaction]:
         """Return the reactions due now; call about once a second and carry out all of them."""
-        return []
+        self._record_usage(workers)
+        self._forget_old(now)
+
+        def find_target(task: model.PlacementTask, source: ids.WorkerId) -> bool:
+            others = [view for view in workers if view.worker != source]
+            candidates = self._list_candidates(task, others, now)
+            return any(self._is_acceptable(task, view.worker, now) for view, _ in candidates)
+
+        found = self._planner.propose(workers, self._workers, find_target, now)
+        for reaction in found:
+            worker_state = self._workers[reaction.worker]
+            self._record_placement(reaction.worker, worker_state, now)
+        return found
 
     def propose_preemption(
         self, task: model.PlacementTask, workers: Sequence[model.WorkerView], now: float
     ) -> model.Preemption | None:
         """Return the batch runs to checkpoint so that an urgent task fits, or None."""
-        return None
+        best: model.Preemption | None = None
+        for view in workers:
+            if view.draining or not self._blame.may_start_on(view.worker, now):
+                continue
+            worker_state = self._state(view.worker)
+            runs = self._list_preemptible(view, worker_state, now)
+            chosen = scoring.choose_preempted(worker_state.compute_free(view), task.size, runs)
+            if chosen and (best is None or len(chosen) < len(best.runs)):
+                best = model.Preemption(view.worker, chosen)
+        return best
+
+    def estimate_size(
+        self, job_class: str, declared: messages.Resources, task: ids.TaskId | None = None
+    ) -> messages.Resources:
+        """Return the size to reserve for a task: learned, or declared while too little is known."""
+        return self._sizes.estimate_size(job_class, declared, task)
 
     def find_verdict(self, job: ids.JobId) -> model.Verdict | None:
         """Return why the job can never run, or None if that is not established."""
-        return None
+        return self._blame.find_verdict(job)
 
     def check_size(
         self, size: messages.Resources, capacities: Iterable[messages.Resources]
     ) -> str | None:
         """Return why a job of this size fits no worker, or None if it fits at least one."""
-        return None
+        known = list(capacities)
+        frees = [scoring.compute_free(capacity, messages.Resources(), ()) for capacity in known]
+        if not known or any(free.fits(size) for free in frees):
+            return None
+        largest = [max(column) for column in zip(*frees, strict=True)]
+        return (
+            f"asks for {size.millicores} millicores, {size.memory_mb} MB and {size.accelerators} "
+            f"accelerators; no worker has these together, the largest amounts on any worker are "
+            f"{largest[0]} millicores, {largest[1]} MB and {largest[2]} accelerators"
+        )
 
     def is_quarantined(self, worker: ids.WorkerId, now: float) -> bool:
         """Return whether the worker gets no tasks because tasks fail there."""
-        return False
+        return self._blame.is_quarantined(worker)
 
     def release_worker(self, worker: ids.WorkerId) -> None:
         """Forget the failures of a worker, after an operator repaired or replaced it."""
+        self._blame.release(worker)
 
     def remove_worker(self, worker: ids.WorkerId) -> None:
         """Forget a worker that left the cell."""
-        self._started.pop(worker, None)
+        self._workers.pop(worker, None)
+        self._pairs.remove_worker(worker)
+        self._planner.remove_worker(worker)
+        self._blame.remove_worker(worker)
 
     def remove_job(self, job: ids.JobId) -> None:
         """Forget a job that ended or was cancelled."""
+        self._blame.remove_job(job)
+        self._held_since.pop(job, None)
 
     def explain_worker(self, worker: ids.WorkerId, now: float) -> str:
         """Return why the worker is or is not quarantined, for the operator."""
-        return ""
+        return self._blame.explain_worker(worker, now)
 
     def explain_job(self, job: ids.JobId) -> str:
         """Return what is known of the job's failures, for the operator."""
-        return ""
+        return self._blame.explain_job(job)
 
     def dump(self) -> dict[str, object]:
         """Return what has been learned as JSON types for the state dump."""
-        return {}
+        return {
+            "interference": self._pairs.dump(),
+            "demand": self._sizes.dump(),
+            "blame": self._blame.dump(),
+            "held_jobs": len(self._held_since),
+        }
 
-    def _fits(self, task: model.PlacementTask, view: model.WorkerView) -> bool:
-        waiting = [
-            started.size
-            for key, started in self._started.get(view.worker, {}).items()
-            if all(key != run for run, _ in view.runs)
+    def _state(self, worker: ids.WorkerId) -> tracking.WorkerState:
+        return self._workers.setdefault(worker, tracking.WorkerState())
+
+    def _list_candidates(
+        self, task: model.PlacementTask, workers: Sequence[model.WorkerView], now: float
+    ) -> list[tuple[model.WorkerView, scoring.Free]]:
+        """Return the workers that may take the task now, with what is free there."""
+        states = [self._state(view.worker) for view in workers]
+        frees = [known.compute_free(view) for known, view in zip(states, workers, strict=True)]
+        capacities = [view.capacity for view in workers]
+        reserve = None if task.urgent else scoring.UrgentReserve(capacities, frees)
+        avoided, _ = self._avoid.get(task.task, (None, 0.0))
+        candidates = []
+        for index, (view, known, free) in enumerate(zip(workers, states, frees, strict=True)):
+            if view.draining or view.worker == avoided or not free.fits(task.size):
+                continue
+            if reserve is not None and not reserve.allows(index, free, task.size):
+                continue
+            if known.has_token(now) and self._blame.may_start_on(view.worker, now):
+                candidates.append((view, free))
+        return self._prefer_fresh(task.job, candidates)
+
+    def _prefer_fresh(
+        self, job: ids.JobId, candidates: list[tuple[model.WorkerView, scoring.Free]]
+    ) -> list[tuple[model.WorkerView, scoring.Free]]:
+        """Prefer workers that the job has not failed on, and spread a job without a success."""
+        fresh = [
+            candidate
+            for candidate in candidates
+            if not self._blame.failed_there(job, candidate[0].worker)
+            and not self._blame.runs_there(job, candidate[0].worker)
         ]
-        sizes = [view.reserved, task.size, *waiting]
-        return not view.draining and all(
-            sum(getattr(size, name) for size in sizes) <= getattr(view.capacity, name)
-            for name in messages.Resources.__struct_fields__
-        )
+        return fresh or candidates
+
+    def _choose_by_score(
+        self,
+        task: model.PlacementTask,
+        candidates: list[tuple[model.WorkerView, scoring.Free]],
+        now: float,
+    ) -> ids.WorkerId | None:
+        patient = not task.urgent and self._is_patient(task.job, now)
+        best: ids.WorkerId | None = None
+        best_score = float("inf")
+        for view, free in candidates:
+            if patient and not self._is_acceptable(task, view.worker, now):
+                continue
+            score = self._score(task, view, free, now)
+            if score < best_score:
+                best, best_score = view.worker, score
+        if best is None and patient:
+            self._held_since.setdefault(task.job, now)
+        return best
+
+    def _is_patient(self, job: ids.JobId, now: float) -> bool:
+        held = self._held_since.get(job)
+        return held is None or now - held < self._settings.patience_seconds
+
+    def _score(
+        self, task: model.PlacementTask, view: model.WorkerView, free: scoring.Free, now: float
+    ) -> float:
+        """Return the cost of the placement; the lowest wins."""
+        utilisation = scoring.compute_utilisation(view.capacity, free, task.size)
+        score = self._settings.balance * utilisation + TIE_BREAK * self._random.random()
+        if self._settings.use_interference:
+            levels = self._levels(view.worker, now)
+            deviations = self._settings.deviations
+            score += scoring.compute_impact(self._pairs, levels, task.job_class, deviations).cost
+        return score
+
+    def _is_acceptable(self, task: model.PlacementTask, worker: ids.WorkerId, now: float) -> bool:
+        """Return whether the task may start there without waiting for something better."""
+        if not self._settings.use_interference:
+            return True
+        levels = self._levels(worker, now)
+        impact = scoring.compute_impact(self._pairs, levels, task.job_class, 0.0)
+        if impact.worst > scoring.log_limit(self._settings.slowdown_limit):
+            return False
+        return all(self._may_try(service, task.job_class, worker, now) for service, _ in levels)
+
+    def _may_try(
+        self, service: ids.ServiceName, job_class: str, worker: ids.WorkerId, now: float
+    ) -> bool:
+        """Return whether a pair is tested, or may be tried on this worker."""
+        if self._pairs.is_tested(service, job_class):
+            return True
+        trial, since = self._trials.get((service, job_class), (worker, now))
+        if now - since >= TRIAL_SECONDS:
+            del self._trials[(service, job_class)]
+            return True
+        count = self._state(worker).exposure.get(job_class, 0.0)
+        return trial == worker and count < TRIAL_TASKS
+
+    def _levels(self, worker: ids.WorkerId, now: float) -> list[scoring.ServiceLevel]:
+        known = self._state(worker)
+        if known.levels is None or now - known.levels_at >= LEVELS_SECONDS:
+            known.levels = scoring.compute_levels(self._pairs, worker, known.exposure)
+            known.levels_at = now
+        return known.levels
+
+    def _record_placement(
+        self, worker: ids.WorkerId, worker_state: tracking.WorkerState, now: float
+    ) -> None:
+        worker_state.levels = None
+        self._pairs.record_placement(worker, worker_state.exposure, now)
+
+    def _record_outcome(
+        self,
+        run: tracking.Run,
+        worker: ids.WorkerId,
+        state: messages.RunState,
+        now: float,
+        reason: str,
+    ) -> None:
+        task = run.task
+        succeeded = state is messages.RunState.SUCCEEDED
+        outgrown = run.peak_memory_mb >= demand.CENSORED_SHARE * max(task.size.memory_mb, 1)
+        if succeeded or outgrown:
+            self._sizes.record_usage(task.job_class, run.peak, task.size)
+        if succeeded:
+            self._sizes.record_run_time(task.job_class, now - run.started)
+            self._blame.record_success(task.task, task.job, worker, now)
+        elif state is messages.RunState.FAILED and outgrown:
+            self._sizes.record_outgrown(task.task, task.size)
+            self._blame.record_outgrown(task.task, task.job, worker, task.size)
+        elif state is messages.RunState.FAILED:
+            self._blame.record_failure(task.task, task.job, worker, now, reason)
+        else:
+            self._blame.record_neutral(task.task, task.job, worker)
+
+    def _record_usage(self, workers: Sequence[model.WorkerView]) -> None:
+        for view in workers:
+            known = self._state(view.worker).runs
+            for (task, _), status in view.runs.items():
+                if task in known:
+                    known[task].record_usage(status.usage)
+
+    def _list_preemptible(
+        self, view: model.WorkerView, worker_state: tracking.WorkerState, now: float
+    ) -> list[tuple[model.RunKey, messages.Resources]]:
+        live = tracking.list_live(view)
+        return [
+            ((task, live[task]), run.task.size)
+            for task, run in worker_state.runs.items()
+            if task in live
+            and not run.task.urgent
+            and run.move_asked_at is None
+            and now - run.started >= PREEMPT_AFTER_SECONDS
+        ]
+
+    def _forget_old(self, now: float) -> None:
+        old = [task for task, (_, at) in self._avoid.items() if now - at >= AVOID_SECONDS]
+        for task in old:
+            del self._avoid[task]
--- /dev/null
+++ b/crocusrudder/placement/scoring.py
@@ -0,0 +1,157 @@
+"""Resource arithmetic and the score of a worker for a task."""
+
+import math
+from collections.abc import Iterable
+from collections.abc import Mapping
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from crocusrudder.core import ids
+from crocusrudder.placement import interference
+from crocusrudder.placement import model
+from crocusrudder.wire import messages
+
+URGENT_RESERVE = 0.02
+"""Share of a cell's processors and memory that ordinary batch leaves free for urgent tasks."""
+MIN_SLOPE = 0.03
+"""Slopes below this are harmless; they do not count against the slowdown limit."""
+MAX_LOG_SLOWDOWN = 4.0
+"""Bound on predictions, so that an extrapolation cannot overflow or dominate everything."""
+
+
+class Free(NamedTuple):
+    """Free resources of one worker; may be negative after a capacity loss."""
+
+    millicores: int
+    memory_mb: int
+    accelerators: int
+
+    def fits(self, size: messages.Resources) -> bool:
+        """Return whether the size fits."""
+        return (
+            size.millicores <= self.millicores
+            and size.memory_mb <= self.memory_mb
+            and size.accelerators <= self.accelerators
+        )
+
+
+def compute_free(
+    capacity: messages.Resources,
+    reserved: messages.Resources,
+    unreported: Iterable[messages.Resources],
+) -> Free:
+    """Return what is free beside the reservations and the starts not reported yet."""
+    millicores = capacity.millicores - reserved.millicores
+    memory_mb = capacity.memory_mb - reserved.memory_mb
+    accelerators = capacity.accelerators - reserved.accelerators
+    for size in unreported:
+        millicores -= size.millicores
+        memory_mb -= size.memory_mb
+        accelerators -= size.accelerators
+    return Free(millicores, memory_mb, accelerators)
+
+
+def compute_utilisation(
+    capacity: messages.Resources, free: Free, size: messages.Resources
+) -> float:
+    """Return the larger of processor and memory utilisation (0 to 1) with the size added."""
+    used = 1.0 - (free.millicores - size.millicores) / max(capacity.millicores, 1)
+    used_memory = 1.0 - (free.memory_mb - size.memory_mb) / max(capacity.memory_mb, 1)
+    return max(used, used_memory)
+
+
+def log_limit(slowdown: float) -> float:
+    """Return the logarithm of a slowdown limit; infinite for a limit of 0 (none)."""
+    return math.log(slowdown) if slowdown > 0.0 else math.inf
+
+
+class UrgentReserve:
+    """Keep ``URGENT_RESERVE`` of the cell free in one piece on one worker.
+
+    Spread over all workers the reserve would be too small on each for one task.
+    """
+
+    def __init__(self, capacities: Sequence[messages.Resources], frees: Sequence[Free]) -> None:
+        total_cores = sum(capacity.millicores for capacity in capacities)
+        total_memory = sum(capacity.memory_mb for capacity in capacities)
+        self._needed = messages.Resources(
+            millicores=math.ceil(URGENT_RESERVE * total_cores),
+            memory_mb=math.ceil(URGENT_RESERVE * total_memory),
+        )
+        holders = [index for index, free in enumerate(frees) if free.fits(self._needed)]
+        self._sole_holder = holders[0] if len(holders) == 1 else None
+        self._holders = len(holders)
+
+    def allows(self, index: int, free: Free, size: messages.Resources) -> bool:
+        """Return whether ordinary batch may take ``size`` on the worker at ``index``."""
+        if index != self._sole_holder:
+            return True
+        left = Free(free.millicores - size.millicores, free.memory_mb - size.memory_mb, 0)
+        return left.fits(self._needed)
+
+
+class ServiceLevel(NamedTuple):
+    """A service on a worker and the predicted logarithm of its present slowdown."""
+
+    service: ids.ServiceName
+    log_slowdown: float
+
+
+class Impact(NamedTuple):
+    """Effect of one more task on the services of a worker.
+
+    ``cost`` is the added relative p99 summed over services; ``worst`` is the largest expected
+    logarithm of the slowdown of a service that the task harms.
+    """
+
+    cost: float
+    worst: float
+
+
+def compute_levels(
+    pairs: interference.InterferenceModel, worker: ids.WorkerId, exposure: Mapping[str, float]
+) -> list[ServiceLevel]:
+    """Return the present slowdown of each service on a worker."""
+    return [
+        ServiceLevel(service, min(pairs.predict(service, exposure), MAX_LOG_SLOWDOWN))
+        for service in pairs.services_on(worker)
+    ]
+
+
+def compute_impact(
+    pairs: interference.InterferenceModel,
+    levels: Sequence[ServiceLevel],
+    job_class: str,
+    deviations: float,
+) -> Impact:
+    """Return the impact of a task, with ``deviations`` times the uncertainty added to the cost."""
+    cost = 0.0
+    worst = 0.0
+    for service, log_slowdown in levels:
+        mean, deviation, _ = pairs.estimate(service, job_class)
+        added = mean + deviations * deviation
+        if added > 0.0:
+            cost += math.exp(log_slowdown) * math.expm1(min(added, MAX_LOG_SLOWDOWN))
+        if mean >= MIN_SLOPE:
+            worst = max(worst, log_slowdown + mean)
+    return Impact(cost, worst)
+
+
+def choose_preempted(
+    free: Free, size: messages.Resources, runs: Iterable[tuple[model.RunKey, messages.Resources]]
+) -> tuple[model.RunKey, ...] | None:
+    """Return few runs whose end makes room for ``size``, or None if all are not enough."""
+    needed_cores = size.millicores - free.millicores
+    needed_memory = size.memory_mb - free.memory_mb
+    needed_accelerators = size.accelerators - free.accelerators
+    chosen: list[model.RunKey] = []
+    for key, held in sorted(runs, key=lambda run: (-run[1].millicores, -run[1].memory_mb, run[0])):
+        if needed_cores <= 0 and needed_memory <= 0 and needed_accelerators <= 0:
+            break
+        chosen.append(key)
+        needed_cores -= held.millicores
+        needed_memory -= held.memory_mb
+        needed_accelerators -= held.accelerators
+    if needed_cores > 0 or needed_memory > 0 or needed_accelerators > 0:
+        return None
+    return tuple(chosen)
