Compose components into a process core

Cause: entry and agent need the same routing of events to components. Change: Composition passes answers by the prefix of their operation, calls of operators by path, and everything else to all components; it answers state dumps on the wire. Conclusion: both processes can share it.

--- /dev/null
+++ b/crocusrudder/hosting/composition.py
@@ -0,0 +1,68 @@
+"""Compose the components of a process into one core."""
+
+from collections.abc import Mapping
+
+from crocusrudder.core import components
+from crocusrudder.core import effects
+from crocusrudder.core import events
+from crocusrudder.core import ids
+from crocusrudder.observability import dump
+from crocusrudder.wire import messages
+
+
+class Composition:
+    """Pass events to components.
+
+    An event that answers an effect goes to the component whose prefix its operation carries; a
+    call of an operator goes by the first part of its path; every other event goes to all
+    components, in the order of the mapping.
+    """
+
+    def __init__(
+        self,
+        process: ids.ProcessId,
+        incarnation: ids.Incarnation,
+        parts: Mapping[str, components.Component],
+        operator_paths: Mapping[str, str],
+    ) -> None:
+        self._process = process
+        self._incarnation = incarnation
+        self._parts = dict(parts)
+        self._operator_paths = dict(operator_paths)
+
+    def handle(self, event: events.Event, now: float) -> list[effects.Effect]:
+        """Take one event and return the effects to carry out."""
+        if isinstance(event, events.OperatorAsked):
+            return self._ask_operator_part(event, now)
+        operation = getattr(event, "operation", None)
+        if operation is not None:
+            part = self._parts.get(components.get_prefix(operation))
+            return part.handle(event, now) if part else []
+        produced = [effect for part in self._parts.values() for effect in part.handle(event, now)]
+        if isinstance(event, events.Received) and isinstance(event.message, messages.DumpRequest):
+            produced.append(self._answer_dump(event, now))
+        return produced
+
+    def tick(self, now: float) -> list[effects.Effect]:
+        """Check the deadlines of all components."""
+        return [effect for part in self._parts.values() for effect in part.tick(now)]
+
+    def dump(self) -> dict[str, object]:
+        """Return the state of all components by prefix."""
+        return {name: part.dump() for name, part in self._parts.items()}
+
+    def assemble_dump(self, counters: Mapping[str, int], now: float) -> dict[str, object]:
+        """Return the state dump of the process."""
+        return dump.assemble(self._process, self._incarnation, self._parts, counters, now)
+
+    def _ask_operator_part(self, event: events.OperatorAsked, now: float) -> list[effects.Effect]:
+        name = self._operator_paths.get(event.path[0] if event.path else "")
+        if name is None:
+            body = {"code": "CR-GEN-404", "message": "no such path", "hint": "", "problems": []}
+            return [effects.AnswerOperator(event.operation, 404, body)]
+        return self._parts[name].handle(event, now)
+
+    def _answer_dump(self, event: events.Received, now: float) -> effects.Effect:
+        state = dump.encode(self.assemble_dump({}, now))
+        answer = messages.DumpAnswer(event.message.dump, state)
+        return effects.Send(event.sender, answer, event.incarnation)
