--- /dev/null
+++ b/crocusrudder/agent/core.py
@@ -0,0 +1,141 @@
+"""The core of an agent: its components and what they read of each other."""
+
+import random
+
+from crocusrudder.agent import endpoints
+from crocusrudder.conf import settings
+from crocusrudder.core import effects
+from crocusrudder.core import events
+from crocusrudder.core import ids
+from crocusrudder.hosting import inspection
+from crocusrudder.jobs import capacity
+from crocusrudder.jobs import runner
+from crocusrudder.membership import announcer
+from crocusrudder.records import replica
+from crocusrudder.requests import gate
+from crocusrudder.wire import messages
+
+OPERATOR_PATHS = {"endpoints": "endpoint"}
+
+
+class _Sources:
+    """What heartbeats report, read from the components of the agent."""
+
+    def __init__(self, core: "AgentCore") -> None:
+        self._core = core
+
+    def get_revision(self) -> ids.Revision:
+        return self._core.replica.revision
+
+    def is_ready(self) -> bool:
+        return self._core.runner.ready
+
+    def is_draining(self) -> bool:
+        return self._core.stopping
+
+    def get_capacity(self) -> messages.Resources:
+        return self._core.book.capacity
+
+    def get_reserved(self) -> messages.Resources:
+        return self._core.book.reserved
+
+    def list_endpoints(self) -> tuple[messages.EndpointStatus, ...]:
+        return tuple(self._core.gate.list_endpoints())
+
+    def list_runs(self) -> tuple[messages.TaskStatus, ...]:
+        return self._core.runner.list_statuses()
+
+    def take_changed_runs(self) -> tuple[messages.TaskStatus, ...]:
+        return self._core.runner.take_changed()
+
+    def list_latencies(self) -> tuple[tuple[ids.ServiceName, float], ...]:
+        return ()
+
+
+class AgentCore(inspection.Inspectable):
+    """Announce a worker, admit work against its capacity, run tasks and forward requests."""
+
+    def __init__(
+        self,
+        document: settings.AgentSettings,
+        incarnation: ids.Incarnation,
+        randomness: random.Random,
+    ) -> None:
+        worker = ids.WorkerId(document.worker)
+        self._stopping = False
+        self._now = 0.0
+        self._book = capacity.CapacityBook(
+            messages.Resources(
+                document.capacity.millicores,
+                document.capacity.memory_mb,
+                document.capacity.accelerators,
+            )
+        )
+        self._replica = replica.AgentReplica.from_settings(document, randomness)
+        entries = [ids.ProcessId(entry.process) for entry in document.entries]
+        randomness.shuffle(entries)
+        self._announcer = announcer.Announcer(
+            worker, ids.CellId(document.cell), entries, _Sources(self)
+        )
+        self._runner = runner.TaskRunner(self._announcer, self._book, worker)
+        self._gate = gate.RequestGate(self._replica, lambda: self.ready)
+        parts = {
+            "config": self._replica,
+            "announce": self._announcer,
+            "run": self._runner,
+            "gate": self._gate,
+            "endpoint": endpoints.EndpointRegistry(self._gate, self._replica, self._book),
+        }
+        super().__init__(ids.ProcessId(document.process), incarnation, parts, OPERATOR_PATHS)
+
+    @property
+    def ready(self) -> bool:
+        """Return whether requests and starts are admitted."""
+        return self._runner.ready and self._replica.ready
+
+    @property
+    def finished(self) -> bool:
+        """Return whether a planned stop is complete."""
+        return self._stopping and self._runner.drained and self._gate.is_settled(self._now)
+
+    @property
+    def stopping(self) -> bool:
+        """Return whether a planned stop has begun."""
+        return self._stopping
+
+    @property
+    def book(self) -> capacity.CapacityBook:
+        """Return the reservations on the worker."""
+        return self._book
+
+    @property
+    def replica(self) -> replica.AgentReplica:
+        """Return the configuration."""
+        return self._replica
+
+    @property
+    def announcer(self) -> announcer.Announcer:
+        """Return the announcer."""
+        return self._announcer
+
+    @property
+    def runner(self) -> runner.TaskRunner:
+        """Return the task runner."""
+        return self._runner
+
+    @property
+    def gate(self) -> gate.RequestGate:
+        """Return the request gate."""
+        return self._gate
+
+    def handle(self, event: events.Event, now: float) -> list[effects.Effect]:
+        """Take one event and return the effects to carry out."""
+        self._now = now
+        if isinstance(event, events.StopRequested):
+            self._stopping = True
+        return super().handle(event, now)
+
+    def tick(self, now: float) -> list[effects.Effect]:
+        """Check the deadlines of all components."""
+        self._now = now
+        return super().tick(now)
--- /dev/null
+++ b/crocusrudder/agent/daemon.py
@@ -0,0 +1,94 @@
+"""The agent process: sockets, clients and timers around its core."""
+
+import random
+import secrets
+
+import curio
+
+from crocusrudder.agent import core
+from crocusrudder.agent import errors
+from crocusrudder.conf import settings
+from crocusrudder.core import effects
+from crocusrudder.core import ids
+from crocusrudder.entry import http
+from crocusrudder.hosting import host
+from crocusrudder.hosting import http_messages
+from crocusrudder.hosting import http_server
+from crocusrudder.hosting import inspection
+from crocusrudder.hosting import wiring
+from crocusrudder.observability import logs
+from crocusrudder.observability import metrics
+from crocusrudder.platform import http as http_client
+from crocusrudder.platform import objects
+from crocusrudder.platform import runtime
+
+
+class AgentProcess:
+    """Run an agent until a planned stop is complete."""
+
+    def __init__(self, document: settings.AgentSettings) -> None:
+        self._document = document
+        self._incarnation = ids.Incarnation(secrets.token_hex(4))
+        self._metrics = metrics.Metrics()
+        self._core = core.AgentCore(document, self._incarnation, random.Random())
+        self._link = wiring.make_transport(document, self._incarnation, self._metrics)
+        wiring.learn_peers(self._link, document.entries)
+        self._http = http.EntryHttp(lambda event: self._host.post(event))
+        self._inspection = inspection.Inspection(self._core, self._metrics)
+        self._host = self._make_host()
+
+    async def run(self) -> None:
+        """Serve until a planned stop is complete."""
+        document = self._document
+        server = http_server.Server(
+            document.listen_host, document.http_port, self._handle_http, self._metrics.count
+        )
+        await server.start()
+        delivering = await curio.spawn(self._http.deliver_forever(), daemon=True)
+        wiring.log_start(self._incarnation)
+        await self._host.run()
+        await server.stop()
+        await delivering.cancel()
+        self._link.close()
+        wiring.log_stop(self._incarnation)
+
+    def _make_host(self) -> host.Host:
+        document = self._document
+        runtime_host, _, runtime_port = document.runtime_address.partition(":")
+        object_host, _, object_port = document.object_address.partition(":")
+        runtime_client = runtime.RuntimeClient.from_config(
+            runtime.RuntimeConfig(runtime_host, int(runtime_port), ids.WorkerId(document.worker))
+        )
+        object_client = objects.ObjectsClient.from_config(
+            objects.ObjectsConfig(object_host, int(object_port))
+        )
+        endpoint_client = http_client.HttpClient.from_config(http_client.HttpConfig())
+        answering = {
+            effects.CallRuntime: runtime_client.perform,
+            effects.CallEndpoint: endpoint_client.perform,
+            effects.PutObject: object_client.perform,
+            effects.GetObject: object_client.perform,
+        }
+        immediate = {
+            **wiring.make_observers(self._metrics),
+            effects.AnswerOperator: self._http.answer_operator,
+        }
+        return host.Host(
+            self._core, self._link, answering, immediate, lambda: not self._http.waiting
+        )
+
+    async def _handle_http(self, request: http_messages.Request) -> http_messages.Response:
+        inspected = self._inspection.answer(request)
+        if inspected is not None:
+            return inspected
+        if request.path[:2] == http.SERVICE_PATH:
+            error = errors.NoSuchCallError("an agent does not serve callers")
+            body = {**error.to_dict(), "problems": []}
+            return http_messages.make_json_response(error.status, body)
+        return await self._http.handle_request(request)
+
+
+def run(document: settings.AgentSettings) -> None:
+    """Run an agent process with these settings."""
+    logs.configure(document.log, document.process)
+    curio.run(AgentProcess(document).run)
--- /dev/null
+++ b/crocusrudder/agent/endpoints.py
@@ -0,0 +1,129 @@
+"""Announcements of the endpoints on a worker."""
+
+from typing import Annotated
+from typing import Any
+from typing import Protocol
+
+import msgspec
+
+from crocusrudder.agent import errors
+from crocusrudder.core import effects
+from crocusrudder.core import events
+from crocusrudder.core import ids
+from crocusrudder.jobs import capacity
+from crocusrudder.requests import gate
+from crocusrudder.wire import messages
+
+SILENT_SECONDS = 6.0
+"""Three announcements missed; the endpoint then gets no new requests."""
+
+Name = Annotated[str, msgspec.Meta(pattern=r"^[a-zA-Z0-9][a-zA-Z0-9._-]{0,62}$")]
+Count = Annotated[int, msgspec.Meta(ge=1, le=100_000)]
+Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
+Host = Annotated[str, msgspec.Meta(pattern=r"^[0-9]{1,3}(\.[0-9]{1,3}){3}$")]
+
+
+class Announcement(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Body of ``PUT /v1/endpoints/<id>``."""
+
+    service: Name
+    host: Host
+    port: Port
+    schema_version: Count = 1
+    slots: Count = 8
+    connections: Count = 60
+
+
+class Records(Protocol):
+    """What the registry reads of the configuration."""
+
+    def get_record(
+        self, kind: str, name: str, schema_version: int | None = None
+    ) -> dict[str, Any] | None:
+        """Return a record or None."""
+        ...
+
+
+class EndpointRegistry:
+    """Take announcements, reserve capacity for endpoints and withdraw silent ones.
+
+    An endpoint whose size, as its service's record gives it, does not fit beside the reservations
+    of the worker is refused and gets no requests.
+    """
+
+    def __init__(
+        self, request_gate: gate.RequestGate, records: Records, book: capacity.CapacityBook
+    ) -> None:
+        self._gate = request_gate
+        self._records = records
+        self._book = book
+        self._heard_at: dict[ids.EndpointId, float] = {}
+
+    def handle(self, event: events.Event, now: float) -> list[effects.Effect]:
+        """Take an announcement or a withdrawal."""
+        if not isinstance(event, events.OperatorAsked):
+            return []
+        try:
+            return self._serve(event, now)
+        except errors.AgentError as error:
+            body = {**error.to_dict(), "problems": []}
+            return [effects.AnswerOperator(event.operation, error.status, body)]
+
+    def tick(self, now: float) -> list[effects.Effect]:
+        """Withdraw endpoints that stopped announcing themselves."""
+        silent = [
+            name for name, heard_at in self._heard_at.items() if now - heard_at > SILENT_SECONDS
+        ]
+        for name in silent:
+            self._withdraw(name)
+        return [effects.LogChange("endpoint_silent", {"endpoint": name}) for name in silent]
+
+    def dump(self) -> dict[str, object]:
+        """Return when each endpoint was last heard of."""
+        return {"heard_at": dict(self._heard_at)}
+
+    def _serve(self, event: events.OperatorAsked, now: float) -> list[effects.Effect]:
+        match event.method, event.path[-2:]:
+            case "PUT", ("endpoints", name):
+                return self._announce(ids.EndpointId(name), event, now)
+            case "DELETE", ("endpoints", name):
+                self._withdraw(ids.EndpointId(name))
+                return [effects.AnswerOperator(event.operation, 200, {"withdrawn": name})]
+        raise errors.NoSuchCallError(f"{event.method} /{'/'.join(event.path)}")
+
+    def _announce(
+        self, name: ids.EndpointId, event: events.OperatorAsked, now: float
+    ) -> list[effects.Effect]:
+        try:
+            announced = msgspec.convert(event.body, Announcement)
+        except msgspec.ValidationError as error:
+            raise errors.BadAnnouncementError(str(error)) from error
+        size = self._find_size(announced)
+        if not self._book.try_reserve(("endpoint", name), size):
+            raise errors.NoRoomError(f"{announced.service} needs {size}")
+        status = messages.EndpointStatus(
+            name,
+            ids.ServiceName(announced.service),
+            announced.schema_version,
+            announced.slots,
+            announced.connections,
+        )
+        self._gate.announce_endpoint(status, announced.host, announced.port)
+        known = name in self._heard_at
+        self._heard_at[name] = now
+        answer = effects.AnswerOperator(event.operation, 200, {"announced": name})
+        if known:
+            return [answer]
+        return [answer, effects.LogChange("endpoint_announced", {"endpoint": name})]
+
+    def _withdraw(self, name: ids.EndpointId) -> None:
+        self._heard_at.pop(name, None)
+        self._book.release(("endpoint", name))
+        self._gate.withdraw_endpoint(name)
+
+    def _find_size(self, announced: Announcement) -> messages.Resources:
+        record = self._records.get_record("service", announced.service, announced.schema_version)
+        size = (record or {}).get("size") or {}
+        return messages.Resources(
+            size.get("millicores", 0), size.get("memory_mb", 0), size.get("accelerators", 0)
+        )
--- a/crocusrudder/core/events.py
+++ b/crocusrudder/core/events.py
@@ -18,6 +18,8 @@
     sender: ids.ProcessId
     incarnation: ids.Incarnation
     message: msgspec.Struct
+    address: str = ""
+    """Where the sender listens, as ``host:port``."""
 
 
 class Committed(Event, frozen=True):
--- a/crocusrudder/hosting/composition.py
+++ b/crocusrudder/hosting/composition.py
@@ -9,6 +9,8 @@
 from crocusrudder.observability import dump
 from crocusrudder.wire import messages
 
+API_VERSION = "v1"
+
 
 class Composition:
     """Pass events to components.
@@ -56,7 +58,8 @@
         return dump.assemble(self._process, self._incarnation, self._parts, counters, now)
 
     def _ask_operator_part(self, event: events.OperatorAsked, now: float) -> list[effects.Effect]:
-        name = self._operator_paths.get(event.path[0] if event.path else "")
+        path = event.path[1:] if event.path[:1] == (API_VERSION,) else event.path
+        name = self._operator_paths.get(path[0] if path else "")
         if name is None:
             body = {"code": "CR-GEN-404", "message": "no such path", "hint": "", "problems": []}
             return [effects.AnswerOperator(event.operation, 404, body)]
--- a/crocusrudder/hosting/host.py
+++ b/crocusrudder/hosting/host.py
@@ -39,6 +39,7 @@
 
     ``answering`` maps types of effects to coroutines that carry them out and return the answering
     event. ``immediate`` maps the other types to plain functions. Both are looked up by exact type.
+    The host stops once the core has finished and ``is_idle`` holds.
     """
 
     def __init__(
@@ -47,10 +48,12 @@
         link: transport.Transport,
         answering: Mapping[type, Answer],
         immediate: Mapping[type, Handle],
+        is_idle: Callable[[], bool] = lambda: True,
     ) -> None:
         self._core = core
         self._link = link
         self._answering = dict(answering)
+        self._is_idle = is_idle
         self._immediate = {
             effects.Send: self._send,
             effects.LearnAddress: self._learn_address,
@@ -69,7 +72,9 @@
 
     async def deliver(self, envelope: messages.Envelope, message: messages.Message) -> None:
         """Queue a received message for the core."""
-        received = events.Received(envelope.sender, envelope.sender_incarnation, message)
+        received = events.Received(
+            envelope.sender, envelope.sender_incarnation, message, envelope.sender_address
+        )
         await self._queue.put(received)
 
     async def run(self) -> None:
@@ -88,7 +93,7 @@
             await services.cancel_remaining()
 
     async def _run_core(self) -> None:
-        while not self._core.finished:
+        while not (self._core.finished and self._is_idle()):
             event = await self._queue.get()
             now = time.monotonic()
             if isinstance(event, _Tick):
--- /dev/null
+++ b/crocusrudder/hosting/wiring.py
@@ -0,0 +1,46 @@
+"""Connections between a host and the parts that both kinds of process share."""
+
+from collections.abc import Iterable
+
+from crocusrudder.conf import settings
+from crocusrudder.core import effects
+from crocusrudder.core import ids
+from crocusrudder.hosting import host
+from crocusrudder.observability import logs
+from crocusrudder.observability import metrics
+from crocusrudder.wire import codec
+from crocusrudder.wire import transport
+
+
+def make_transport(
+    document: settings.Settings, incarnation: ids.Incarnation, registry: metrics.Metrics
+) -> transport.Transport:
+    """Return a transport that listens on the wire address of the settings."""
+    address = document.wire_address
+    sender = codec.Sender(ids.ProcessId(document.process), incarnation, address)
+    return transport.Transport(sender, address, registry.count)
+
+
+def learn_peers(link: transport.Transport, peers: Iterable[settings.Peer]) -> None:
+    """Tell the transport the addresses that the settings give."""
+    for peer in peers:
+        link.learn_address(peer.process, peer.address)
+
+
+def make_observers(registry: metrics.Metrics) -> dict[type, host.Handle]:
+    """Return the functions that carry out counts, observations and log lines."""
+    return {
+        effects.Count: lambda effect: registry.count(effect.name, effect.amount),
+        effects.Observe: lambda effect: registry.observe(effect.name, effect.value),
+        effects.LogChange: logs.write_change,
+    }
+
+
+def log_start(incarnation: ids.Incarnation) -> None:
+    """Log that the process serves."""
+    logs.write_change(effects.LogChange("started", {"incarnation": incarnation}))
+
+
+def log_stop(incarnation: ids.Incarnation) -> None:
+    """Log that a planned stop is complete."""
+    logs.write_change(effects.LogChange("stopped", {"incarnation": incarnation}))
--- a/crocusrudder/membership/directory.py
+++ b/crocusrudder/membership/directory.py
@@ -72,7 +72,6 @@
         ownership: cells.CellOwnership,
         worker_table: workers.WorkerTable,
         get_revision: Callable[[], ids.Revision],
-        get_address: Callable[[ids.ProcessId], str],
         count_pending: Callable[[ids.CellId], int] = lambda cell: 0,
     ) -> None:
         self._data_centre = data_centre
@@ -80,7 +79,6 @@
         self._ownership = ownership
         self._workers = worker_table
         self._get_revision = get_revision
-        self._get_address = get_address
         self._count_pending = count_pending
         self._entries: dict[ids.ProcessId, EntryView] = {}
         self._remote: dict[ids.CellId, _RemoteCell] = {}
@@ -211,7 +209,7 @@
                     ),
                     agent=view.agent,
                     incarnation=view.incarnation,
-                    address=self._get_address(view.agent),
+                    address=view.address,
                     data_centre=self._data_centre,
                     cell=view.cell,
                 )
--- a/crocusrudder/membership/workers.py
+++ b/crocusrudder/membership/workers.py
@@ -37,6 +37,7 @@
 
     worker: ids.WorkerId
     agent: ids.ProcessId
+    address: str
     incarnation: ids.Incarnation
     cell: ids.CellId
     cell_epoch: ids.CellEpoch
@@ -217,6 +218,7 @@
         admitted = WorkerView(
             worker=message.worker,
             agent=event.sender,
+            address=event.address,
             incarnation=event.incarnation,
             cell=message.cell,
             cell_epoch=view.epoch,
--- a/tests/membership/test_ownership.py
+++ b/tests/membership/test_ownership.py
@@ -45,7 +45,6 @@
             self.ownership,
             self.workers,
             lambda: ids.Revision(0),
-            lambda process: "127.0.0.1:1",
         )
         self._parts = (self.ownership, self.workers, self.directory)
 
--- a/tests/support/simulation.py
+++ b/tests/support/simulation.py
@@ -197,7 +197,7 @@
             self.counts["wire_refused_incarnation"] += 1
             return
         name, incarnation = ids.ProcessId(sender.name), ids.Incarnation(sender.incarnation)
-        self.post(receiver, events.Received(name, incarnation, effect.message))
+        self.post(receiver, events.Received(name, incarnation, effect.message, sender.name))
 
     def _is_cut(self, first: str, second: str) -> bool:
         if first == second:
