--- /dev/null
+++ b/crocusrudder/hosting/http_connection.py
@@ -0,0 +1,209 @@
+"""One HTTP/1.1 connection: h11's state machine over a curio socket."""
+
+import socket
+from typing import Protocol
+
+import curio
+import curio.io
+import curio.traps
+import h11
+import msgspec
+
+from crocusrudder.hosting import errors
+from crocusrudder.hosting import http_messages
+
+RECEIVE_BYTES = 16 * 1024
+LINGER_SECONDS = 1.0
+LINGER_BYTES = 256 * 1024
+
+_FRAMING_HEADERS = {
+    "connection",
+    "content-length",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+}
+_BODILESS_STATUSES = {204, 304}
+
+
+class ServerLimits(msgspec.Struct, frozen=True):
+    """Limits of a server on sizes and times."""
+
+    header_bytes: int = 16 * 1024
+    body_bytes: int = 1024 * 1024
+    buffered_bytes: int = 8 * 1024 * 1024
+    """Bodies that are being read, on all connections together."""
+    connections: int = 1_000
+    read_seconds: float = 10.0
+    write_seconds: float = 30.0
+    idle_seconds: float = 60.0
+
+
+class Buffering(Protocol):
+    """Account of the bytes of bodies that are being read."""
+
+    def try_add(self, size: int) -> bool:
+        """Return whether so many more bytes fit, and count them if so."""
+        ...
+
+    def remove(self, size: int) -> None:
+        """Stop counting bytes."""
+        ...
+
+
+class Connection:
+    """Read requests from one client and write the responses to it."""
+
+    def __init__(self, client: curio.io.Socket, limits: ServerLimits, buffering: Buffering) -> None:
+        self._client = client
+        self._limits = limits
+        self._buffering = buffering
+        self._state = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
+        self._method = ""
+
+    @property
+    def has_buffered_bytes(self) -> bool:
+        """Return whether bytes of the next request have been received."""
+        return bool(self._state.trailing_data[0])
+
+    async def wait_readable(self) -> None:
+        """Wait until the client has sent something or has closed."""
+        await curio.traps._read_wait(self._client._fileno)
+
+    async def wait_closed(self) -> None:
+        """Return once the client has closed its side; wait forever if it sends more instead."""
+        await self.wait_readable()
+        if self.peek() != b"":
+            await curio.Event().wait()
+
+    def peek(self) -> bytes | None:
+        """Return the next byte, empty if the client has closed, or None if nothing has come."""
+        try:
+            return self._client._socket.recv(1, socket.MSG_PEEK)
+        except (BlockingIOError, InterruptedError):
+            return None
+        except OSError:
+            return b""
+
+    async def read_request(self) -> http_messages.Request | None:
+        """Return the next whole request, or None if the client closed before one began.
+
+        Raises ``HttpError`` for a request that is refused.
+        """
+        try:
+            async with curio.timeout_after(self._limits.read_seconds):
+                return await self._read_request()
+        except curio.TaskTimeout:
+            raise errors.ReadTimeoutError("the request did not arrive in time") from None
+        except h11.RemoteProtocolError as error:
+            raise _translate(error) from error
+
+    async def write_response(self, response: http_messages.Response, close: bool) -> bool:
+        """Write a whole response; return whether the connection can serve another request.
+
+        Raises ``OSError`` or ``curio.TaskTimeout`` if the client does not take it.
+        """
+        if self._state.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return False
+        data = self._encode(response, close)
+        async with curio.timeout_after(self._limits.write_seconds):
+            await self._client.sendall(data)
+        if self._state.our_state is h11.DONE and self._state.their_state is h11.DONE:
+            self._state.start_next_cycle()
+            return True
+        return False
+
+    async def close(self) -> None:
+        """Close the connection so that the client can read the last response.
+
+        A socket that is closed with unread data resets the connection and may destroy the response
+        on its way, so what the client still sends is read for a short time.
+        """
+        try:
+            async with curio.ignore_after(LINGER_SECONDS):
+                self._client._socket.shutdown(socket.SHUT_WR)
+                remaining = LINGER_BYTES
+                while remaining > 0:
+                    data = await self._client.recv(RECEIVE_BYTES)
+                    if not data:
+                        break
+                    remaining -= len(data)
+        except OSError:
+            pass
+        finally:
+            await self._client.close()
+
+    async def _read_request(self) -> http_messages.Request | None:
+        head = await self._next_event()
+        if not isinstance(head, h11.Request):
+            return None
+        self._method = head.method.decode("ascii")
+        self._check_head(head)
+        body = await self._read_body()
+        headers = tuple(
+            (name.decode("ascii"), value.decode("latin-1")) for name, value in head.headers
+        )
+        target = head.target.decode("ascii")
+        return http_messages.Request(self._method, target, headers, body)
+
+    def _check_head(self, head: h11.Request) -> None:
+        size = len(head.target) + sum(len(name) + len(value) for name, value in head.headers)
+        if size > self._limits.header_bytes:
+            raise errors.HeadersTooLargeError(f"more than {self._limits.header_bytes} bytes")
+        for name, value in head.headers:
+            if name == b"content-length" and int(value) > self._limits.body_bytes:
+                raise errors.BodyTooLargeError(f"more than {self._limits.body_bytes} bytes")
+
+    async def _read_body(self) -> bytes:
+        parts: list[bytes] = []
+        size = 0
+        try:
+            while isinstance(event := await self._next_event(), h11.Data):
+                if not self._buffering.try_add(len(event.data)):
+                    raise errors.ServerBusyError("too many requests are being read")
+                size += len(event.data)
+                if size > self._limits.body_bytes:
+                    raise errors.BodyTooLargeError(f"more than {self._limits.body_bytes} bytes")
+                parts.append(bytes(event.data))
+        finally:
+            self._buffering.remove(size)
+        return b"".join(parts)
+
+    async def _next_event(self) -> object:
+        while True:
+            event = self._state.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            if self._state.they_are_waiting_for_100_continue:
+                go_ahead = h11.InformationalResponse(status_code=100, headers=[])
+                await self._client.sendall(self._state.send(go_ahead))
+            self._state.receive_data(await self._client.recv(RECEIVE_BYTES))
+
+    def _encode(self, response: http_messages.Response, close: bool) -> bytes:
+        kept = [
+            (name, value)
+            for name, value in response.headers
+            if name.lower() not in _FRAMING_HEADERS
+        ]
+        bodiless = response.status in _BODILESS_STATUSES
+        if not bodiless:
+            kept.append(("content-length", str(len(response.body))))
+        if close:
+            kept.append(("connection", "close"))
+        headers = [(name.encode("ascii"), value.encode("latin-1")) for name, value in kept]
+        data = self._state.send(h11.Response(status_code=response.status, headers=headers))
+        if response.body and not bodiless and self._method != "HEAD":
+            data += self._state.send(h11.Data(data=response.body))
+        return data + self._state.send(h11.EndOfMessage())
+
+
+def _translate(error: h11.RemoteProtocolError) -> errors.HttpError:
+    if error.error_status_hint == 431:
+        return errors.HeadersTooLargeError(str(error))
+    if error.error_status_hint == 501:
+        return errors.UnsupportedRequestError(str(error))
+    return errors.MalformedRequestError(str(error))
--- /dev/null
+++ b/crocusrudder/requests/memory.py
@@ -0,0 +1,193 @@
+"""What an agent remembers of attempts, within bounds, so that none is executed twice.
+
+Attempts of non-idempotent requests are remembered by request window. Attempts of idempotent
+requests have keys that their entry numbers, so a bitmap for each entry recognises repeats, as in
+the anti-replay service of RFC 4303, section 3.4.3.
+"""
+
+import collections
+import enum
+
+import msgspec
+
+from crocusrudder.core import ids
+from crocusrudder.wire import messages
+
+WINDOW_SECONDS = 600.0
+ACCEPTED_WINDOWS = 1
+"""A forwarded request may quote the current window or this many before it."""
+REMEMBERED_WINDOWS = 2
+"""Attempts are remembered for one window longer than they are accepted, so that a query can be
+answered with certainty while a delayed request of its window may still arrive."""
+MAX_ATTEMPTS = 50_000
+MAX_RECENT_ATTEMPTS = 4_096
+MAX_RESPONSE_BYTES = 8 * 1024 * 1024
+FILTER_BITS = 16_384
+MAX_FILTERS = 512
+
+RequestKey = tuple[ids.TeamId, ids.IdempotencyKey]
+Identity = tuple[ids.TeamId, ids.IdempotencyKey, int]
+
+
+class Novelty(enum.Enum):
+    """Whether a key was seen before."""
+
+    FRESH = "fresh"
+    REPEATED = "repeated"
+    TOO_OLD = "too-old"
+
+
+class Attempt(msgspec.Struct):
+    """Record of one attempt. Refused and tombstoned attempts are NEVER_STARTED for good."""
+
+    number: int
+    state: messages.AttemptState
+    reason: messages.RefusalReason | None = None
+
+
+class AttemptMemory:
+    """Records of the attempts of the current and the previous windows."""
+
+    def __init__(self, max_attempts: int = MAX_ATTEMPTS) -> None:
+        self._max_attempts = max_attempts
+        self._count = 0
+        self._requests: dict[RequestKey, list[Attempt]] = {}
+        self._by_window: dict[int, list[Identity]] = collections.defaultdict(list)
+
+    @property
+    def full(self) -> bool:
+        """Return whether no further attempt can be remembered."""
+        return self._count >= self._max_attempts
+
+    def __len__(self) -> int:
+        return self._count
+
+    def get(self, identity: Identity) -> Attempt | None:
+        """Return the record of an attempt."""
+        team, key, number = identity
+        attempts = self._requests.get((team, key), ())
+        return next((attempt for attempt in attempts if attempt.number == number), None)
+
+    def has_later(self, identity: Identity) -> bool:
+        """Return whether a later attempt of the same request is remembered."""
+        team, key, number = identity
+        return any(attempt.number > number for attempt in self._requests.get((team, key), ()))
+
+    def add(self, identity: Identity, window: int, attempt: Attempt) -> Attempt:
+        """Remember a new attempt."""
+        team, key, _ = identity
+        self._requests.setdefault((team, key), []).append(attempt)
+        self._by_window[window].append(identity)
+        self._count += 1
+        return attempt
+
+    def forget_before(self, window: int) -> None:
+        """Forget the attempts of windows before ``window``, but for those still running."""
+        for old in [number for number in self._by_window if number < window]:
+            identities = self._by_window.pop(old)
+            running = [identity for identity in identities if not self._forget(identity)]
+            if running:
+                self._by_window[old] = running
+
+    def _forget(self, identity: Identity) -> bool:
+        attempt = self.get(identity)
+        if attempt.state is messages.AttemptState.RUNNING:
+            return False
+        team, key, _ = identity
+        attempts = self._requests[team, key]
+        attempts.remove(attempt)
+        if not attempts:
+            del self._requests[team, key]
+        self._count -= 1
+        return True
+
+
+class RecentAttempts:
+    """Records of the latest attempts of idempotent requests."""
+
+    def __init__(self, max_attempts: int = MAX_RECENT_ATTEMPTS) -> None:
+        self._max_attempts = max_attempts
+        self._attempts: collections.OrderedDict[Identity, Attempt] = collections.OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._attempts)
+
+    def get(self, identity: Identity) -> Attempt | None:
+        """Return the record of an attempt."""
+        return self._attempts.get(identity)
+
+    def add(self, identity: Identity, attempt: Attempt) -> Attempt:
+        """Remember a new attempt and drop the oldest one above the bound."""
+        self._attempts[identity] = attempt
+        if len(self._attempts) > self._max_attempts:
+            self._attempts.popitem(last=False)
+        return attempt
+
+
+class ResponseStore:
+    """Responses retained for repeats; the oldest are dropped above a bound on bytes."""
+
+    def __init__(self, max_bytes: int = MAX_RESPONSE_BYTES) -> None:
+        self._max_bytes = max_bytes
+        self._responses: collections.OrderedDict[Identity, messages.Response] = (
+            collections.OrderedDict()
+        )
+        self._bytes = 0
+
+    @property
+    def bytes(self) -> int:
+        """Return the size of the retained responses."""
+        return self._bytes
+
+    def __len__(self) -> int:
+        return len(self._responses)
+
+    def get(self, identity: Identity) -> messages.Response | None:
+        """Return the response to an attempt if it is still retained."""
+        return self._responses.get(identity)
+
+    def put(self, identity: Identity, response: messages.Response) -> None:
+        """Retain a response."""
+        self._responses[identity] = response
+        self._bytes += measure_response(response)
+        while self._bytes > self._max_bytes:
+            _, dropped = self._responses.popitem(last=False)
+            self._bytes -= measure_response(dropped)
+
+
+class ReplayFilter:
+    """Recognise repeated keys of idempotent attempts; keys are ``<entry incarnation>/<number>``."""
+
+    def __init__(self, bits: int = FILTER_BITS, max_filters: int = MAX_FILTERS) -> None:
+        self._bits = bits
+        self._max_filters = max_filters
+        self._filters: collections.OrderedDict[str, tuple[int, int]] = collections.OrderedDict()
+
+    def check_and_add(self, key: ids.IdempotencyKey) -> Novelty:
+        """Return whether the key is new, and remember it."""
+        source, _, digits = key.rpartition("/")
+        if not digits.isdecimal() or len(digits) > 18:
+            return Novelty.TOO_OLD
+        number = int(digits)
+        highest, seen = self._filters.pop(source, (0, 0))
+        if number > highest:
+            shift = min(number - highest, self._bits)
+            seen = (seen << shift) & ((1 << self._bits) - 1)
+            highest = number
+        novelty = self._find_novelty(highest - number, seen)
+        if novelty is Novelty.FRESH:
+            seen |= 1 << (highest - number)
+        self._filters[source] = (highest, seen)
+        if len(self._filters) > self._max_filters:
+            self._filters.popitem(last=False)
+        return novelty
+
+    def _find_novelty(self, offset: int, seen: int) -> Novelty:
+        if offset >= self._bits:
+            return Novelty.TOO_OLD
+        return Novelty.REPEATED if seen >> offset & 1 else Novelty.FRESH
+
+
+def measure_response(response: messages.Response) -> int:
+    """Return the approximate size of a response in bytes."""
+    return len(response.body) + sum(len(name) + len(value) for name, value in response.headers)
--- a/crocusrudder/requests/outcomes.py
+++ b/crocusrudder/requests/outcomes.py
@@ -12,6 +12,7 @@
     """A caller's request as read in full from HTTP.
 
     ``key`` is empty if the caller gave none. ``timeout_seconds`` counts from the arrival.
+    ``repeat`` says that the caller has sent the key before and does not know what became of it.
     """
 
     team: ids.TeamId
@@ -24,6 +25,7 @@
     key: ids.IdempotencyKey
     timeout_seconds: float
     standing: bool = False
+    repeat: bool = False
 
     @property
     def idempotent(self) -> bool:
--- /dev/null
+++ b/crocusrudder/requests/tracking.py
@@ -0,0 +1,80 @@
+"""What an entry knows about a caller's request while it is in progress."""
+
+import enum
+
+import msgspec
+
+from crocusrudder.core import ids
+from crocusrudder.requests import ledger
+from crocusrudder.requests import memory
+from crocusrudder.requests import outcomes
+from crocusrudder.wire import messages
+
+
+class RequestState(enum.Enum):
+    """State of a request at its entry."""
+
+    READING = "reading"
+    """The ledger row is being read, because the key may have been used before."""
+    CLAIMING = "claiming"
+    """The claim of an attempt is being committed; nothing is sent yet."""
+    RESOLVING = "resolving"
+    """The answer to the claim's commit was lost; the row is being read."""
+    IN_FLIGHT = "in-flight"
+    """At least one attempt was sent and is not answered."""
+    ASKING = "asking"
+    """Another submission claimed an attempt; its agent is being asked."""
+    LINGERING = "lingering"
+    """The caller has its answer or has left; a late outcome is still recorded."""
+
+
+class Flight(msgspec.Struct, eq=False):
+    """An attempt that was sent and is not resolved."""
+
+    identity: memory.Identity
+    endpoint: messages.EndpointStatus
+    agent: ids.ProcessId
+    incarnation: ids.Incarnation
+    window: int
+    sent_at: float
+    probe_at: float
+    own: bool = True
+    """False for an attempt of another submission, whose outcome is awaited."""
+    running: bool = False
+    """Whether the agent has reported that the attempt is running."""
+
+
+class TrackedRequest(msgspec.Struct, eq=False):
+    """A request in progress."""
+
+    request: ids.RequestId
+    arrival: outcomes.Arrival
+    deadline: float
+    schema_version: int
+    state: RequestState
+    fingerprint: str = ""
+    row_key: str = ""
+    version: int = 0
+    """Version of the ledger row on which the next write is based; 0 if it is absent."""
+    claim: ledger.Entry | None = None
+    target: messages.EndpointAt | None = None
+    """Endpoint of the attempt that is being claimed."""
+    row_uncertain: bool = False
+    """Whether an attempt of another submission with this key may have run."""
+    broken: bool = False
+    """Whether an attempt of this submission may have run although it failed."""
+    attempts: int = 0
+    excluded: set[ids.EndpointId] = msgspec.field(default_factory=set)
+    flights: dict[memory.Identity, Flight] = msgspec.field(default_factory=dict)
+    retry_read_at: float = float("inf")
+    last_reason: outcomes.Reason | None = None
+
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether it is uncertain that the request has not run."""
+        return self.row_uncertain or self.broken or bool(self.flights)
+
+    @property
+    def answered(self) -> bool:
+        """Return whether the caller needs no further answer."""
+        return self.state is RequestState.LINGERING
--- /dev/null
+++ b/tests/requests/fakes.py
@@ -0,0 +1,321 @@
+"""Fakes of the store, the links, the endpoints and the directory around coordinators and gates.
+
+Everything that a process sends waits in ``World.pending`` until a test delivers, loses, repeats or
+delays it, in virtual time.
+"""
+
+import collections
+import itertools
+import random
+
+import msgspec
+
+from crocusrudder.core import effects
+from crocusrudder.core import events
+from crocusrudder.core import ids
+from crocusrudder.requests import coordinator
+from crocusrudder.requests import gate
+from crocusrudder.requests import limits
+from crocusrudder.requests import outcomes
+from crocusrudder.wire import messages
+
+SERVICE = ids.ServiceName("dispatch")
+TEAM = ids.TeamId("arriola")
+DATA_CENTRE = ids.DataCentre("bilbao")
+TICK_SECONDS = 0.1
+
+
+class FakeReplica:
+    """A configuration with one service."""
+
+    def __init__(self):
+        self.revision = 1
+        self.ready = True
+        self.versions = {(SERVICE, "trays"): 1}
+
+    def resolve_schema_version(self, service, order_kind):
+        return self.versions.get((service, order_kind))
+
+
+class FakeDirectory:
+    """A list of endpoints that the test fills."""
+
+    def __init__(self):
+        self.endpoints = {}
+
+    def find_endpoints(self, service, schema_version):
+        return [
+            endpoint
+            for endpoint in self.endpoints.values()
+            if not endpoint.status.draining
+            and (endpoint.status.service, endpoint.status.schema_version)
+            == (service, schema_version)
+        ]
+
+
+class FakeStore:
+    """A table. ``faults`` maps types of effects to a fault: down, answer-lost or request-lost."""
+
+    def __init__(self):
+        self.rows = {}
+        self.faults = {}
+
+    def perform(self, effect):
+        fault = self.faults.get(type(effect))
+        if fault == "down":
+            return events.StoreUnavailable(effect.operation)
+        if isinstance(effect, effects.ReadRows):
+            rows = {key: self.rows[key] for key in effect.keys if key in self.rows}
+            return events.RowsRead(effect.operation, rows)
+        answer = self._commit(effect) if fault != "request-lost" else None
+        if fault is not None:
+            return events.CommitUnknown(effect.operation)
+        return answer
+
+    def _commit(self, effect):
+        current = {write.key: self.rows.get(write.key) for write in effect.writes}
+        for write in effect.writes:
+            row = current[write.key]
+            if write.expected_version != (0 if row is None else row.version):
+                return events.CommitConflicted(effect.operation, current)
+        for write in effect.writes:
+            version = write.expected_version + 1
+            value = msgspec.json.decode(msgspec.json.encode(write.value))
+            self.rows[write.key] = effects.Row(write.key, value, version)
+        return events.Committed(
+            effect.operation, {write.key: self.rows[write.key].version for write in effect.writes}
+        )
+
+
+class Process:
+    """An entry or an agent."""
+
+    def __init__(self, name, incarnation, core, is_entry):
+        self.name = name
+        self.incarnation = incarnation
+        self.core = core
+        self.is_entry = is_entry
+        self.alive = True
+
+
+class Item(msgspec.Struct, eq=False):
+    """Something on its way: a message, a store operation or an endpoint call."""
+
+    process: Process
+    effect: effects.Effect
+
+    @property
+    def kind(self):
+        return type(getattr(self.effect, "message", self.effect)).__name__
+
+
+class World:
+    """Entries and agents, one endpoint at each agent, a store and links that the test controls."""
+
+    def __init__(self, entries=2, agents=2, slots=2, connections=4, request_limits=None):
+        self.now = 100.0
+        self.store = FakeStore()
+        self.directory = FakeDirectory()
+        self.replica = FakeReplica()
+        self.agent_replica = FakeReplica()
+        self.request_limits = request_limits or limits.RequestLimits()
+        self.slots = slots
+        self.connections = connections
+        self.processes = {}
+        self.pending = []
+        self.answers = {}
+        self.submissions = {}
+        self.executions = collections.Counter()
+        self.counts = collections.Counter()
+        self.violations = []
+        self.endpoint_fault = None
+        self.agents_ready = True
+        self._numbers = itertools.count(1)
+        for number in range(1, entries + 1):
+            self.start_entry(f"e{number}")
+        for number in range(1, agents + 1):
+            self.start_agent(f"a{number}")
+
+    # Processes.
+
+    def start_entry(self, name):
+        """Start or replace an entry."""
+        incarnation = f"{name}-{next(self._numbers)}"
+        core = coordinator.RequestCoordinator(
+            self.replica,
+            self.directory,
+            self.request_limits,
+            random.Random(7),
+            incarnation,
+            DATA_CENTRE,
+        )
+        self._replace(Process(name, incarnation, core, True))
+        return core
+
+    def start_agent(self, name):
+        """Start or replace an agent and announce its endpoint."""
+        core = gate.RequestGate(self.agent_replica, lambda: self.agents_ready)
+        self._replace(Process(name, f"{name}-{next(self._numbers)}", core, False))
+        status = messages.EndpointStatus(
+            ids.EndpointId(f"{name}/x"), SERVICE, 1, self.slots, self.connections
+        )
+        core.announce_endpoint(status, "127.0.0.1", 29600)
+        core.tick(self.now)
+        self.announce(name)
+        return core
+
+    def _replace(self, process):
+        if process.name in self.processes:
+            self.processes[process.name].alive = False
+        self.processes[process.name] = process
+
+    def announce(self, name):
+        """Let the directory learn the endpoints of an agent."""
+        process = self.processes[name]
+        for status in process.core.list_endpoints():
+            self.directory.endpoints[status.endpoint] = messages.EndpointAt(
+                status, name, process.incarnation, "127.0.0.1:29601", DATA_CENTRE
+            )
+
+    def core(self, name):
+        return self.processes[name].core
+
+    # Callers.
+
+    def submit(
+        self,
+        entry="e1",
+        key="k1",
+        body=b"tray",
+        method="POST",
+        timeout=10.0,
+        repeat=False,
+        standing=None,
+        order_kind="trays",
+    ):
+        """Send a caller's request to an entry and return its id."""
+        number = next(self._numbers)
+        request = ids.RequestId(f"r{number}")
+        headers = (("x-submission", request), ("idempotency-key", key))
+        if standing is not None:
+            headers += (("standing-request", standing),)
+        arrival = outcomes.Arrival(
+            TEAM,
+            SERVICE,
+            order_kind,
+            method,
+            f"/trays/{request if method == 'GET' else key}",
+            headers,
+            body,
+            ids.IdempotencyKey("" if method == "GET" else key),
+            timeout,
+            standing is not None,
+            repeat,
+        )
+        self.submissions[request] = arrival
+        self.handle(self.processes[entry], events.CallerArrived(request, arrival))
+        return request
+
+    def handle(self, process, event):
+        """Let a process handle an event and take its effects."""
+        if process.alive:
+            self._take(process, process.core.handle(event, self.now))
+
+    def _take(self, process, produced):
+        for effect in produced:
+            if isinstance(effect, effects.AnswerCaller):
+                self._check_answer(effect)
+                self.answers[effect.request] = effect.outcome
+            elif isinstance(effect, effects.Count):
+                self.counts[effect.name] += effect.amount
+            elif not isinstance(effect, effects.Observe | effects.LogChange):
+                self.pending.append(Item(process, effect))
+
+    def _check_answer(self, effect):
+        arrival = self.submissions[effect.request]
+        outcome = effect.outcome
+        if effect.request in self.answers:
+            self.violations.append(f"I4: {effect.request} answered twice")
+        if isinstance(outcome, outcomes.NotRun):
+            ran = self.executions[self.identify(arrival)]
+            if ran and outcome.reason is not outcomes.Reason.KEY_REUSED:
+                self.violations.append(f"I5: {effect.request} told {outcome} after {ran} runs")
+        expected = make_body(arrival.target, arrival.body)
+        whole = isinstance(outcome, outcomes.Done) and outcome.response.body == expected
+        if isinstance(outcome, outcomes.Done) and not whole and not arrival.standing:
+            self.violations.append(f"I4: {effect.request} got {outcome.response.body!r}")
+
+    @staticmethod
+    def identify(arrival):
+        """Return the key under which executions are counted."""
+        headers = dict(arrival.headers)
+        return arrival.key or f"submission {headers['x-submission']}"
+
+    # Links.
+
+    def run(self, item):
+        """Carry out one thing on its way."""
+        effect = item.effect
+        if isinstance(effect, effects.Send):
+            receiver = self.processes.get(effect.to)
+            if effect.incarnation in ("", receiver.incarnation):
+                received = events.Received(
+                    item.process.name, item.process.incarnation, effect.message
+                )
+                self.handle(receiver, received)
+        elif isinstance(effect, effects.CallEndpoint):
+            self.handle(item.process, self._execute(effect))
+        else:
+            self.handle(item.process, self.store.perform(effect))
+
+    def _execute(self, effect):
+        if self.endpoint_fault == "unreached":
+            return events.EndpointUnreached(effect.operation)
+        request = effect.request
+        headers = dict(request.headers)
+        submission = headers["x-submission"]
+        arrival = self.submissions[submission]
+        key = self.identify(arrival)
+        self.executions[key] += 1
+        if self.executions[key] > 1 and not arrival.idempotent:
+            self.violations.append(f"I6: {key} ran {self.executions[key]} times")
+        if isinstance(self.answers.get(submission), outcomes.NotRun):
+            self.violations.append(f"I5: {submission} ran after {self.answers[submission]}")
+        if self.endpoint_fault == "broken":
+            return events.EndpointBroken(effect.operation)
+        status = 204 if arrival.standing else 200
+        body = b"" if arrival.standing else make_body(request.target, request.body)
+        return events.EndpointAnswered(effect.operation, effects.EndpointResponse(status, (), body))
+
+    def take(self, kind):
+        """Remove and return the oldest item of a kind."""
+        item = next(item for item in self.pending if item.kind == kind)
+        self.pending.remove(item)
+        return item
+
+    def settle(self, stop_at=None, rounds=2_000):
+        """Carry out everything in order; stop before an item of the kind ``stop_at``."""
+        for _ in range(rounds):
+            if not self.pending or self.pending[0].kind == stop_at:
+                return
+            self.run(self.pending.pop(0))
+        raise AssertionError("the processes never come to rest")
+
+    def advance(self, seconds, settle=True):
+        """Let time pass in ticks, carrying out everything unless ``settle`` is False."""
+        for _ in range(round(seconds / TICK_SECONDS)):
+            self.now += TICK_SECONDS
+            for process in list(self.processes.values()):
+                if process.alive:
+                    self._take(process, process.core.tick(self.now))
+            if settle:
+                self.settle()
+
+    def stop(self, name):
+        """Begin a planned stop of a process."""
+        self.handle(self.processes[name], events.StopRequested())
+
+
+def make_body(target, body):
+    """Return the body with which the endpoint answers, long enough to notice a lost part."""
+    return target.encode() + b"|" + body + b"|" + b"x" * 64
