--- /dev/null
+++ b/crocusrudder/management/errors.py
@@ -0,0 +1,89 @@
+"""Errors and exit codes of the operators' commands."""
+
+import enum
+from typing import Any
+from typing import ClassVar
+
+from crocusrudder.core import errors
+
+
+class ExitCode(enum.IntEnum):
+    """Exit codes; ``docs/reference/commands.md`` describes them."""
+
+    DONE = 0
+    INTERNAL = 1
+    USAGE = 2
+    INVALID = 3
+    CONFLICT = 4
+    NOT_FOUND = 5
+    UNAVAILABLE = 6
+    UNKNOWN = 7
+    DIFFERENT = 8
+
+
+class CommandError(errors.CrocusrudderError):
+    """Base of the commands' errors."""
+
+    code = "CR-CMD-000"
+    exit_code: ClassVar[ExitCode] = ExitCode.INTERNAL
+
+
+class UnreachableError(CommandError):
+    """No entry accepted a connection, so nothing was sent."""
+
+    code = "CR-CMD-001"
+    exit_code = ExitCode.UNAVAILABLE
+
+
+class AnswerLostError(CommandError):
+    """The connection failed or timed out after the call was sent; it may have taken effect."""
+
+    code = "CR-CMD-002"
+    exit_code = ExitCode.UNKNOWN
+
+
+class FileUnreadableError(CommandError):
+    """A file cannot be read."""
+
+    code = "CR-CMD-003"
+    exit_code = ExitCode.INVALID
+
+
+class MalformedAnswerError(CommandError):
+    """The process answered with something that is not of the expected form."""
+
+    code = "CR-CMD-004"
+
+
+class RefusedError(CommandError):
+    """The entry refused the call; its answer is in ``body``."""
+
+    code = "CR-CMD-005"
+
+    def __init__(self, status: int, body: dict[str, Any]) -> None:
+        super().__init__(str(body.get("message", "")), str(body.get("hint", "")))
+        self._status = status
+        self._body = body
+
+    @property
+    def body(self) -> dict[str, Any]:
+        """Return the entry's answer."""
+        return self._body
+
+    @property
+    def exit_code(self) -> ExitCode:
+        """Return the exit code for the HTTP status of the answer."""
+        codes = {
+            400: ExitCode.INVALID,
+            422: ExitCode.INVALID,
+            404: ExitCode.NOT_FOUND,
+            409: ExitCode.CONFLICT,
+            429: ExitCode.UNAVAILABLE,
+            503: ExitCode.UNAVAILABLE,
+            504: ExitCode.UNKNOWN,
+        }
+        return codes.get(self._status, ExitCode.INTERNAL)
+
+    def to_dict(self) -> dict[str, Any]:
+        """Return the entry's answer with its own code."""
+        return {"code": self.code, "hint": "", "message": ""} | self._body
--- /dev/null
+++ b/crocusrudder/management/options.py
@@ -0,0 +1,56 @@
+"""Options and arguments that several commands share."""
+
+import pathlib
+import uuid
+from collections.abc import Callable
+from typing import Any
+
+import click
+
+from crocusrudder.management import client
+
+ENTRY_VARIABLE = "CROCUSRUDDER_ENTRY"
+DEFAULT_ENTRY = "127.0.0.1:8080"
+
+FILE = click.Path(exists=False, dir_okay=False, path_type=pathlib.Path)
+DIRECTORY = click.Path(exists=True, file_okay=False, path_type=pathlib.Path)
+
+
+def _make_client(context: click.Context, parameter: click.Parameter, value: Any) -> client.Client:
+    addresses = [part for item in value for part in item.replace(",", " ").split()]
+    return client.Client(addresses or [DEFAULT_ENTRY])
+
+
+def entry_option(function: Callable) -> Callable:
+    """Add ``--entry`` and pass the command a client for these entries as ``entry``."""
+    return click.option(
+        "--entry",
+        metavar="HOST:PORT",
+        multiple=True,
+        envvar=ENTRY_VARIABLE,
+        callback=_make_client,
+        help=f"HTTP address of an entry; may be repeated, the next one is tried when one cannot "
+        f"be reached. Also read from {ENTRY_VARIABLE}, separated by spaces or commas. "
+        f"[default: {DEFAULT_ENTRY}]",
+    )(function)
+
+
+def make_id() -> str:
+    """Return a new random id for a change or a job."""
+    return uuid.uuid4().hex
+
+
+change_option = click.option(
+    "--change",
+    metavar="ID",
+    default=make_id,
+    help="Id of the change. Repeat a command with the same id to make sure that the change takes "
+    "effect once. [default: a new one]",
+)
+author_option = click.option(
+    "--author",
+    metavar="NAME",
+    envvar="CROCUSRUDDER_AUTHOR",
+    default="unknown",
+    help="Who makes the change; recorded with it. Also read from CROCUSRUDDER_AUTHOR.",
+)
--- a/crocusrudder/records/core.py
+++ b/crocusrudder/records/core.py
@@ -116,15 +116,12 @@
         pending = self._take(event.operation)
         if pending is None:
             return []
-        transaction = pending.committing
-        produced = []
-        if transaction.change is not None:
-            produced += self._replica.handle(replicas.ChangeAccepted(transaction.change), now)
+        revision = pending.committing.revision
         if pending.answered:
-            return produced + self._forget(pending)
-        if transaction.change is None:
-            return produced + self._refuse(pending, _make_not_accepted(pending.call.change))
-        return produced + self._accept(pending, transaction.change.revision)
+            return self._tell_replica(pending, revision, now) + self._forget(pending)
+        if revision is None:
+            return self._refuse(pending, _make_not_accepted(pending.call.change))
+        return self._accept(pending, revision, now)
 
     @_handle.register
     def _(self, event: events.CommitConflicted, now: float) -> list[effects.Effect]:
@@ -196,7 +193,7 @@
         call = pending.call
         revision = transactions.find_outcome(call, found)
         if revision is not None:
-            return self._accept(pending, revision)
+            return self._accept(pending, revision, now)
         if isinstance(call, calls.LookUpCall):
             transaction = transactions.withdraw(call)
         else:
@@ -210,7 +207,7 @@
         if call.record is not None:
             transactions.check_room(self._replica.configuration, call)
 
-    def _accept(self, pending: _Pending, revision: int) -> list[effects.Effect]:
+    def _accept(self, pending: _Pending, revision: int, now: float) -> list[effects.Effect]:
         self._pending.remove(pending)
         body = calls.describe_accepted(pending.call.change, revision)
         produced = [effects.AnswerOperator(pending.asked, 200, body)]
@@ -220,7 +217,16 @@
                 effects.Count("changes_accepted"),
                 effects.LogChange("change_accepted", body | fields),
             ]
-        return produced
+        return produced + self._tell_replica(pending, revision, now)
+
+    def _tell_replica(
+        self, pending: _Pending, revision: int | None, now: float
+    ) -> list[effects.Effect]:
+        """Let the replica adopt and push a change, also one that a read has found accepted."""
+        if revision is None or not isinstance(pending.call, calls.ChangeCall):
+            return []
+        change = transactions.make_change(pending.call, revision)
+        return self._replica.handle(replicas.ChangeAccepted(change), now)
 
     def _refuse(self, pending: _Pending, error: errors.RecordError) -> list[effects.Effect]:
         self._pending.remove(pending)
--- a/crocusrudder/records/transactions.py
+++ b/crocusrudder/records/transactions.py
@@ -15,11 +15,11 @@
 
 
 class Transaction(msgspec.Struct, frozen=True):
-    """What to commit; ``change`` is None when a change id is withdrawn."""
+    """What to commit; ``revision`` is None when a change id is withdrawn."""
 
     writes: tuple[effects.RowWrite, ...]
     checks: tuple[effects.RowCheck, ...] = ()
-    change: messages.ConfigurationChange | None = None
+    revision: ids.Revision | None = None
 
 
 def list_keys(call: calls.ChangeCall | calls.LookUpCall) -> tuple[str, ...]:
@@ -81,14 +81,15 @@
             ),
         ),
         tuple(effects.RowCheck(key, _get_version(found.get(key))) for key in related),
-        messages.ConfigurationChange(
-            revision,
-            call.change,
-            call.key.kind,
-            call.key.name,
-            call.key.schema_version,
-            call.document,
-        ),
+        revision,
+    )
+
+
+def make_change(call: calls.ChangeCall, revision: int) -> messages.ConfigurationChange:
+    """Return the change as the replicas exchange it."""
+    key = call.key
+    return messages.ConfigurationChange(
+        ids.Revision(revision), call.change, key.kind, key.name, key.schema_version, call.document
     )
 
 
