--- a/crocusrudder/records/calls.py
+++ b/crocusrudder/records/calls.py
@@ -146,6 +146,9 @@
         if not (number.isascii() and number.isdecimal() and len(number) < 16):
             raise errors.MalformedCallError(f"the {what} {number!r:.80} is not a number")
     change = _check_change(query.get("change", ""))
+    kinds = [known.value for known in schema.Kind]
+    if kind not in kinds or documents.find_problems(name, schema.Name):
+        raise errors.NoSuchRecordError(f"there can be no record {kind!r:.80} {name!r:.80}")
     key = schema.RecordKey(kind, name, int(version))
     author = query.get("author", "unknown")[:200]
     return ChangeCall(Action.RETIRE, change, author, key, None, int(query["revision"]))
--- a/crocusrudder/records/core.py
+++ b/crocusrudder/records/core.py
@@ -108,6 +108,8 @@
             return self._forget(pending)
         try:
             return self._evaluate(pending, event.rows, now)
+        except errors.StoredRecordError as error:
+            return self._leave_unsettled(pending, error)
         except errors.RecordError as error:
             return self._refuse(pending, error)
 
@@ -197,16 +199,14 @@
         if isinstance(call, calls.LookUpCall):
             transaction = transactions.withdraw(call)
         else:
-            self._check_room(call)
+            if not pending.in_doubt:
+                # A commit in doubt passed this check; only a moved head shows that it is void.
+                transactions.check_room(self._replica.configuration, call)
             transaction = transactions.prepare(call, found, self._incarnation)
         pending.operation = self._operations.next()
         pending.committing = transaction
         return [effects.Commit(pending.operation, transaction.writes, transaction.checks)]
 
-    def _check_room(self, call: calls.ChangeCall) -> None:
-        if call.record is not None:
-            transactions.check_room(self._replica.configuration, call)
-
     def _accept(self, pending: _Pending, revision: int, now: float) -> list[effects.Effect]:
         self._pending.remove(pending)
         body = calls.describe_accepted(pending.call.change, revision)
@@ -252,15 +252,28 @@
         committing = pending.committing is not None and pending.operation is not None
         if not committing:
             self._pending.remove(pending)
-        in_doubt = pending.in_doubt or committing
-        if isinstance(pending.call, calls.LookUpCall) or in_doubt:
+        pending.in_doubt = pending.in_doubt or committing
+        error = errors.StoreDownError(
+            "the table service did not answer in time", "the change has no effect; try again later"
+        )
+        return self._describe_unsettled(pending, error)
+
+    def _leave_unsettled(
+        self, pending: _Pending, error: errors.RecordError
+    ) -> list[effects.Effect]:
+        """Answer a call whose rows cannot be read."""
+        self._pending.remove(pending)
+        return self._describe_unsettled(pending, error)
+
+    def _describe_unsettled(
+        self, pending: _Pending, error: errors.RecordError
+    ) -> list[effects.Effect]:
+        """Answer "unknown" if the change may have taken effect, otherwise "not accepted"."""
+        state = calls.State.NOT_ACCEPTED
+        if pending.in_doubt or isinstance(pending.call, calls.LookUpCall):
             state = calls.State.UNKNOWN
-            hint = f"ask again: crocusrudder change show {pending.call.change}"
-            error = errors.OutcomeUnknownError("the table service did not answer in time", hint)
-        else:
-            state = calls.State.NOT_ACCEPTED
-            hint = "the change has no effect; try again later"
-            error = errors.StoreDownError("the table service is unavailable", hint)
+            hint = f"ask later: crocusrudder change show {pending.call.change}"
+            error = errors.OutcomeUnknownError(error.message, hint)
         body = calls.describe_error(error, state, pending.call.change)
         return [
             effects.Count("changes_unsettled"),
--- a/crocusrudder/records/replica.py
+++ b/crocusrudder/records/replica.py
@@ -357,15 +357,16 @@
         return [effects.Send(sender, update)]
 
     def _confirm(self, process: ids.ProcessId, verified: bool) -> None:
-        """Count a verified entry whose revision this one has reached, and this entry itself.
+        """Count a verified entry whose revision this one has reached.
 
-        Unverified entries do not count: they may all repeat what a single one said.
+        Unverified entries do not count, because they may all repeat what a single one said. This
+        entry itself does not count, because it remembers nothing from before its start.
         """
         if self._verified or not verified:
             return
         self._confirmations.add(process)
         known = len(self._receivers.entries) + 1
-        if 2 * (len(self._confirmations) + 1) > known:
+        if 2 * len(self._confirmations) > known:
             self._verified = True
 
     def _refresh(self, now: float) -> list[effects.Effect]:
