--- a/crocusrudder/records/core.py
+++ b/crocusrudder/records/core.py
@@ -108,6 +108,8 @@
             return self._forget(pending)
         try:
             return self._evaluate(pending, event.rows, now)
+        except errors.StoredRecordError as error:
+            return self._leave_unsettled(pending, error)
         except errors.RecordError as error:
             return self._refuse(pending, error)
 
@@ -116,15 +118,12 @@
         pending = self._take(event.operation)
         if pending is None:
             return []
-        transaction = pending.committing
-        produced = []
-        if transaction.change is not None:
-            produced += self._replica.handle(replicas.ChangeAccepted(transaction.change), now)
+        revision = pending.committing.revision
         if pending.answered:
-            return produced + self._forget(pending)
-        if transaction.change is None:
-            return produced + self._refuse(pending, _make_not_accepted(pending.call.change))
-        return produced + self._accept(pending, transaction.change.revision)
+            return self._tell_replica(pending, revision, now) + self._forget(pending)
+        if revision is None:
+            return self._refuse(pending, _make_not_accepted(pending.call.change))
+        return self._accept(pending, revision, now)
 
     @_handle.register
     def _(self, event: events.CommitConflicted, now: float) -> list[effects.Effect]:
@@ -196,21 +195,19 @@
         call = pending.call
         revision = transactions.find_outcome(call, found)
         if revision is not None:
-            return self._accept(pending, revision)
+            return self._accept(pending, revision, now)
         if isinstance(call, calls.LookUpCall):
             transaction = transactions.withdraw(call)
         else:
-            self._check_room(call)
+            if not pending.in_doubt:
+                # A commit in doubt passed this check; only a moved head shows that it is void.
+                transactions.check_room(self._replica.configuration, call)
             transaction = transactions.prepare(call, found, self._incarnation)
         pending.operation = self._operations.next()
         pending.committing = transaction
         return [effects.Commit(pending.operation, transaction.writes, transaction.checks)]
 
-    def _check_room(self, call: calls.ChangeCall) -> None:
-        if call.record is not None:
-            transactions.check_room(self._replica.configuration, call)
-
-    def _accept(self, pending: _Pending, revision: int) -> list[effects.Effect]:
+    def _accept(self, pending: _Pending, revision: int, now: float) -> list[effects.Effect]:
         self._pending.remove(pending)
         body = calls.describe_accepted(pending.call.change, revision)
         produced = [effects.AnswerOperator(pending.asked, 200, body)]
@@ -220,7 +217,16 @@
                 effects.Count("changes_accepted"),
                 effects.LogChange("change_accepted", body | fields),
             ]
-        return produced
+        return produced + self._tell_replica(pending, revision, now)
+
+    def _tell_replica(
+        self, pending: _Pending, revision: int | None, now: float
+    ) -> list[effects.Effect]:
+        """Let the replica adopt and push a change, also one that a read has found accepted."""
+        if revision is None or not isinstance(pending.call, calls.ChangeCall):
+            return []
+        change = transactions.make_change(pending.call, revision)
+        return self._replica.handle(replicas.ChangeAccepted(change), now)
 
     def _refuse(self, pending: _Pending, error: errors.RecordError) -> list[effects.Effect]:
         self._pending.remove(pending)
@@ -246,15 +252,28 @@
         committing = pending.committing is not None and pending.operation is not None
         if not committing:
             self._pending.remove(pending)
-        in_doubt = pending.in_doubt or committing
-        if isinstance(pending.call, calls.LookUpCall) or in_doubt:
+        pending.in_doubt = pending.in_doubt or committing
+        error = errors.StoreDownError(
+            "the table service did not answer in time", "the change has no effect; try again later"
+        )
+        return self._describe_unsettled(pending, error)
+
+    def _leave_unsettled(
+        self, pending: _Pending, error: errors.RecordError
+    ) -> list[effects.Effect]:
+        """Answer a call whose rows cannot be read."""
+        self._pending.remove(pending)
+        return self._describe_unsettled(pending, error)
+
+    def _describe_unsettled(
+        self, pending: _Pending, error: errors.RecordError
+    ) -> list[effects.Effect]:
+        """Answer "unknown" if the change may have taken effect, otherwise "not accepted"."""
+        state = calls.State.NOT_ACCEPTED
+        if pending.in_doubt or isinstance(pending.call, calls.LookUpCall):
             state = calls.State.UNKNOWN
-            hint = f"ask again: crocusrudder change show {pending.call.change}"
-            error = errors.OutcomeUnknownError("the table service did not answer in time", hint)
-        else:
-            state = calls.State.NOT_ACCEPTED
-            hint = "the change has no effect; try again later"
-            error = errors.StoreDownError("the table service is unavailable", hint)
+            hint = f"ask later: crocusrudder change show {pending.call.change}"
+            error = errors.OutcomeUnknownError(error.message, hint)
         body = calls.describe_error(error, state, pending.call.change)
         return [
             effects.Count("changes_unsettled"),
