Tell refusals from lost responses by an explicit marker

Cause: a bare 503 may come from a load balancer that lost the response of a store that had processed the request, and a response without a length cannot be told from one that was cut off.

Change: only a 503 with 'Request-Processed: no' counts as certainly without effect. Responses without a length, with two lengths or above the size limits count as broken. A response that arrives although the request could not be sent in full is still read. The stand-in server drains connections whose requests are still unread, and a suspended run keeps the work it has done.

--- a/crocusrudder/platform/http.py
+++ b/crocusrudder/platform/http.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import ipaddress
 import math
 import time
 from typing import Self
@@ -23,8 +24,10 @@
 MAX_BODY_BYTES = 16 * 1024 * 1024
 MAX_INTERIM_RESPONSES = 8
 RECEIVE_BYTES = 64 * 1024
-NOT_RUN_HEADER = "crocusrudder-outcome"
-NOT_RUN_VALUE = "not-run"
+STATUS_UNAVAILABLE = 503
+PROCESSED_HEADER = "request-processed"
+"""A 503 with the value ``no`` was sent before any part of the request was processed."""
+NOT_PROCESSED = "no"
 
 # RFC 9110, section 7.6.1; the client frames messages itself.
 HOP_BY_HOP = frozenset(
@@ -42,6 +45,9 @@
     }
 )
 
+_FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
+_BODILESS_STATUSES = (204, 304)
+
 Headers = tuple[tuple[str, str], ...]
 
 
@@ -88,6 +94,8 @@
         self._config = config
         self._parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=config.max_header_bytes)
         self._used_at = time.monotonic()
+        self._send_failed = False
+        self._method = ""
 
     @property
     def used_at(self) -> float:
@@ -99,12 +107,14 @@
         """Return whether the last exchange left the connection ready for another request."""
         parser = self._parser
         finished = parser.our_state is h11.DONE and parser.their_state is h11.DONE
-        return finished and parser.trailing_data == (b"", False)
+        return finished and not self._send_failed and parser.trailing_data == (b"", False)
 
     def is_quiet(self) -> bool:
         """Return whether the peer has neither closed the connection nor sent unasked bytes."""
+        flags = curio.socket.MSG_PEEK | curio.socket.MSG_DONTWAIT
         try:
-            self._stream._socket.recv(1, curio.socket.MSG_PEEK)
+            with self._stream.blocking() as raw:
+                raw.recv(1, flags)
         except BlockingIOError:
             return True
         except OSError:
@@ -113,7 +123,13 @@
 
     async def exchange(self, data: bytes, attempt: _Attempt) -> effects.EndpointResponse:
         """Send an encoded request and return the whole response."""
-        await self._send(data, attempt)
+        try:
+            await self._send(data, attempt)
+        except OSError:
+            if not attempt.bytes_sent:
+                raise
+            # A server may answer and close before it has read the whole request.
+            self._send_failed = True
         response = await self._receive()
         self._used_at = time.monotonic()
         return response
@@ -122,12 +138,14 @@
         """Return the bytes of a request; raises ``h11.LocalProtocolError``."""
         if self._parser.our_state is h11.DONE:
             self._parser.start_next_cycle()
+        self._method = request.method
         headers = [
             (key.encode("latin-1"), value.encode("latin-1"))
             for key, value in strip_hop_by_hop(request.headers)
             if key.lower() not in ("host", "content-length")
         ]
-        headers.insert(0, (b"Host", f"{host}:{port}".encode()))
+        literal = f"[{host}]" if ":" in host else host
+        headers.insert(0, (b"Host", f"{literal}:{port}".encode("ascii")))
         if request.body or request.method not in ("GET", "HEAD", "DELETE"):
             headers.append((b"Content-Length", str(len(request.body)).encode()))
         head = h11.Request(method=request.method, target=request.target, headers=headers)
@@ -147,12 +165,13 @@
 
     async def _receive(self) -> effects.EndpointResponse:
         head = await self._receive_head()
+        declared = self._check_framing(head)
         body = bytearray()
         while not isinstance(event := await self._next_event(), h11.EndOfMessage):
             if not isinstance(event, h11.Data):
                 raise h11.RemoteProtocolError("the connection ended within a response")
             body += event.data
-            if len(body) > self._config.max_body_bytes:
+            if max(len(body), declared) > self._config.max_body_bytes:
                 raise h11.RemoteProtocolError("the response body is too large")
         headers = tuple(
             (key.decode("latin-1"), value.decode("latin-1")) for key, value in head.headers
@@ -162,12 +181,31 @@
     async def _receive_head(self) -> h11.Response:
         for _ in range(MAX_INTERIM_RESPONSES):
             event = await self._next_event()
+            if not isinstance(event, h11.Response | h11.InformationalResponse):
+                raise h11.RemoteProtocolError("the connection ended before a response")
+            # The parser bounds only headers that arrive in several pieces.
+            size = sum(len(key) + len(value) for key, value in event.headers)
+            if size > self._config.max_header_bytes:
+                raise h11.RemoteProtocolError("the response headers are too large")
             if isinstance(event, h11.Response):
                 return event
-            if not isinstance(event, h11.InformationalResponse):
-                raise h11.RemoteProtocolError("the connection ended before a response")
         raise h11.RemoteProtocolError("too many interim responses")
 
+    def _check_framing(self, head: h11.Response) -> int:
+        """Return the declared length of the body, 0 if it has none or is chunked.
+
+        Refuses a response without a length, as its end cannot be told from a broken connection,
+        and one with two lengths, on which two readers may differ (RFC 9112, section 6.3).
+        """
+        framing = {key: value for key, value in head.headers if key in _FRAMING_HEADERS}
+        if len(framing) > 1:
+            raise h11.RemoteProtocolError("the response has two lengths")
+        if head.status_code in _BODILESS_STATUSES or self._method == "HEAD":
+            return 0
+        if not framing:
+            raise h11.RemoteProtocolError("the response has no length")
+        return int(framing.get(b"content-length", 0))
+
     async def _next_event(self) -> object:
         while True:
             event = self._parser.next_event()
@@ -196,10 +234,12 @@
         self, request: effects.EndpointRequest, timeout_seconds: float
     ) -> effects.EndpointResponse:
         """Carry out one exchange; raises the platform errors."""
+        if timeout_seconds <= 0:
+            raise errors.UnreachedError("no time is left")
         attempt = _Attempt()
         self._calls += 1
         try:
-            async with curio.timeout_after(max(0.0, timeout_seconds)), self._slots:
+            async with curio.timeout_after(timeout_seconds), self._slots:
                 return await self._exchange(await self._take(), request, attempt)
         except curio.TaskTimeout as error:
             raise attempt.make_error(f"no response within {timeout_seconds} s") from error
@@ -240,14 +280,19 @@
         return await self._connect()
 
     async def _connect(self) -> _Connection:
+        try:
+            ipaddress.ip_address(self._host)
+        except ValueError as error:
+            raise errors.UnreachedError(str(error)) from error
         family = curio.socket.AF_INET6 if ":" in self._host else curio.socket.AF_INET
         stream = curio.socket.socket(family, curio.socket.SOCK_STREAM)
         try:
             await stream.connect((self._host, self._port))
+            # A connection to an unused local port can meet itself (simultaneous open).
             if stream.getsockname() == stream.getpeername():
                 raise ConnectionRefusedError("connected to itself")
             stream.setsockopt(curio.socket.IPPROTO_TCP, curio.socket.TCP_NODELAY, 1)
-        except OSError as error:
+        except (OSError, OverflowError) as error:
             await stream.close()
             raise errors.UnreachedError(str(error)) from error
         except curio.CancelledError:
@@ -316,8 +361,8 @@
 
 
 def is_refusal(response: effects.EndpointResponse) -> bool:
-    """Return whether the server refused the request before it processed it."""
-    marked = any(
-        key.lower() == NOT_RUN_HEADER and value == NOT_RUN_VALUE for key, value in response.headers
+    """Return whether the server refused the request before it processed any part of it."""
+    return response.status == STATUS_UNAVAILABLE and any(
+        key.lower() == PROCESSED_HEADER and value.lower() == NOT_PROCESSED
+        for key, value in response.headers
     )
-    return response.status == 503 and marked
--- a/crocusrudder/platform/table.py
+++ b/crocusrudder/platform/table.py
@@ -1,10 +1,12 @@
 """Client of the table service.
 
 HTTP, all bodies JSON: ``POST /table/commit`` (200 with versions, 409 with the current rows),
-``POST /table/read`` and ``POST /table/scan`` (200 with rows). The service sends 503 only before it
-has processed anything.
+``POST /table/read`` and ``POST /table/scan`` (200 with rows). A 503 with ``Request-Processed: no``
+was sent before anything was processed. Any other 503 may come from a load balancer that lost the
+response, so a commit that meets it is unknown.
 """
 
+from collections.abc import Mapping
 from typing import Any
 from typing import Self
 
@@ -17,7 +19,6 @@
 
 STATUS_DONE = 200
 STATUS_CONFLICT = 409
-STATUS_UNAVAILABLE = 503
 
 
 class TableConfig(msgspec.Struct, frozen=True):
@@ -89,7 +90,7 @@
             return events.StoreUnavailable(effect.operation)
         except errors.BrokenError:
             return events.CommitUnknown(effect.operation)
-        if response.status == STATUS_UNAVAILABLE:
+        if http.is_refusal(response):
             return events.StoreUnavailable(effect.operation)
         return _interpret_commit(effect, response) or events.CommitUnknown(effect.operation)
 
@@ -98,11 +99,16 @@
             response = await self._call(operation, content)
             if response.status != STATUS_DONE:
                 return None
-            return msgspec.json.decode(response.body, type=_Rows).rows
+            rows = msgspec.json.decode(response.body, type=_Rows).rows
+            return rows if _are_rows_named(rows) else None
         except (errors.PlatformError, msgspec.MsgspecError, RecursionError):
             return None
 
 
+def _are_rows_named(rows: Mapping[str, effects.Row | None]) -> bool:
+    return all(row is None or row.key == key for key, row in rows.items())
+
+
 def _interpret_commit(
     effect: effects.Commit, response: effects.EndpointResponse
 ) -> events.Event | None:
@@ -115,7 +121,8 @@
                 return events.Committed(effect.operation, versions)
         if response.status == STATUS_CONFLICT:
             rows = msgspec.json.decode(response.body, type=_CurrentRows).rows
-            if rows.keys() == written | {check.key for check in effect.checks}:
+            keys = written | {check.key for check in effect.checks}
+            if rows.keys() == keys and _are_rows_named(rows):
                 return events.CommitConflicted(effect.operation, rows)
     except (msgspec.MsgspecError, RecursionError):
         pass
--- a/tools/standin/endpoint.py
+++ b/tools/standin/endpoint.py
@@ -142,6 +142,7 @@
         return service.answer(request)
 
     listener = server.Server(listen.host, listen.port, handle)
+    listener.listen()
     serving = await curio.spawn(listener.run)
     announcing = await curio.spawn(announcer.run)
     await signals.wait_for_stop()
--- a/tools/standin/platform.py
+++ b/tools/standin/platform.py
@@ -11,13 +11,11 @@
 from tools.standin import signals
 
 
-async def serve(host: str, port: int, capacity: messages.Resources) -> None:
+async def serve(listener: server.Server) -> None:
     """Serve until SIGTERM or SIGINT."""
-    platform = service.Platform(capacity)
-    async with curio.TaskGroup(wait=any) as group:
-        await group.spawn(server.Server(host, port, platform.handle).run)
-        await group.spawn(signals.wait_for_stop)
-        logger.info("stand-in platform listens on {}:{}", host, port)
+    serving = await curio.spawn(listener.run)
+    await signals.wait_for_stop()
+    await serving.cancel()
 
 
 @click.command()
@@ -31,7 +29,11 @@
 
     The sizes are the capacity of a worker for which none is set with PUT /runtime/<worker>.
     """
-    curio.run(serve, host, port, messages.Resources(millicores, memory_mb, accelerators))
+    platform = service.Platform(messages.Resources(millicores, memory_mb, accelerators))
+    listener = server.Server(host, port, platform.handle)
+    listener.listen()
+    logger.info("stand-in platform listens on {}:{}", host, port)
+    curio.run(serve, listener)
 
 
 if __name__ == "__main__":
--- a/tools/standin/runs.py
+++ b/tools/standin/runs.py
@@ -49,12 +49,12 @@
 
 
 class Transition(msgspec.Struct, frozen=True):
-    """One change of state of a run in the audit log."""
+    """One change of state of a run in the audit log; ``lost`` if its worker was lost."""
 
     worker: ids.WorkerId
     task: ids.TaskId
     epoch: ids.TaskEpoch
-    state: State
+    state: str
     at: float
 
 
@@ -140,8 +140,10 @@
         self._step = checkpoint.step
         self._worked = checkpoint.worked
 
-    def drop(self) -> None:
+    def drop(self, now: float) -> None:
         """Do nothing from now on, as when the VM is lost."""
+        if self.active:
+            self._append_transition("lost", now)
         self._dropped = True
 
     def fail(self, reason: str, now: float) -> None:
@@ -230,7 +232,7 @@
         if not self._command.steps:
             self.fail("the command failed", now)
             return
-        self._worked += max(0.0, now - self._advanced_at) * self._share
+        self._add_work(now)
         try:
             self._execute_steps(now)
             self._blocked = False
@@ -239,6 +241,9 @@
             self._blocked = True
             self._worked = min(self._worked, self._due(self._step + 1))
 
+    def _add_work(self, until: float) -> None:
+        self._worked += max(0.0, until - self._advanced_at) * self._share
+
     def _execute_steps(self, now: float) -> None:
         while self._step < self._command.steps and self._worked >= self._due(self._step + 1):
             if self._command.audited:
@@ -266,6 +271,8 @@
         self._checkpoint = key
 
     def _suspend(self, now: float) -> None:
+        self._add_work(self._deadline)
+        self._worked = min(self._worked, self._due(self._step + 1))
         # While the object store is down, the checkpoint of the last step remains.
         with contextlib.suppress(objects.ObjectsDownError):
             self._store_checkpoint()
@@ -274,9 +281,12 @@
     def _enter(self, state: State, now: float) -> None:
         self._state = state
         self._advanced_at = now
+        self._append_transition(state.value, now)
+        self._record_usage(now)
+
+    def _append_transition(self, state: str, now: float) -> None:
         transition = Transition(self._worker, self._call.task, self._call.epoch, state, now)
         self._audit.runs.append(transition)
-        self._record_usage(now)
 
     def _record_usage(self, now: float) -> None:
         size = self._call.size
--- a/tools/standin/runtime.py
+++ b/tools/standin/runtime.py
@@ -43,10 +43,10 @@
         """Return the runs that were not forgotten."""
         return self._runs
 
-    def drop_runs(self) -> None:
+    def drop_runs(self, now: float) -> None:
         """Forget all runs at once, as when the VM is lost."""
         for run in self._runs.values():
-            run.drop()
+            run.drop(now)
         self._runs = {}
 
     @functools.singledispatchmethod
@@ -202,7 +202,7 @@
         while run.active:
             wakeup.clear()
             delay = run.find_next_time(time.monotonic()) - time.monotonic()
-            if math.isfinite(delay):
-                await curio.ignore_after(max(0.0, delay), wakeup.wait)
+            limit = max(0.0, delay) if math.isfinite(delay) else None
+            await curio.ignore_after(limit, wakeup.wait)
             run.advance(time.monotonic())
         del self._wakeups[run]
--- a/tools/standin/server.py
+++ b/tools/standin/server.py
@@ -1,5 +1,6 @@
 """A small HTTP/1.1 server for the stand-ins (curio + h11)."""
 
+import socket
 from collections.abc import Awaitable
 from collections.abc import Callable
 
@@ -35,6 +36,16 @@
         self._parser = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEADER_BYTES)
         self._answers_head = False
 
+    def is_busy(self) -> bool:
+        """Return whether a request has arrived, at least in part, and is not answered yet."""
+        if self._parser.their_state is not h11.IDLE or self._parser.trailing_data[0]:
+            return True
+        try:
+            with self._client.blocking() as raw:
+                return bool(raw.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        except OSError:
+            return False
+
     async def receive(self) -> Request | None:
         """Return the next request, or None at the end of the connection."""
         head = await self._next_event()
@@ -86,12 +97,17 @@
         self._host = host
         self._port = port
         self._handle = handle
-        self._in_flight = 0
+        self._connections: set[_Connection] = set()
         self._closing = False
+        self._listener: curio.io.Socket | None = None
+
+    def listen(self) -> None:
+        """Open the listening socket; raises ``OSError``."""
+        self._listener = curio.network.tcp_server_socket(self._host, self._port, backlog=BACKLOG)
 
     async def run(self) -> None:
-        """Accept connections until cancelled."""
-        listener = curio.network.tcp_server_socket(self._host, self._port, backlog=BACKLOG)
+        """Accept connections until cancelled; ``listen`` comes first."""
+        listener = self._listener
         async with curio.TaskGroup(wait=None) as connections:
             try:
                 while True:
@@ -101,17 +117,25 @@
                 await listener.close()
 
     async def drain(self) -> None:
-        """Answer with ``Connection: close`` from now on, and wait for requests in flight."""
+        """Answer with ``Connection: close`` from now on, and wait for requests in flight.
+
+        A request also counts as in flight while its bytes wait in the connection unread. The
+        first pause lets ``run`` accept the connections that wait.
+        """
         self._closing = True
-        while self._in_flight:
+        await curio.sleep(DRAIN_POLL_SECONDS)
+        while any(connection.is_busy() for connection in self._connections):
             await curio.sleep(DRAIN_POLL_SECONDS)
 
     async def _serve(self, client: curio.io.Socket) -> None:
+        connection = _Connection(client)
+        self._connections.add(connection)
         try:
-            await self._serve_requests(_Connection(client))
+            await self._serve_requests(connection)
         except (OSError, h11.ProtocolError):
             pass
         finally:
+            self._connections.discard(connection)
             await client.close()
 
     async def _serve_requests(self, connection: _Connection) -> None:
@@ -120,11 +144,7 @@
             request = await connection.receive()
             if request is None:
                 return
-            self._in_flight += 1
-            try:
-                response = await self._handle(request)
-                if response is None:
-                    return
-                reusable = await connection.respond(response, self._closing)
-            finally:
-                self._in_flight -= 1
+            response = await self._handle(request)
+            if response is None:
+                return
+            reusable = await connection.respond(response, self._closing)
--- a/tools/standin/service.py
+++ b/tools/standin/service.py
@@ -1,5 +1,6 @@
 """HTTP of the stand-in platform: table service, object store, worker runtime and fault switches."""
 
+import time
 import urllib.parse
 
 import curio
@@ -117,7 +118,7 @@
         for worker, state in self._runtime.workers.items():
             state.failing = worker in faults.failing_workers
             if worker in faults.lost_workers:
-                state.drop_runs()
+                state.drop_runs(time.monotonic())
 
     def get_stats(self) -> dict[str, int]:
         """Return the counters."""
@@ -132,7 +133,10 @@
             case "POST", ["table", operation]:
                 return await self._serve_table(operation, request.body)
             case _, ["objects", *_]:
-                return await self._serve_objects(request, "/".join(segments[1:]), query)
+                return await self._serve_objects(request, "/".join(segments[1:]))
+            case "GET", ["object-keys"]:
+                prefix = dict(urllib.parse.parse_qsl(query)).get("prefix", "")
+                return make_json(200, {"keys": self._objects.list_keys(prefix)})
             case _, ["runtime", worker, *rest]:
                 return await self._serve_runtime(request, ids.WorkerId(worker), rest)
             case _, ["faults"]:
@@ -174,23 +178,18 @@
             return None
         return make_json(200, {"versions": answer.versions})
 
-    async def _serve_objects(
-        self, request: server.Request, key: str, query: str
-    ) -> server.Response | None:
+    async def _serve_objects(self, request: server.Request, key: str) -> server.Response:
         if self._faults.objects_slow_ms:
             await curio.sleep(self._faults.objects_slow_ms / 1_000)
         try:
-            return self._perform_object(request, key, query)
+            return self._perform_object(request, key)
         except objects.ObjectsDownError:
             return self._refuse("the object store is down")
 
-    def _perform_object(self, request: server.Request, key: str, query: str) -> server.Response:
+    def _perform_object(self, request: server.Request, key: str) -> server.Response:
         if request.method == "PUT" and key:
             self._objects.put(key, request.body)
             return server.Response(204, (), b"")
-        if request.method == "GET" and not key:
-            prefix = dict(urllib.parse.parse_qsl(query)).get("prefix", "")
-            return make_json(200, {"keys": self._objects.list_keys(prefix)})
         if request.method != "GET":
             return make_error(405, "no such method")
         data = self._objects.get(key)
@@ -227,4 +226,6 @@
 
     def _refuse(self, text: str) -> server.Response:
         self._refused += 1
-        return make_error(503, text)
+        refusal = make_error(503, text)
+        headers = (*refusal.headers, ("Request-Processed", "no"))
+        return server.Response(refusal.status, headers, refusal.body)
