--- /dev/null
+++ b/crocusrudder/jobs/errors.py
@@ -0,0 +1,75 @@
+"""Errors of the jobs layer."""
+
+from crocusrudder.core import errors
+
+
+class JobError(errors.CrocusrudderError):
+    """Base of the errors of the jobs layer."""
+
+    code = "CR-JOB-000"
+
+
+class TransitionError(JobError):
+    """Report a change of a task that its state does not allow."""
+
+    code = "CR-JOB-001"
+
+
+class StaleReportError(JobError):
+    """Report that a run's report carries an epoch older than the row's, or the run has ended."""
+
+    code = "CR-JOB-002"
+
+
+class InvalidJobError(JobError):
+    """Report a job that does not have the form of a submission."""
+
+    code = "CR-JOB-003"
+
+
+class JobTooLargeError(JobError):
+    """Report a job whose tasks are larger than every worker."""
+
+    code = "CR-JOB-004"
+
+
+class UnknownBatchError(JobError):
+    """Report a job that names no batch record in force."""
+
+    code = "CR-JOB-005"
+
+
+class NotReadyError(JobError):
+    """Report that the entry cannot decide on a job yet; the call may be repeated."""
+
+    code = "CR-JOB-006"
+
+
+class JobConflictError(JobError):
+    """Report a job id that is in use for another specification."""
+
+    code = "CR-JOB-007"
+
+
+class UnknownJobError(JobError):
+    """Report a job id that is not in use."""
+
+    code = "CR-JOB-008"
+
+
+class StoreUnavailableError(JobError):
+    """Report that the store cannot be reached; the call had no effect unless it says so."""
+
+    code = "CR-JOB-009"
+
+
+class JobEndedError(JobError):
+    """Report a change of a job that has ended."""
+
+    code = "CR-JOB-010"
+
+
+class OutcomeUnknownError(JobError):
+    """Report that a change may or may not have taken effect; a repeat of the call tells."""
+
+    code = "CR-JOB-011"
--- /dev/null
+++ b/crocusrudder/jobs/flows.py
@@ -0,0 +1,140 @@
+"""Operators' calls as generators that yield store operations and receive their answers."""
+
+import functools
+from collections.abc import Callable
+from collections.abc import Generator
+from typing import Any
+
+import msgspec
+
+from crocusrudder.core import components
+from crocusrudder.core import effects
+from crocusrudder.core import events
+from crocusrudder.core import ids
+from crocusrudder.jobs import errors
+
+READ_RETRY_SECONDS = 0.5
+READ_ATTEMPTS = 20
+"""Reads that resolve a lost answer before the operator is told that the outcome is unknown."""
+
+MAX_CONFLICTS = 10
+"""Conflicts after which a call is refused as not ready, so that it cannot go on for ever."""
+
+
+class Pause(msgspec.Struct, frozen=True):
+    """Continue after ``seconds``."""
+
+    seconds: float
+
+
+class Result(msgspec.Struct, frozen=True):
+    """Answer to the operator, and the effects that follow from it."""
+
+    status: int
+    body: dict[str, Any]
+    follow_up: tuple[effects.Effect, ...] = ()
+
+
+Step = Callable[[ids.OperationId], effects.Effect] | Pause
+Flow = Generator[Step, events.Event | None, Result]
+
+_STATUS = {
+    errors.InvalidJobError: 400,
+    errors.UnknownBatchError: 422,
+    errors.JobTooLargeError: 422,
+    errors.UnknownJobError: 404,
+    errors.JobConflictError: 409,
+    errors.JobEndedError: 409,
+    errors.NotReadyError: 503,
+    errors.StoreUnavailableError: 503,
+    errors.OutcomeUnknownError: 504,
+}
+
+
+def read(keys: tuple[str, ...], attempts: int = 1) -> Generator[Step, Any, dict[str, effects.Row]]:
+    """Read rows; with more than one attempt, go on trying while the store is unavailable.
+
+    Raises ``StoreUnavailableError``.
+    """
+    for attempt in range(attempts):
+        if attempt:
+            yield Pause(READ_RETRY_SECONDS)
+        event = yield functools.partial(effects.ReadRows, keys=keys)
+        if isinstance(event, events.RowsRead):
+            return event.rows
+    raise errors.StoreUnavailableError("the store did not answer", "repeat the call")
+
+
+def resolve(keys: tuple[str, ...]) -> Generator[Step, Any, dict[str, effects.Row]]:
+    """Read rows to learn what a commit did whose answer was lost.
+
+    Raises ``OutcomeUnknownError``.
+    """
+    try:
+        return (yield from read(keys, READ_ATTEMPTS))
+    except errors.StoreUnavailableError as error:
+        raise errors.OutcomeUnknownError(
+            "the store's answer was lost", "repeat the call with the same job id"
+        ) from error
+
+
+def commit(
+    writes: tuple[effects.RowWrite, ...], checks: tuple[effects.RowCheck, ...] = ()
+) -> Generator[Step, Any, events.Event]:
+    """Commit once and return the answering event."""
+    return (yield functools.partial(effects.Commit, writes=writes, checks=checks))
+
+
+def make_refusal(error: errors.JobError) -> Result:
+    """Return the answer that an error stands for."""
+    return Result(_STATUS.get(type(error), 500), {**error.to_dict(), "problems": []})
+
+
+class FlowRunner:
+    """Run flows: route answers to them and continue those that pause."""
+
+    def __init__(self, prefix: str) -> None:
+        self._operations = components.OperationIds(prefix)
+        self._waiting: dict[ids.OperationId, tuple[ids.OperationId, Flow]] = {}
+        self._paused: list[tuple[float, ids.OperationId, Flow]] = []
+
+    @property
+    def count(self) -> int:
+        """Return how many calls are under way."""
+        return len(self._waiting) + len(self._paused)
+
+    def start(self, asked: ids.OperationId, flow: Flow, now: float) -> list[effects.Effect]:
+        """Start the flow that answers an operator's call."""
+        return self._advance(asked, flow, None, now)
+
+    def answer(self, event: events.Event, now: float) -> list[effects.Effect]:
+        """Pass an answer to the flow that waits for it."""
+        asked, flow = self._waiting.pop(event.operation, (None, None))
+        return [] if flow is None else self._advance(asked, flow, event, now)
+
+    def tick(self, now: float) -> list[effects.Effect]:
+        """Continue the flows whose pause has passed."""
+        due = [paused for paused in self._paused if paused[0] <= now]
+        self._paused = [paused for paused in self._paused if paused[0] > now]
+        steps = (self._advance(asked, flow, None, now) for _, asked, flow in due)
+        return [effect for produced in steps for effect in produced]
+
+    def _advance(
+        self, asked: ids.OperationId, flow: Flow, event: events.Event | None, now: float
+    ) -> list[effects.Effect]:
+        try:
+            step = flow.send(event)
+        except StopIteration as stop:
+            return self._finish(asked, stop.value)
+        except errors.JobError as error:
+            return self._finish(asked, make_refusal(error))
+        if isinstance(step, Pause):
+            self._paused.append((now + step.seconds, asked, flow))
+            return []
+        operation = self._operations.next()
+        self._waiting[operation] = (asked, flow)
+        return [step(operation)]
+
+    def _finish(self, asked: ids.OperationId, result: Result) -> list[effects.Effect]:
+        answer = effects.AnswerOperator(asked, result.status, result.body)
+        return [*result.follow_up, answer, effects.Count(f"job_calls_{result.status}")]
--- /dev/null
+++ b/crocusrudder/jobs/runner.py
@@ -0,0 +1,485 @@
+"""Run tasks on a worker: admit starts, keep leases, report ends."""
+
+import functools
+from typing import Protocol
+
+import msgspec
+
+from crocusrudder.core import components
+from crocusrudder.core import effects
+from crocusrudder.core import events
+from crocusrudder.core import ids
+from crocusrudder.jobs import capacity as capacity_module
+from crocusrudder.jobs import runs as runs_module
+from crocusrudder.platform import runtime_calls
+from crocusrudder.wire import messages
+
+LIST_SECONDS = 1.0
+"""Interval at which the runtime's list is read, which is how ends are noticed."""
+
+REPORT_SECONDS = 2.0
+"""Interval at which the report of an end is repeated until it is acknowledged."""
+
+RETRY_SECONDS = 1.0
+"""Delay before a runtime call without a usable answer is repeated."""
+
+DRAIN_SECONDS = 20.0
+"""Grace time of a planned stop, in which runs are checkpointed and their ends recorded."""
+
+EPOCH_MEMORY_SECONDS = 600.0
+"""A start is refused once its lease has passed, so its epoch need not be known for longer."""
+
+_STATES = {
+    runtime_calls.RuntimeState.RUNNING: messages.RunState.RUNNING,
+    runtime_calls.RuntimeState.SUSPENDED: messages.RunState.SUSPENDED,
+    runtime_calls.RuntimeState.SUCCEEDED: messages.RunState.SUCCEEDED,
+    runtime_calls.RuntimeState.FAILED: messages.RunState.FAILED,
+    runtime_calls.RuntimeState.CHECKPOINTED: messages.RunState.CHECKPOINTED,
+    runtime_calls.RuntimeState.STOPPED: messages.RunState.STOPPED,
+}
+
+
+class Announcer(Protocol):
+    """What the runner reads of ``membership.announcer.Announcer``."""
+
+    @property
+    def owner(self) -> ids.ProcessId:
+        """Return the owner of the cell; empty if unknown."""
+        ...
+
+    def lease_deadline(self, heartbeat_sequence: int, lease_seconds: float) -> float | None:
+        """Return when a lease anchored at a heartbeat ends; None if the heartbeat is unknown."""
+        ...
+
+    def accepts(self, sender: ids.ProcessId, cell_epoch: ids.CellEpoch) -> bool:
+        """Return whether commands of this sender and epoch are to be obeyed."""
+        ...
+
+
+class _Call(msgspec.Struct, frozen=True):
+    """A runtime call in flight."""
+
+    call: msgspec.Struct
+    run: runs_module.Run | None
+    issued_at: float
+
+
+class TaskRunner:
+    """Admit, renew, stop and report the runs of one worker.
+
+    A start is admitted only from the owner under the acknowledged cell epoch, with a task epoch
+    above any seen, within the lease, and if its size fits beside the other reservations.
+    """
+
+    def __init__(
+        self,
+        announcer: Announcer,
+        capacity: capacity_module.CapacityBook,
+        worker: ids.WorkerId,
+    ) -> None:
+        self._announcer = announcer
+        self._capacity = capacity
+        self._worker = worker
+        self._operations = components.OperationIds("run")
+        self._book = runs_module.RunBook()
+        self._calls: dict[ids.OperationId, _Call] = {}
+        self._changed: set[runs_module.RunKey] = set()
+        self._cell = ids.CellId("")
+        self._ready = False
+        self._listing = False
+        self._listed_at = float("-inf")
+        self._lease_deadline = float("-inf")
+        self._drain_until: float | None = None
+        self._drained = False
+
+    @property
+    def ready(self) -> bool:
+        """Return whether the runtime's list has been read, so that starts can be admitted."""
+        return self._ready
+
+    @property
+    def draining(self) -> bool:
+        """Return whether a planned stop has begun."""
+        return self._drain_until is not None
+
+    @property
+    def drained(self) -> bool:
+        """Return whether a planned stop may end: all ends are recorded or the grace has passed."""
+        return self._drained
+
+    @property
+    def reserved(self) -> messages.Resources:
+        """Return what the live runs reserve."""
+        sizes = (run.size for run in self._book.list_live())
+        return functools.reduce(capacity_module.add, sizes, messages.Resources())
+
+    def list_statuses(self) -> tuple[messages.TaskStatus, ...]:
+        """Return all runs, with ended ones that the owner has not acknowledged."""
+        return tuple(run.status for run in self._book)
+
+    def take_changed(self) -> tuple[messages.TaskStatus, ...]:
+        """Return the runs that changed since the last call."""
+        runs = [self._book.get(key) for key in sorted(self._changed)]
+        self._changed.clear()
+        return tuple(run.status for run in runs if run is not None)
+
+    def handle(self, event: events.Event, now: float) -> list[effects.Effect]:
+        """Take one event and return the effects to carry out."""
+        return self._dispatch(event, now)
+
+    def tick(self, now: float) -> list[effects.Effect]:
+        """Read the runtime's list, repeat calls and reports that are due."""
+        self._book.forget_epochs(now)
+        produced: list[effects.Effect] = []
+        if not self._listing and now - self._listed_at >= LIST_SECONDS:
+            produced += self._list_runs(now)
+        for run in self._book.list_live():
+            produced += self._pursue(run, now)
+        produced += self._report_ends(now)
+        self._update_drained(now)
+        return produced
+
+    def dump(self) -> dict[str, object]:
+        """Return the runs and the lease."""
+        return {
+            "ready": self._ready,
+            "draining": self.draining,
+            "lease_deadline": self._lease_deadline if self._ready else None,
+            "reserved": msgspec.to_builtins(self.reserved),
+            "runs": [msgspec.to_builtins(run.status) for run in self._book],
+            "calls": len(self._calls),
+        }
+
+    @functools.singledispatchmethod
+    def _dispatch(self, event: events.Event, now: float) -> list[effects.Effect]:
+        return []
+
+    @_dispatch.register
+    def _on_received(self, event: events.Received, now: float) -> list[effects.Effect]:
+        return self._receive(event.message, event, now)
+
+    @_dispatch.register
+    def _on_stop(self, event: events.StopRequested, now: float) -> list[effects.Effect]:
+        if self._drain_until is None:
+            self._drain_until = now + DRAIN_SECONDS
+        return self.tick(now)
+
+    @_dispatch.register
+    def _on_answer(self, event: events.RuntimeAnswered, now: float) -> list[effects.Effect]:
+        call = self._take_call(event.operation)
+        if call is None:
+            return []
+        if isinstance(event.answer, runtime_calls.RuntimeRefusal):
+            return self._handle_refusal(call, event.answer.reason, now)
+        if isinstance(call.call, runtime_calls.ListRuns):
+            return self._apply_list(event.answer.runs, call.issued_at, now)
+        return self._apply_answer(call, event.answer.runs, now)
+
+    @_dispatch.register
+    def _on_unknown(self, event: events.RuntimeUnknown, now: float) -> list[effects.Effect]:
+        call = self._take_call(event.operation)
+        if call is None:
+            return []
+        if isinstance(call.call, runtime_calls.StartRun) and call.run is not None:
+            call.run.uncertain = True
+        if isinstance(call.call, runtime_calls.RenewRuns):
+            return self._renew(call.call.lease_deadline, now)
+        return [] if self._listing else self._list_runs(now)
+
+    @functools.singledispatchmethod
+    def _receive(
+        self, message: messages.Message, event: events.Received, now: float
+    ) -> list[effects.Effect]:
+        return []
+
+    @_receive.register
+    def _on_start(
+        self, message: messages.StartTask, event: events.Received, now: float
+    ) -> list[effects.Effect]:
+        key = (message.task, message.epoch)
+        if message.epoch <= self._book.get_epoch(message.task):
+            known = self._book.get(key)
+            if known is not None:
+                self._changed.add(key)
+                known.reported_at = float("-inf")
+            return [effects.Count("starts_repeated")]
+        deadline = self._announcer.lease_deadline(message.heartbeat, message.lease_seconds)
+        reason = self._find_refusal(message, event.sender, deadline, now)
+        self._cell = message.cell
+        status = messages.TaskStatus(message.task, message.epoch, messages.RunState.STARTING)
+        run = runs_module.Run(status, message.size)
+        self._book.add(run, now + EPOCH_MEMORY_SECONDS)
+        if reason is not None:
+            return self._refuse(run, reason.value, now)
+        run.start = runtime_calls.StartRun(
+            message.task, message.epoch, message.size, message.command, message.checkpoint, deadline
+        )
+        self._changed.add(key)
+        return [effects.Count("starts_admitted"), self._call(run.start, run, now)]
+
+    def _find_refusal(
+        self,
+        message: messages.StartTask,
+        sender: ids.ProcessId,
+        deadline: float | None,
+        now: float,
+    ) -> messages.RefusalReason | None:
+        """Return why a start is refused; otherwise reserve its size and return None."""
+        if not self._announcer.accepts(sender, message.cell_epoch):
+            return messages.RefusalReason.STALE_OWNER
+        if not self._ready or self._book.find_live(message.task) is not None:
+            return messages.RefusalReason.NOT_READY
+        if self.draining:
+            return messages.RefusalReason.DRAINING
+        if deadline is None or deadline <= now:
+            return messages.RefusalReason.LEASE_LAPSED
+        if not self._capacity.try_reserve((message.task, message.epoch), message.size):
+            return messages.RefusalReason.NO_CAPACITY
+        return None
+
+    @_receive.register
+    def _on_stop_task(
+        self, message: messages.StopTask, event: events.Received, now: float
+    ) -> list[effects.Effect]:
+        return self._command(message, event.sender, now)
+
+    @_receive.register
+    def _on_checkpoint_task(
+        self, message: messages.CheckpointTask, event: events.Received, now: float
+    ) -> list[effects.Effect]:
+        return self._command(message, event.sender, now)
+
+    def _command(
+        self,
+        message: messages.StopTask | messages.CheckpointTask,
+        sender: ids.ProcessId,
+        now: float,
+    ) -> list[effects.Effect]:
+        if not self._announcer.accepts(sender, message.cell_epoch):
+            return [effects.Count("commands_refused")]
+        self._cell = message.cell
+        run = self._book.get((message.task, message.epoch))
+        if run is None:
+            return self._stop_before_start(message, now)
+        if run.ended:
+            run.reported_at = float("-inf")
+            return self._report_ends(now)
+        if not isinstance(run.command, messages.StopTask):
+            run.command = message
+        return self._pursue(run, now)
+
+    def _stop_before_start(
+        self, message: messages.StopTask | messages.CheckpointTask, now: float
+    ) -> list[effects.Effect]:
+        """Make sure that a start that is still under way is refused, and say so."""
+        if message.epoch <= self._book.get_epoch(message.task):
+            return []
+        state = messages.RunState.STOPPED
+        status = messages.TaskStatus(message.task, message.epoch, state, reason="not started")
+        run = runs_module.Run(status, messages.Resources())
+        self._book.add(run, now + EPOCH_MEMORY_SECONDS)
+        self._changed.add(run.key)
+        return self._report_ends(now)
+
+    @_receive.register
+    def _on_throttle_task(
+        self, message: messages.ThrottleTask, event: events.Received, now: float
+    ) -> list[effects.Effect]:
+        if not self._announcer.accepts(event.sender, message.cell_epoch):
+            return [effects.Count("commands_refused")]
+        run = self._book.get((message.task, message.epoch))
+        if run is None or run.ended or run.starting:
+            return []
+        call = runtime_calls.ThrottleRun(message.task, message.epoch, message.share)
+        return [self._call(call, run, now)]
+
+    @_receive.register
+    def _on_report_ack(
+        self, message: messages.TaskReportAck, event: events.Received, now: float
+    ) -> list[effects.Effect]:
+        produced: list[effects.Effect] = []
+        for key in message.runs:
+            run = self._book.get(key)
+            if run is not None and run.ended:
+                self._book.drop(key)
+                produced.append(self._call(runtime_calls.ForgetRun(*key), None, now))
+        self._update_drained(now)
+        return produced
+
+    @_receive.register
+    def _on_heartbeat_ack(
+        self, message: messages.HeartbeatAck, event: events.Received, now: float
+    ) -> list[effects.Effect]:
+        if not self._announcer.accepts(event.sender, message.cell_epoch):
+            return [effects.Count("acknowledgements_refused")]
+        self._cell = message.cell
+        deadline = self._announcer.lease_deadline(message.sequence, message.lease_seconds)
+        if deadline is None or deadline <= self._lease_deadline:
+            return []
+        self._lease_deadline = deadline
+        return self._renew(deadline, now)
+
+    def _renew(self, deadline: float, now: float) -> list[effects.Effect]:
+        if deadline < self._lease_deadline or not self._book.list_live():
+            return []
+        return [self._call(runtime_calls.RenewRuns(deadline), None, now)]
+
+    def _pursue(self, run: runs_module.Run, now: float) -> list[effects.Effect]:
+        """Make the runtime call that a live run needs next, unless one is in flight."""
+        if run.calls or now - run.called_at < RETRY_SECONDS:
+            return []
+        if run.starting:
+            return self._repeat_start(run, now)
+        if isinstance(run.command, messages.StopTask):
+            return [self._call(runtime_calls.StopRun(*run.key), run, now)]
+        if run.command is not None or self.draining:
+            return [self._call(runtime_calls.CheckpointRun(*run.key), run, now)]
+        return []
+
+    def _repeat_start(self, run: runs_module.Run, now: float) -> list[effects.Effect]:
+        if run.start.lease_deadline > now:
+            return [self._call(run.start, run, now)]
+        # The runtime refuses a start after its deadline, so one still under way has no effect.
+        return [] if self._listing else self._list_runs(now)
+
+    def _handle_refusal(self, call: _Call, reason: str, now: float) -> list[effects.Effect]:
+        run = call.run
+        produced: list[effects.Effect] = [effects.Count("runtime_refusals")]
+        if not isinstance(call.call, runtime_calls.StartRun) or run is None or not run.starting:
+            return produced
+        if run.uncertain and call.call.lease_deadline > now:
+            return produced
+        if run.uncertain:
+            return produced + ([] if self._listing else self._list_runs(now))
+        return produced + self._refuse(run, reason, now)
+
+    def _refuse(self, run: runs_module.Run, reason: str, now: float) -> list[effects.Effect]:
+        run.refused_unread = not self._ready
+        self._end(run, state=messages.RunState.REFUSED, reason=reason)
+        return [effects.Count("starts_refused"), *self._report_ends(now)]
+
+    def _apply_answer(
+        self, call: _Call, found: tuple[runtime_calls.RunInfo, ...], now: float
+    ) -> list[effects.Effect]:
+        run = call.run
+        if run is None or run.ended:
+            return []
+        for info in found:
+            if (info.task, info.epoch) == run.key:
+                self._observe(run, info, now)
+                return self._report_ends(now) + self._pursue(run, now)
+        if isinstance(call.call, runtime_calls.StopRun):
+            self._end(run, state=messages.RunState.STOPPED, reason="not there")
+            return self._report_ends(now)
+        return []
+
+    def _apply_list(
+        self, found: tuple[runtime_calls.RunInfo, ...], issued_at: float, now: float
+    ) -> list[effects.Effect]:
+        self._listing = False
+        produced: list[effects.Effect] = []
+        listed = {(info.task, info.epoch): info for info in found}
+        for key, info in listed.items():
+            produced += self._apply_listed(key, info, now)
+        for run in self._book.list_live():
+            if run.key not in listed:
+                self._handle_absence(run, issued_at, now)
+        self._book.acknowledged.intersection_update(listed)
+        for run in self._book:
+            run.refused_unread = False
+        self._ready = True
+        return produced + self._report_ends(now)
+
+    def _apply_listed(
+        self, key: runs_module.RunKey, info: runtime_calls.RunInfo, now: float
+    ) -> list[effects.Effect]:
+        run = self._book.get(key)
+        ended = _STATES[info.state] in runs_module.ENDED_RUN_STATES
+        if key in self._book.acknowledged:
+            call = runtime_calls.ForgetRun if ended else runtime_calls.StopRun
+            return [self._call(call(*key), None, now)]
+        if run is None or run.refused_unread:
+            return self._adopt(info, now)
+        if not run.ended:
+            self._observe(run, info, now)
+        return []
+
+    def _adopt(self, info: runtime_calls.RunInfo, now: float) -> list[effects.Effect]:
+        """Take over a run that an earlier agent started."""
+        run = runs_module.Run(
+            messages.TaskStatus(info.task, info.epoch, messages.RunState.STARTING), info.size
+        )
+        self._book.add(run, now + EPOCH_MEMORY_SECONDS)
+        self._capacity.adopt(run.key, info.size)
+        self._observe(run, info, now)
+        fields = {"task": info.task, "epoch": info.epoch, "state": info.state.value}
+        return [effects.LogChange("run_adopted", fields)]
+
+    def _handle_absence(self, run: runs_module.Run, issued_at: float, now: float) -> None:
+        """End a run that a list lacks, if the list was asked for after the run was certain."""
+        if run.starting:
+            lapsed = run.start.lease_deadline <= issued_at and not run.calls
+            if lapsed:
+                self._end(run, state=messages.RunState.REFUSED, reason="lease-lapsed")
+        elif run.confirmed_at < issued_at:
+            self._end(run, state=messages.RunState.STOPPED, reason="lost by the runtime")
+
+    def _observe(self, run: runs_module.Run, info: runtime_calls.RunInfo, now: float) -> None:
+        if run.confirmed_at is None:
+            run.confirmed_at = now
+        state = _STATES[info.state]
+        fields = {
+            "state": state,
+            "checkpoint": info.checkpoint or run.status.checkpoint,
+            "output": info.output,
+            "reason": info.reason,
+            "usage": info.usage,
+        }
+        if state in runs_module.ENDED_RUN_STATES:
+            self._end(run, **fields)
+        elif run.update(**fields):
+            self._changed.add(run.key)
+
+    def _end(self, run: runs_module.Run, **fields: object) -> None:
+        run.update(**fields)
+        run.reported_at = float("-inf")
+        self._capacity.release(run.key)
+        self._changed.add(run.key)
+
+    def _report_ends(self, now: float) -> list[effects.Effect]:
+        due = [run for run in self._book.list_ended() if now - run.reported_at >= REPORT_SECONDS]
+        if not due or not self._ready or not self._announcer.owner or not self._cell:
+            return []
+        for run in due:
+            run.reported_at = now
+        report = messages.TaskReport(self._cell, self._worker, tuple(run.status for run in due))
+        return [effects.Send(self._announcer.owner, report)]
+
+    def _update_drained(self, now: float) -> None:
+        if self._drain_until is not None:
+            self._drained = not list(self._book) or now >= self._drain_until
+
+    def _list_runs(self, now: float) -> list[effects.Effect]:
+        self._listing = True
+        self._listed_at = now
+        return [self._call(runtime_calls.ListRuns(), None, now)]
+
+    def _call(
+        self, call: msgspec.Struct, run: runs_module.Run | None, now: float
+    ) -> effects.CallRuntime:
+        operation = self._operations.next()
+        self._calls[operation] = _Call(call, run, now)
+        if run is not None:
+            run.calls += 1
+            run.called_at = now
+        return effects.CallRuntime(operation, call)
+
+    def _take_call(self, operation: ids.OperationId) -> _Call | None:
+        call = self._calls.pop(operation, None)
+        if call is None:
+            return None
+        if isinstance(call.call, runtime_calls.ListRuns):
+            self._listing = False
+        if call.run is not None:
+            call.run.calls -= 1
+        return call
--- /dev/null
+++ b/crocusrudder/jobs/scheduler.py
@@ -0,0 +1,411 @@
+"""Schedule the tasks of owned cells: decide starts, record ends, follow ownership."""
+
+import functools
+from typing import Any
+
+from crocusrudder.core import components
+from crocusrudder.core import effects
+from crocusrudder.core import events
+from crocusrudder.core import ids
+from crocusrudder.jobs import chunks
+from crocusrudder.jobs import held
+from crocusrudder.jobs import jobbook
+from crocusrudder.jobs import model
+from crocusrudder.jobs import reconciler
+from crocusrudder.jobs import runs
+from crocusrudder.jobs import starts
+from crocusrudder.jobs import writer
+from crocusrudder.placement import model as placement_model
+from crocusrudder.wire import messages
+
+PASS_SECONDS = 0.2
+"""Interval at which a cell's changes are collected and committed."""
+
+SCAN_SECONDS = 30.0
+"""Interval at which chunk rows are read again, which repairs a lost ``ChunkAssigned``."""
+
+SCAN_RETRY_SECONDS = 1.0
+REACTION_SECONDS = 1.0
+
+RETENTION_SECONDS = 3600.0
+"""Time for which the chunk rows of an ended job are kept, so that operators see its tasks."""
+
+FIRST_BACKOFF_SECONDS = 0.5
+MAX_BACKOFF_SECONDS = 30.0
+
+
+class JobScheduler:
+    """Decide what the workers of owned cells run.
+
+    Every decision is committed under the check of the cell's epoch before anything that depends on
+    it is sent. All state of a cell is dropped at once when its ownership ends.
+    """
+
+    def __init__(
+        self,
+        ownership: Any,
+        workers: Any,
+        policy: Any,
+        entry_incarnation: ids.Incarnation,
+        limits: held.Limits = held.DEFAULT_LIMITS,
+    ) -> None:
+        self._ownership = ownership
+        self._workers = workers
+        self._policy = policy
+        self._limits = limits
+        self._operations = components.OperationIds("job")
+        self._cells: dict[ids.CellId, held.HeldCell] = {}
+        self._last_epochs: dict[ids.CellId, ids.CellEpoch] = {}
+        self._scans: dict[ids.OperationId, tuple[held.HeldCell, bool]] = {}
+        self._jobs = jobbook.JobBook(self._operations, ownership)
+        self._reconciler = reconciler.Reconciler(workers, self._jobs)
+        self._chooser = starts.StartChooser(workers, policy, self._jobs, self._reconciler)
+        self._writer = writer.ChunkWriter(self._operations, ownership, entry_incarnation, self)
+        self._reacted_at = float("-inf")
+
+    def count_pending(self, cell: ids.CellId) -> int:
+        """Return the number of pending tasks in an owned cell."""
+        known = self._cells.get(cell)
+        return sum(len(chunk.pending) for chunk in known.chunks.values()) if known else 0
+
+    def handle(self, event: events.Event, now: float) -> list[effects.Effect]:
+        """Take one event and return the effects to carry out."""
+        return self._follow_ownership(now) + self._dispatch(event, now)
+
+    def tick(self, now: float) -> list[effects.Effect]:
+        """Scan, read, decide and commit what is due."""
+        produced = self._follow_ownership(now)
+        for cell in self._cells.values():
+            if not cell.scanning and now >= cell.scan_at:
+                produced += self._scan(cell, model.make_cell_prefix(cell.cell), True)
+        produced += self._writer.tick(now)
+        produced += self._jobs.tick(now)
+        for cell in list(self._cells.values()):
+            if now - cell.passed_at >= PASS_SECONDS and cell.loaded and not cell.fenced:
+                cell.passed_at = now
+                produced += self._run_pass(cell, now)
+        if now - self._reacted_at >= REACTION_SECONDS:
+            self._reacted_at = now
+            produced += self._react(now)
+        return produced
+
+    def dump(self) -> dict[str, object]:
+        """Return the held cells with their chunks and the jobs."""
+        return {
+            "cells": {
+                cell.cell: {
+                    "epoch": cell.epoch,
+                    "loaded": cell.loaded,
+                    "fenced": cell.fenced,
+                    "chunks": len(cell.chunks),
+                    "pending": sum(len(chunk.pending) for chunk in cell.chunks.values()),
+                    "assigned": sum(len(chunk.assigned) for chunk in cell.chunks.values()),
+                    "ends": len(cell.ends),
+                }
+                for cell in self._cells.values()
+            },
+            "jobs": {
+                job.row.specification.job: job.row.state.value for job in self._jobs.list_jobs()
+            },
+            "batches": self._writer.count,
+        }
+
+    def chunk_committed(
+        self, cell: held.HeldCell, chunk: held.HeldChunk, old: model.ChunkRow, now: float
+    ) -> list[effects.Effect]:
+        """Carry out what a change calls for, now that it is known to be in the table."""
+        produced: list[effects.Effect] = []
+        recorded: list[tuple[held.RunKey, held.EndReport]] = []
+        for position, (before, after) in enumerate(zip(old.tasks, chunk.row.tasks, strict=True)):
+            if before == after:
+                continue
+            if before.state is messages.TaskState.ASSIGNED and after.state is not before.state:
+                recorded += self._record_end(cell, chunk, position, before, now)
+            if after.epoch != before.epoch:
+                produced += self._reconciler.send_start(cell, chunk, position, now)
+            elif after.checkpoint != before.checkpoint:
+                chunk.checkpoints_at = now
+        return produced + reconciler.group_acknowledgements(recorded)
+
+    def chunk_undone(
+        self, cell: held.HeldCell, chunk: held.HeldChunk, proposed: model.ChunkRow | None
+    ) -> None:
+        """Take back the starts that the policy was told of."""
+        if proposed is None:
+            return
+        for position, task in enumerate(proposed.tasks):
+            if task.epoch != chunk.row.tasks[position].epoch:
+                name = chunk.row.get_task_id(position)
+                self._policy.record_end(
+                    name, task.worker, messages.RunState.REFUSED, cell.passed_at
+                )
+
+    @functools.singledispatchmethod
+    def _dispatch(self, event: events.Event, now: float) -> list[effects.Effect]:
+        return []
+
+    @_dispatch.register(events.Committed)
+    @_dispatch.register(events.CommitConflicted)
+    @_dispatch.register(events.CommitUnknown)
+    @_dispatch.register(events.StoreUnavailable)
+    @_dispatch.register(events.RowsRead)
+    def _on_answer(self, event: events.Event, now: float) -> list[effects.Effect]:
+        if event.operation in self._scans:
+            return self._take_scan(event, now)
+        for part in (self._writer, self._jobs):
+            if part.expects(event.operation):
+                return part.handle(event, now)
+        return []
+
+    @_dispatch.register
+    def _on_received(self, event: events.Received, now: float) -> list[effects.Effect]:
+        return self._receive(event.message, event, now)
+
+    @functools.singledispatchmethod
+    def _receive(
+        self, message: messages.Message, event: events.Received, now: float
+    ) -> list[effects.Effect]:
+        return []
+
+    @_receive.register
+    def _on_report(
+        self, message: messages.TaskReport, event: events.Received, now: float
+    ) -> list[effects.Effect]:
+        return self._note_ends(message, event)
+
+    @_receive.register
+    def _on_heartbeat(
+        self, message: messages.Heartbeat, event: events.Received, now: float
+    ) -> list[effects.Effect]:
+        view = self._workers.get_worker(message.worker)
+        if message.cell in self._cells and view is not None:
+            classes = [self._get_class(task) for task, _ in view.runs]
+            latencies = dict(message.latencies)
+            self._policy.record_report(message.worker, latencies, filter(None, classes), now)
+        return self._note_ends(message, event)
+
+    @_receive.register
+    def _on_chunk_assigned(
+        self, message: messages.ChunkAssigned, event: events.Received, now: float
+    ) -> list[effects.Effect]:
+        cell = self._cells.get(message.cell)
+        if cell is None:
+            return []
+        self._jobs.request(message.job, now)
+        return self._scan(cell, model.make_job_prefix(message.cell, message.job), False)
+
+    @_receive.register
+    def _on_cancel(
+        self, message: messages.CancelJob, event: events.Received, now: float
+    ) -> list[effects.Effect]:
+        if any(message.job in cell.by_job for cell in self._cells.values()):
+            self._jobs.request(message.job, now)
+            return self._jobs.tick(now)
+        return []
+
+    def _note_ends(
+        self, message: messages.TaskReport | messages.Heartbeat, event: events.Received
+    ) -> list[effects.Effect]:
+        """Keep reported ends until they are recorded, also while the cell is being loaded."""
+        cell = self._cells.get(message.cell)
+        if cell is None:
+            return []
+        for status in message.tasks:
+            if status.state in runs.ENDED_RUN_STATES:
+                report = held.EndReport(status, event.sender, event.incarnation)
+                cell.ends[(status.task, status.epoch)] = report
+        return self._acknowledge_stale(cell) if cell.loaded else []
+
+    def _acknowledge_stale(self, cell: held.HeldCell) -> list[effects.Effect]:
+        """Acknowledge reports that can change nothing, so that agents forget the runs."""
+        stale = [(key, report) for key, report in cell.ends.items() if _is_stale(cell, key)]
+        for key, _ in stale:
+            del cell.ends[key]
+        return reconciler.group_acknowledgements(stale)
+
+    def _get_class(self, task: ids.TaskId) -> str | None:
+        job = self._jobs.get(task.rpartition(".")[0])
+        return job.row.specification.batch if job else None
+
+    def _follow_ownership(self, now: float) -> list[effects.Effect]:
+        owned = self._ownership.owned(now)
+        produced: list[effects.Effect] = []
+        for name, cell in list(self._cells.items()):
+            if owned.get(name) != cell.epoch:
+                produced += self._drop_cell(cell, now)
+        for name, epoch in owned.items():
+            if name not in self._cells:
+                resumed = self._last_epochs.get(name) == epoch
+                self._last_epochs[name] = epoch
+                self._cells[name] = held.HeldCell(name, epoch, resumed, self._limits)
+        return produced
+
+    def _drop_cell(self, cell: held.HeldCell, now: float) -> list[effects.Effect]:
+        del self._cells[cell.cell]
+        self._writer.drop_cell(cell)
+        self._scans = {key: scan for key, scan in self._scans.items() if scan[0] is not cell}
+        for chunk in cell.chunks.values():
+            for position, task in enumerate(chunk.latest.tasks):
+                if task.state is messages.TaskState.ASSIGNED:
+                    name = chunk.row.get_task_id(position)
+                    state = messages.RunState.STOPPED
+                    self._policy.record_end(name, task.worker, state, now)
+        return [effects.LogChange("cell_dropped", {"cell": cell.cell, "epoch": cell.epoch})]
+
+    def _scan(self, cell: held.HeldCell, prefix: str, full: bool) -> list[effects.Effect]:
+        operation = self._operations.next()
+        self._scans[operation] = (cell, full)
+        cell.scanning = cell.scanning or full
+        return [effects.ScanRows(operation, prefix)]
+
+    def _take_scan(self, event: events.Event, now: float) -> list[effects.Effect]:
+        cell, full = self._scans.pop(event.operation)
+        cell.scanning = cell.scanning and not full
+        if not isinstance(event, events.RowsRead):
+            cell.scan_at = min(cell.scan_at, now + SCAN_RETRY_SECONDS)
+            return []
+        if full:
+            cell.loaded = True
+            cell.scan_at = now + SCAN_SECONDS
+        for row in event.rows.values():
+            self._merge(cell, row)
+        jobs = [job for known in self._cells.values() for job in known.by_job]
+        for job in self._jobs.keep(jobs, now):
+            self._policy.remove_job(job)
+        return self._jobs.tick(now)
+
+    def _merge(self, cell: held.HeldCell, row: effects.Row) -> None:
+        chunk = cell.chunks.get(ids.ChunkKey(row.key))
+        if chunk is None:
+            cell.add(held.HeldChunk(model.load_chunk(row), row.version))
+        elif not chunk.in_flight and row.version > chunk.version:
+            chunk.set_row(model.load_chunk(row), row.version)
+
+    def _run_pass(self, cell: held.HeldCell, now: float) -> list[effects.Effect]:
+        """Collect the changes of a cell and commit them."""
+        produced = self._acknowledge_stale(cell)
+        proposals: starts.Proposals = {}
+        tokens = cell.row_writes.count_available(now) if now >= cell.commit_at else 0
+        for chunk in list(cell.chunks.values()):
+            if chunk.in_flight or chunk.ended:
+                continue
+            self._adopt(chunk, now)
+            row, sent = self._reconciler.propose(cell, chunk, now)
+            produced += sent
+            if row != chunk.row and len(proposals) < tokens:
+                proposals[chunk.key] = row
+        if now >= cell.commit_at:
+            spare_rows = tokens - len(proposals)
+            produced += self._chooser.choose(cell, proposals, spare_rows, now)
+        cell.row_writes.try_take(now, len(proposals))
+        changes = [(cell.chunks[key], row) for key, row in proposals.items()]
+        produced += self._writer.write(cell, changes)
+        return produced + self._conclude_jobs(cell, now)
+
+    def _adopt(self, chunk: held.HeldChunk, now: float) -> None:
+        """Tell the policy of the runs that an earlier owner assigned."""
+        job = self._jobs.get(chunk.row.job)
+        if chunk.adopted or job is None:
+            return
+        chunk.adopted = True
+        for position in chunk.assigned:
+            row = chunk.row.tasks[position]
+            task = job.describe_task(chunk.row.get_task_id(position), row)
+            self._policy.record_start(task, row.worker, now)
+
+    def _conclude_jobs(self, cell: held.HeldCell, now: float) -> list[effects.Effect]:
+        """Store the outcome of jobs whose chunks have all ended; delete rows kept long enough."""
+        produced: list[effects.Effect] = []
+        for name, held_chunks in list(cell.by_job.items()):
+            if not all(chunk.ended and not chunk.in_flight for chunk in held_chunks.values()):
+                continue
+            job = self._jobs.get(name)
+            if job is None:
+                continue
+            if job.row.ended:
+                produced += self._retire(cell, list(held_chunks.values()), now)
+                continue
+            owned = [c.by_job[name] for c in self._cells.values() if name in c.by_job]
+            rows = [chunk.row for part in owned for chunk in part.values() if chunk.ended]
+            produced += self._jobs.conclude(job, rows, now)
+        return produced
+
+    def _retire(
+        self, cell: held.HeldCell, held_chunks: list[held.HeldChunk], now: float
+    ) -> list[effects.Effect]:
+        due: list[writer.Change] = []
+        for chunk in held_chunks:
+            if chunk.ended_at is None:
+                chunk.ended_at = now
+            elif now - chunk.ended_at >= RETENTION_SECONDS and cell.row_writes.try_take(now):
+                due.append((chunk, None))
+        return self._writer.write(cell, due)
+
+    def _record_end(
+        self,
+        cell: held.HeldCell,
+        chunk: held.HeldChunk,
+        position: int,
+        before: model.TaskRow,
+        now: float,
+    ) -> list[tuple[held.RunKey, held.EndReport]]:
+        """Tell the policy of an end that is in the table; return the report to acknowledge."""
+        key = (chunk.row.get_task_id(position), before.epoch)
+        chunk.sent.pop(position, None)
+        cell.evictions.pop(key, None)
+        cell.commanded_at.pop(key, None)
+        report = cell.ends.pop(key, None)
+        state = report.status.state if report else messages.RunState.STOPPED
+        usage = report.status.usage if report else None
+        reason = report.status.reason if report else ""
+        self._policy.record_end(key[0], before.worker, state, now, usage, reason)
+        job = self._jobs.get(chunk.row.job)
+        if job is not None:
+            self._judge(job, state, now)
+        return [(key, report)] if report else []
+
+    def _judge(self, job: held.HeldJob, state: messages.RunState, now: float) -> None:
+        if state is messages.RunState.SUCCEEDED:
+            job.failures_in_row = 0
+        elif state is messages.RunState.FAILED:
+            delay = FIRST_BACKOFF_SECONDS * 2 ** min(job.failures_in_row, 10)
+            job.failures_in_row += 1
+            job.not_before = now + min(delay, MAX_BACKOFF_SECONDS)
+            verdict = self._policy.find_verdict(job.row.specification.job)
+            if verdict is not None:
+                job.verdict = verdict.reason
+
+    def _react(self, now: float) -> list[effects.Effect]:
+        """Carry out the policy's reactions to interference."""
+        views = {
+            view.worker: (cell, view)
+            for cell in self._cells.values()
+            for view in self._workers.list_workers(cell.cell)
+        }
+        produced: list[effects.Effect] = []
+        reactions = self._policy.propose_reactions([view for _, view in views.values()], now)
+        for reaction in reactions:
+            produced += self._carry_out(reaction, *views[reaction.worker], now)
+        return produced
+
+    def _carry_out(
+        self, reaction: placement_model.Reaction, cell: held.HeldCell, view: Any, now: float
+    ) -> list[effects.Effect]:
+        key = (reaction.task, reaction.epoch)
+        kinds = placement_model.ReactionKind
+        if reaction.kind in (kinds.THROTTLE, kinds.RESTORE):
+            message = messages.ThrottleTask(cell.cell, cell.epoch, *key, reaction.share)
+            return [effects.Send(view.agent, message, view.incarnation)]
+        evict = reaction.kind is kinds.EVICT
+        cell.evictions[key] = messages.StopTask if evict else messages.CheckpointTask
+        fields = {"task": reaction.task, "kind": reaction.kind.value, "reason": reaction.reason}
+        return [effects.LogChange("run_moved", fields)]
+
+
+def _is_stale(cell: held.HeldCell, key: held.RunKey) -> bool:
+    """Return whether a report is about a run whose end is recorded or superseded."""
+    found = cell.find_task(key[0])
+    if found is None:
+        return True
+    chunk, position = found
+    return not chunk.in_flight and chunks.is_stale(chunk.row.tasks[position], key[1])
--- a/crocusrudder/wire/messages.py
+++ b/crocusrudder/wire/messages.py
@@ -334,6 +334,8 @@
     lowest_revision: ids.Revision
     behind: tuple[ids.ProcessId, ...] = ()
     """Agents behind the owner's revision, at most 8."""
+    shapes: tuple[Resources, ...] = ()
+    """Distinct capacities of the cell's workers; empty if unknown or more than 8."""
 
 
 class EndpointAt(msgspec.Struct, frozen=True, array_like=True):
--- /dev/null
+++ b/tests/jobs/fakes.py
@@ -0,0 +1,244 @@
+"""Small fakes of the components that the jobs components read, after the design's table."""
+
+import types
+
+from crocusrudder.core import clocks
+from crocusrudder.core import effects
+from crocusrudder.jobs import capacity
+from crocusrudder.jobs import runs as runs_module
+from crocusrudder.placement import model as placement_model
+from crocusrudder.wire import messages
+
+CELL = "c1"
+EPOCH_KEY = f"cell/{CELL}/epoch"
+CELL_LEASE_SECONDS = 6.0
+CAPACITY = messages.Resources(4000, 4000, 0)
+
+
+class FakeOwnership:
+    """Owns the one cell while its lease on its own clock lasts."""
+
+    def __init__(self):
+        self.epoch = 0
+        self.version = 0
+        self.valid_until = float("-inf")
+        self.owner = None
+
+    def owned(self, now):
+        return {CELL: self.epoch} if now < self.valid_until else {}
+
+    def epoch_check(self, cell):
+        return effects.RowCheck(EPOCH_KEY, self.version)
+
+    def get_owner(self, cell):
+        return self.owner
+
+
+class FakeWorkerTable:
+    """Grants leases to the workers of the cell, and holds what their heartbeats say."""
+
+    def __init__(self, ownership, lease_seconds):
+        self.lease_seconds = lease_seconds
+        self._ownership = ownership
+        self._views = {}
+        self._replaced = set()
+        self._owned = None
+        self._since = 0.0
+
+    def list_workers(self, cell):
+        return list(self._views.values())
+
+    def get_worker(self, worker):
+        return self._views.get(worker)
+
+    def lost_after(self, cell, worker):
+        if worker in self._views:
+            return self._views[worker].lost_after
+        return self._since + clocks_wait(self.lease_seconds)
+
+    def note_start(self, worker, now):
+        self._views[worker].lost_after = now + clocks_wait(self.lease_seconds)
+
+    def tick(self, now):
+        epoch = self._ownership.owned(now).get(CELL)
+        if epoch != self._owned:
+            self._owned, self._since = epoch, now
+            self._views, self._replaced = {}, set()
+        return []
+
+    def handle(self, event, now):
+        self.tick(now)
+        message = getattr(event, "message", None)
+        if not isinstance(message, messages.Hello | messages.Heartbeat) or self._owned is None:
+            return []
+        welcome = effects.Send(event.sender, messages.Welcome(CELL, self._owned), event.incarnation)
+        if isinstance(message, messages.Hello) or message.cell_epoch != self._owned:
+            return [welcome]
+        if event.incarnation in self._replaced:
+            return []
+        view = self._views.get(message.worker)
+        if view is None or view.incarnation != event.incarnation:
+            if not message.full:
+                return [welcome]
+            if view is not None:
+                self._replaced.add(view.incarnation)
+            view = self._views[message.worker] = _make_view(event, message)
+        elif message.sequence <= view.heartbeat:
+            return []
+        self._update(view, message, now)
+        ack = messages.HeartbeatAck(message.sequence, CELL, self._owned, self.lease_seconds)
+        return [effects.Send(event.sender, ack, event.incarnation)]
+
+    def _update(self, view, message, now):
+        view.heartbeat = message.sequence
+        view.lost_after = now + clocks_wait(self.lease_seconds)
+        view.is_silent = lambda at: at - now > 15
+        view.capacity, view.reserved = message.capacity, message.reserved
+        view.draining = message.draining
+        if message.full:
+            view.inventoried, view.runs = True, {}
+        for status in message.tasks:
+            key = (status.task, status.epoch)
+            view.runs.pop(key, None)
+            if status.state not in runs_module.ENDED_RUN_STATES:
+                view.runs[key] = status
+
+
+def _make_view(event, message):
+    return types.SimpleNamespace(
+        worker=message.worker,
+        agent=event.sender,
+        incarnation=event.incarnation,
+        cell=CELL,
+        inventoried=False,
+        runs={},
+        latencies=(),
+    )
+
+
+def clocks_wait(lease_seconds):
+    """Return the wait of item 2 of the design."""
+    return clocks.wait_for_remote(lease_seconds + 10) + 2
+
+
+class FakeAnnouncer:
+    """Follows the owner, numbers heartbeats and anchors leases at their send times."""
+
+    def __init__(self, worker, entries):
+        self.owner = ""
+        self.cell_epoch = 0
+        self._worker = worker
+        self._entries = entries
+        self._sequence = 0
+        self._sent = {}
+        self._full = False
+        self._heard_at = float("-inf")
+        self._beat_at = float("-inf")
+
+    def accepts(self, sender, cell_epoch):
+        return sender == self.owner and cell_epoch == self.cell_epoch
+
+    def lease_deadline(self, heartbeat_sequence, lease_seconds):
+        sent = self._sent.get(heartbeat_sequence)
+        return None if sent is None else sent + lease_seconds
+
+    def handle(self, event, now):
+        message = getattr(event, "message", None)
+        if isinstance(message, messages.Welcome) and message.cell_epoch >= self.cell_epoch:
+            self.owner, self.cell_epoch = event.sender, message.cell_epoch
+            self._full, self._beat_at = True, float("-inf")
+            self._heard_at = now
+        elif isinstance(message, messages.HeartbeatAck):
+            self._heard_at = now
+        return []
+
+    def beat(self, runner, book, now):
+        """Return the messages that are due."""
+        if now - self._heard_at > 7:
+            hello = messages.Hello(CELL, self._worker, self.cell_epoch)
+            return [effects.Send(entry, hello) for entry in self._entries]
+        changed = runner.take_changed()
+        if not (changed or self._full or now - self._beat_at >= 5):
+            return []
+        self._sequence += 1
+        self._sent[self._sequence] = now
+        self._beat_at = now
+        full, self._full = self._full, False
+        beat = messages.Heartbeat(
+            sequence=self._sequence,
+            cell=CELL,
+            worker=self._worker,
+            cell_epoch=self.cell_epoch,
+            revision=0,
+            full=full,
+            draining=runner.draining,
+            capacity=book.capacity,
+            reserved=book.reserved,
+            tasks=runner.list_statuses() if full else changed,
+        )
+        return [effects.Send(self.owner, beat)]
+
+
+class FakePolicy:
+    """First worker with room. ``greedy`` ignores room, so that only agents protect capacity."""
+
+    def __init__(self, greedy=False):
+        self.greedy = greedy
+        self.started = {}
+        self.failed_on = {}
+        self.good_workers = set()
+        self.failures = {}
+        self.reactions = []
+
+    def choose_worker(self, task, workers, now):
+        fitting = [view for view in workers if self.greedy or self._has_room(task, view)]
+        bad = {worker for worker, count in self.failures.items() if count >= 3}
+        fitting = [view for view in fitting if view.worker not in bad - self.good_workers]
+        known = self.failed_on.get(task.job, set())
+        fitting.sort(key=lambda view: (view.worker in known, view.reserved.millicores))
+        return fitting[0].worker if fitting else None
+
+    def _has_room(self, task, view):
+        waiting = [
+            started.size
+            for (worker, name), started in self.started.items()
+            if worker == view.worker and all(name != run for run, _ in view.runs)
+        ]
+        used = view.reserved
+        for size in waiting:
+            used = capacity.add(used, size)
+        return capacity.fits(task.size, capacity.subtract(view.capacity, used))
+
+    def record_start(self, task, worker, now):
+        self.started[(worker, task.task)] = task
+
+    def record_end(self, task, worker, state, now, usage=None, reason=""):
+        self.started.pop((worker, task), None)
+        if state is messages.RunState.SUCCEEDED:
+            self.good_workers.add(worker)
+        elif state is messages.RunState.FAILED:
+            self.failures[worker] = self.failures.get(worker, 0) + 1
+            self.failed_on.setdefault(task.rpartition(".")[0], set()).add(worker)
+
+    def record_report(self, worker, latencies, running_classes, now):
+        list(running_classes)
+
+    def propose_reactions(self, workers, now):
+        due, self.reactions = self.reactions, []
+        return due
+
+    def propose_preemption(self, task, workers, now):
+        for view in workers:
+            for key in view.runs:
+                if (started := self.started.get((view.worker, key[0]))) and not started.urgent:
+                    return placement_model.Preemption(view.worker, (key,))
+        return None
+
+    def find_verdict(self, job):
+        failed_on = self.failed_on.get(job, set()) & self.good_workers
+        if len(failed_on) < 3:
+            return None
+        return placement_model.Verdict(job, "fails everywhere", 3, tuple(failed_on))
+
+    def remove_job(self, job):
+        self.failed_on.pop(job, None)
--- /dev/null
+++ b/tests/jobs/world.py
@@ -0,0 +1,299 @@
+"""Entries and agents joined by a network, a table and runtimes that all may misbehave."""
+
+import heapq
+import itertools
+import random as random_module
+import types
+
+from crocusrudder.core import components
+from crocusrudder.core import effects
+from crocusrudder.core import events
+from crocusrudder.jobs import admission
+from crocusrudder.jobs import capacity
+from crocusrudder.jobs import runner
+from crocusrudder.jobs import scheduler
+from crocusrudder.wire import messages
+from tests.jobs import fakes
+from tests.jobs import runtime
+from tests.jobs import table
+
+_STORE = (effects.Commit, effects.ReadRows, effects.ScanRows)
+
+
+class Process:
+    """One incarnation of an entry or an agent, with its own clock."""
+
+    def __init__(self, world, name, offset):
+        self.world = world
+        self.name = name
+        self.incarnation = f"{name}#{next(world.numbers)}"
+        self.offset = offset
+        self.paused = False
+        self.inbox = []
+
+    @property
+    def now(self):
+        return self.world.now + self.offset
+
+    def deliver(self, event):
+        if self.paused:
+            self.inbox.append(event)
+            return
+        for component in self.components:
+            self.perform(component.handle(event, self.now))
+
+    def resume(self):
+        self.paused = False
+        inbox, self.inbox = self.inbox, []
+        for event in inbox:
+            self.deliver(event)
+
+    def tick(self):
+        for component in () if self.paused else self.components:
+            self.perform(component.tick(self.now))
+
+    def perform(self, produced):
+        for effect in produced:
+            self.world.perform(self, effect)
+
+
+class Entry(Process):
+    def __init__(self, world, name, offset):
+        super().__init__(world, name, offset)
+        self.ownership = fakes.FakeOwnership()
+        self.workers = fakes.FakeWorkerTable(self.ownership, world.lease_seconds)
+        self.policy = fakes.FakePolicy(world.greedy)
+        self.scheduler = scheduler.JobScheduler(
+            self.ownership, self.workers, self.policy, self.incarnation
+        )
+        self.admission = admission.JobAdmission(
+            world, world, random_module.Random(1), self.incarnation
+        )
+        self.components = [self.workers, self.scheduler, self.admission]
+
+    def tick(self):
+        if not self.paused:
+            self._renew()
+        super().tick()
+
+    def _renew(self):
+        """Renew or claim the cell, with the answer at once and without loss."""
+        world, own = self.world, self.ownership
+        row = world.table.rows.get(fakes.EPOCH_KEY)
+        own.owner = (row.value["owner"], "") if row else None
+        if world.table.outage or (world.banned == self.name):
+            return
+        held = row is not None and row.value["incarnation"] == self.incarnation
+        if held:
+            own.valid_until = self.now + fakes.CELL_LEASE_SECONDS
+            world.renewed_at = world.now
+        elif row is None or world.now - world.renewed_at > fakes.CELL_LEASE_SECONDS * 1.01 + 1:
+            own.epoch = (row.value["epoch"] if row else 0) + 1
+            value = {"owner": self.name, "incarnation": self.incarnation, "epoch": own.epoch}
+            own.version = world.table.put(fakes.EPOCH_KEY, value)
+            own.valid_until = self.now + fakes.CELL_LEASE_SECONDS
+            world.renewed_at = world.now
+
+
+class Agent(Process):
+    def __init__(self, world, name, offset):
+        super().__init__(world, name, offset)
+        self.announcer = fakes.FakeAnnouncer(name, list(world.entries) or ["e1", "e2"])
+        self.book = capacity.CapacityBook(fakes.CAPACITY)
+        self.runner = runner.TaskRunner(self.announcer, self.book, name)
+        self.components = [self.announcer, self.runner]
+        self.announcer.tick = lambda now: []
+
+    def tick(self):
+        super().tick()
+        if self.runner.ready and not self.paused:
+            self.perform(self.announcer.beat(self.runner, self.book, self.now))
+
+
+class World:
+    """Steps time in ticks; ``check`` holds after every step."""
+
+    def __init__(self, seed=0, entries=1, workers=2, lease_seconds=300.0, greedy=False):
+        self.random = random_module.Random(seed)
+        self.numbers = itertools.count(1)
+        self.now = 1000.0
+        self.lease_seconds = lease_seconds
+        self.greedy = greedy
+        self.table = table.Table(self.random)
+        self.loss = self.duplication = self.runtime_loss = 0.0
+        self.max_delay = 0.0
+        self.banned = None
+        self.renewed_at = float("-inf")
+        self.queue = []
+        self.answers = []
+        self.sent = []
+        self.started = {}
+        self.evicted = {}
+        self.size = runtime.SMALL
+        self.urgent = False
+        self.command = "sleep 3"
+        self.entries = {}
+        self.entries = {f"e{n}": Entry(self, f"e{n}", 100.0 * n) for n in range(1, entries + 1)}
+        self.runtimes = {f"w{n}": runtime.Runtime() for n in range(1, workers + 1)}
+        self.agents = {name: Agent(self, name, 7.0) for name in self.runtimes}
+
+    # What admission reads of the replica and the directory.
+
+    ready = True
+
+    def get_record(self, kind, name, schema_version):
+        size = {"millicores": self.size.millicores, "memory_mb": self.size.memory_mb}
+        team = {"team": "t", "command": self.command, "urgent": self.urgent}
+        return {"name": name, "size": size, **team} if schema_version == 2 else None
+
+    def digests(self):
+        fields = {"cell_epoch": 1, "workers": 2, "pending_tasks": 0, "lowest_revision": 0}
+        none = messages.Resources()
+        shapes = (fakes.CAPACITY,)
+        digest = messages.CellDigest(
+            fakes.CELL, "d", free=none, largest_free=none, shapes=shapes, **fields
+        )
+        return [digest]
+
+    def list_entries(self):
+        return [types.SimpleNamespace(process=name) for name in self.entries]
+
+    # Faults and operators.
+
+    def replace_agent(self, name):
+        self.agents[name] = Agent(self, name, self.agents[name].offset)
+
+    def replace_worker(self, name):
+        lost = {key[0] for key in self.runtimes[name].infos}
+        self.evicted = {task: end for task, end in self.evicted.items() if task not in lost}
+        self.runtimes[name] = runtime.Runtime()
+        self.replace_agent(name)
+
+    def replace_entry(self, name):
+        self.entries[name] = Entry(self, name, self.entries[name].offset)
+
+    def ask(self, method, *path, body=None, entry="e1", query=None):
+        operation = f"op{next(self.numbers)}"
+        path = ("v1", "jobs", *path)
+        asked = events.OperatorAsked(operation, method, path, query or {}, body)
+        self.entries[entry].deliver(asked)
+        return operation
+
+    def submit(self, job, tasks=1, **fields):
+        return self.ask("POST", body={"job": job, "batch": "b", "tasks": tasks, **fields})
+
+    def get_answer(self, operation):
+        return next(answer for answer in self.answers if answer.operation == operation)
+
+    # Time.
+
+    def run(self, seconds):
+        for _ in range(round(seconds / components.TICK_SECONDS)):
+            self.step()
+
+    def run_until(self, condition, limit=120.0):
+        end = self.now + limit
+        while not condition():
+            if self.now > end:
+                raise AssertionError(f"not reached within {limit} s")
+            self.step()
+
+    def step(self):
+        self.now += components.TICK_SECONDS
+        for name, worker in self.runtimes.items():
+            worker.advance(self.now + self.agents[name].offset)
+        while self.queue and self.queue[0][0] <= self.now:
+            _, _, deliver = heapq.heappop(self.queue)
+            deliver()
+        for process in (*self.entries.values(), *self.agents.values()):
+            process.tick()
+        self.check()
+
+    def perform(self, process, effect):
+        if isinstance(effect, effects.Send):
+            self._send(process, effect)
+        elif isinstance(effect, _STORE):
+            self._answer(process, self.table.answer(effect))
+        elif isinstance(effect, effects.CallRuntime):
+            self._call(process, effect)
+        elif isinstance(effect, effects.AnswerOperator):
+            self.answers.append(effect)
+
+    def _later(self, deliver, delay):
+        heapq.heappush(self.queue, (self.now + delay, next(self.numbers), deliver))
+
+    def _send(self, process, effect):
+        self.sent.append(effect)
+        copies = 1 + (self.random.random() < self.duplication)
+        for _ in range(copies if self.random.random() >= self.loss else 0):
+            received = events.Received(process.name, process.incarnation, effect.message)
+            self._later(
+                lambda received=received: self._receive(effect, received),
+                self.random.uniform(0, self.max_delay),
+            )
+
+    def _receive(self, effect, received):
+        target = self.entries.get(effect.to) or self.agents.get(effect.to)
+        if target is not None and effect.incarnation in ("", target.incarnation):
+            target.deliver(received)
+
+    def _answer(self, process, event):
+        self._later(lambda: self._deliver(process, event), 0)
+
+    def _deliver(self, process, event):
+        if process in (*self.entries.values(), *self.agents.values()):
+            process.deliver(event)
+
+    def _call(self, process, effect):
+        lost = self.random.random() < self.runtime_loss
+        if not lost or self.random.random() < 0.5:
+            worker = self.runtimes[process.name]
+            count = len(worker.history)
+            answer = worker.call(effect.call, process.now)
+            for start in worker.history[count:]:
+                self._note_start(process.name, start)
+        if lost:
+            self._answer(process, events.RuntimeUnknown(effect.operation))
+        else:
+            self._answer(process, events.RuntimeAnswered(effect.operation, answer))
+
+    # Invariants.
+
+    def _note_start(self, worker, start):
+        key = (start.task, start.epoch)
+        if key in self.started:
+            raise AssertionError(f"I3: {key} started on {worker} and {self.started[key]}")
+        self.started[key] = worker
+        self._note_evictions()
+        epoch, checkpoint = self.evicted.pop(start.task, (start.epoch, start.checkpoint))
+        if checkpoint != start.checkpoint:
+            raise AssertionError(f"I3: {key} resumes from {start.checkpoint!r}, not {checkpoint!r}")
+
+    def _note_evictions(self):
+        for worker in self.runtimes.values():
+            self.evicted.update(worker.checkpointed)
+            worker.checkpointed.clear()
+
+    def check(self):
+        places = {}
+        for name, worker in self.runtimes.items():
+            live = worker.list_live()
+            used = messages.Resources()
+            for info in live:
+                used = capacity.add(used, info.size)
+                places.setdefault(info.task, []).append((name, info.epoch))
+            book = self.agents[name].book
+            for amount in (used, book.reserved):
+                if not capacity.fits(amount, book.capacity):
+                    raise AssertionError(f"I1: {amount} on {name} of {book.capacity}")
+        for task, found in places.items():
+            if len(found) > 1:
+                raise AssertionError(f"I2: {task} runs as {found}")
+
+    def count_runs(self, task):
+        return sum(key[0] == task for key in self.started)
+
+    def ended(self, *jobs):
+        keys = [f"job/{job}" for job in jobs]
+        rows = self.table.rows
+        return all(key in rows and self.table.get_job(key[4:]).ended for key in keys)
