--- /dev/null
+++ b/tests/records/test_core.py
@@ -0,0 +1,312 @@
+"""Tests of changes to placement records, alone and in races, with faults of the table."""
+
+import itertools
+import unittest
+
+from crocusrudder.records import core
+from tests.records import world
+
+V1, V2 = world.make_service(1), world.make_service(2)
+TEAM = {"kind": "team", "schema_version": 2, "name": "t", "quota": V2["size"]}
+SUBMIT, AMEND, RETIRE = "submit", "amend", "retire"
+
+
+def ask(place, name, action, change, record, revision=None):
+    """Ask an entry for a change and return the operation."""
+    body = {"change": change, "author": "ana", "record": record}
+    if action == SUBMIT:
+        return place.ask(name, "POST", "/v1/records", body)
+    if action == AMEND:
+        return place.ask(name, "PUT", "/v1/records", body | {"revision": revision})
+    record_name = record.get("name", record.get("service"))
+    path = f"/v1/records/{record['kind']}/{record_name}/{record['schema_version']}"
+    return place.ask(name, "DELETE", path, None, change=change, revision=str(revision))
+
+
+def change(place, name, *arguments):
+    """Make a change and return the status and the body of the answer."""
+    answer = place.settle(ask(place, name, *arguments))
+    return answer.status, answer.body
+
+
+def list_changes(place):
+    """Return the change ids in the table in the order of their revisions."""
+    rows = [
+        row.value for key, row in place.table.rows.items() if key.startswith("config/revision/")
+    ]
+    return [row["change"] for row in sorted(rows, key=lambda row: row["revision"])]
+
+
+class ChangeTest(unittest.TestCase):
+    """Guards against accepting what the records forbid, and refusing what they allow."""
+
+    SEQUENCES = {
+        "submit and amend": [
+            (SUBMIT, V2, None, 200, None),
+            (AMEND, V2 | {"slots": 9}, 1, 200, None),
+        ],
+        "submit twice": [(SUBMIT, V2, None, 200, None), (SUBMIT, V2, None, 409, "CR-REC-003")],
+        "amend what is not there": [(AMEND, V2, 0, 404, "CR-REC-004")],
+        "amend from an old revision": [
+            (SUBMIT, V2, None, 200, None),
+            (AMEND, V2 | {"slots": 9}, 1, 200, None),
+            (AMEND, V2 | {"slots": 7}, 1, 409, "CR-REC-005"),
+        ],
+        "retire and submit again": [
+            (SUBMIT, V2, None, 200, None),
+            (RETIRE, V2, 1, 200, None),
+            (RETIRE, V2, 1, 404, "CR-REC-004"),
+            (SUBMIT, V2, None, 200, None),
+            (RETIRE, V2, 1, 409, "CR-REC-005"),
+        ],
+        "cutover to a version without a record": [
+            (SUBMIT, V1, None, 200, None),
+            (SUBMIT, world.make_cutover(tray=2), None, 409, "CR-REC-007"),
+        ],
+        "retire a version that is named": [
+            (SUBMIT, V1, None, 200, None),
+            (SUBMIT, V2, None, 200, None),
+            (SUBMIT, world.make_cutover(tray=1, vigil=2), None, 200, None),
+            (RETIRE, V1, 1, 409, "CR-REC-006"),
+            (RETIRE, V2, 2, 409, "CR-REC-006"),
+            (AMEND, world.make_cutover(tray=2, vigil=2), 3, 200, None),
+            (RETIRE, V1, 1, 200, None),
+        ],
+        "retire one of two versions without a cutover": [
+            (SUBMIT, V1, None, 200, None),
+            (SUBMIT, V2, None, 200, None),
+            (RETIRE, V1, 1, 409, "CR-REC-006"),
+        ],
+        "cutover that is not signed off": [
+            (SUBMIT, V2, None, 200, None),
+            (
+                SUBMIT,
+                world.make_cutover()
+                | {"order_kinds": {"tray": {"schema_version": 2, "signed_off_by": " "}}},
+                None,
+                400,
+                "CR-REC-001",
+            ),
+        ],
+        "unknown kind of record to retire": [
+            (RETIRE, V2 | {"kind": "cell"}, 1, 404, "CR-REC-004"),
+        ],
+    }
+
+    def test_sequences(self):
+        for name, steps in self.SEQUENCES.items():
+            with self.subTest(name):
+                place = world.World()
+                place.run(0.2)
+                for number, (action, record, revision, status, code) in enumerate(steps):
+                    entry = place.names[number % 2]
+                    answer = change(place, entry, action, f"c{number}", record, revision)
+                    self.assertEqual((answer[0], answer[1].get("code")), (status, code), answer)
+                accepted = [f"c{n}" for n, step in enumerate(steps) if step[3] == 200]
+                self.assertEqual(list_changes(place), accepted)
+
+    def test_conflict_shows_the_current_record(self):
+        place = world.World()
+        change(place, "e1", SUBMIT, "c1", V2)
+        _, body = change(place, "e2", SUBMIT, "c2", V2 | {"slots": 9})
+        self.assertEqual((body["revision"], body["record"]["slots"]), (1, 8))
+        self.assertEqual(body["state"], "not-accepted")
+
+    def test_malformed_calls(self):
+        calls = [
+            ("POST", "/v1/records", None, 400),
+            ("POST", "/v1/records", [], 400),
+            ("POST", "/v1/records", {"change": "a/b", "record": V2}, 400),
+            ("PUT", "/v1/records", {"change": "c", "record": V2}, 400),
+            ("DELETE", "/v1/records/service/dispatch/x", None, 400),
+            ("DELETE", "/v1/records/service/dispatch/2", None, 400),
+            ("PATCH", "/v1/records", None, 404),
+            ("GET", "/v1/changes", None, 404),
+            ("GET", "/v1/changes/" + "x" * 64, None, 400),
+        ]
+        place = world.World()
+        for method, path, body, status in calls:
+            with self.subTest(method=method, path=path, body=body):
+                answer = place.settle(place.ask("e1", method, path, body))
+                self.assertEqual(answer.status, status)
+                self.assertRegex(answer.body["code"], r"^CR-")
+        self.assertEqual(place.table.rows, {})
+
+    def test_the_same_change_id_takes_effect_once(self):
+        place = world.World()
+        for entry in ("e1", "e2"):
+            self.assertEqual(change(place, entry, SUBMIT, "c1", V2)[1]["revision"], 1)
+        status, body = change(place, "e2", SUBMIT, "c1", V2 | {"slots": 9})
+        self.assertEqual((status, body["code"]), (409, "CR-REC-008"))
+        self.assertEqual(list_changes(place), ["c1"])
+
+
+class RaceTest(unittest.TestCase):
+    """Guards against two conflicting changes that are both accepted."""
+
+    RIVALS = {
+        "amend against retire": ((AMEND, V2 | {"slots": 9}), (RETIRE, V2)),
+        "amend against amend": ((AMEND, V2 | {"slots": 9}), (AMEND, V2 | {"slots": 7})),
+        "retire against retire": ((RETIRE, V2), (RETIRE, V2)),
+    }
+
+    def test_one_of_two_wins_in_every_order_of_the_table(self):
+        for name, (first, second) in self.RIVALS.items():
+            for order in itertools.product((0, -1), repeat=4):
+                with self.subTest(name, order=order):
+                    place = world.World()
+                    change(place, "e1", SUBMIT, "c0", V2)
+                    place.defer = True
+                    asked = [
+                        ask(place, "e1", first[0], "c1", first[1], 1),
+                        ask(place, "e2", second[0], "c2", second[1], 1),
+                    ]
+                    for index in order:
+                        if place.calls:
+                            place.carry_out_call(index)
+                    place.defer = False
+                    answers = [place.settle(operation) for operation in asked]
+                    statuses = sorted(answer.status for answer in answers)
+                    self.assertIn(statuses, [[200, 404], [200, 409]])
+                    self.assertEqual(len(list_changes(place)), 2)
+
+    def test_cutover_against_retirement_of_the_version_it_names(self):
+        for order in itertools.product((0, -1), repeat=4):
+            with self.subTest(order=order):
+                place = world.World()
+                change(place, "e1", SUBMIT, "c0", V2)
+                place.defer = True
+                asked = [
+                    ask(place, "e1", SUBMIT, "c1", world.make_cutover(tray=2)),
+                    ask(place, "e2", RETIRE, "c2", V2, 1),
+                ]
+                for index in order:
+                    if place.calls:
+                        place.carry_out_call(index)
+                place.defer = False
+                statuses = sorted(place.settle(operation).status for operation in asked)
+                self.assertEqual(statuses, [200, 409])
+
+    def test_many_changes_through_two_entries_are_all_settled(self):
+        place = world.World()
+        place.defer = True
+        records = [TEAM | {"name": f"t{number}"} for number in range(40)]
+        asked = [
+            ask(place, place.names[number % 2], SUBMIT, f"c{number}", record)
+            for number, record in enumerate(records)
+        ]
+        answers = [place.settle(operation) for operation in asked]
+        accepted = sum(answer.status == 200 for answer in answers)
+        self.assertEqual(accepted, len(list_changes(place)))
+        self.assertEqual(accepted, len(records))
+
+
+class FaultTest(unittest.TestCase):
+    """Guards against answers that the table contradicts."""
+
+    def test_lost_answers_are_resolved_by_reading(self):
+        for lost in (1, 2, 3):
+            with self.subTest(lost=lost):
+                place = world.World()
+                place.table.lose_answers = lost
+                status, body = change(place, "e1", SUBMIT, "c1", V2)
+                self.assertEqual((status, body["revision"]), (200, 1))
+                place.run(0.2)
+                self.assertEqual(set(place.revisions().values()), {1})
+
+    def test_a_commit_that_arrives_late_takes_effect_once(self):
+        place = world.World()
+        place.table.hold_commits = 1
+        self.assertEqual(change(place, "e1", SUBMIT, "c1", V2)[0], 200)
+        place.table.release_held()
+        self.assertEqual(list_changes(place), ["c1"])
+
+    def test_unavailable_table_without_doubt_is_not_accepted(self):
+        place = world.World()
+        place.table.up = False
+        status, body = change(place, "e1", SUBMIT, "c1", V2)
+        self.assertEqual((status, body["state"]), (503, "not-accepted"))
+        place.table.up = True
+        place.run(5)
+        self.assertEqual(list_changes(place), [])
+
+    def test_table_down_after_a_lost_answer_is_unknown_until_asked_again(self):
+        for took_effect, state in ((True, "accepted"), (False, "not-accepted")):
+            with self.subTest(took_effect=took_effect):
+                place = world.World()
+                place.defer = True
+                operation = ask(place, "e1", SUBMIT, "c1", V2)
+                place.carry_out_call()
+                if took_effect:
+                    place.table.lose_answers = 1
+                else:
+                    place.table.hold_commits = 1
+                place.carry_out_call()
+                place.table.up = False
+                answer = place.settle(operation)
+                self.assertEqual((answer.status, answer.body["state"]), (504, "unknown"))
+                self.assertEqual(answer.body["change"], "c1")
+                later = place.settle(place.ask("e2", "GET", "/v1/changes/c1"))
+                self.assertEqual((later.status, later.body["state"]), (504, "unknown"))
+                place.table.up = True
+                place.run(1)
+                later = place.settle(place.ask("e2", "GET", "/v1/changes/c1"))
+                self.assertEqual(later.body["state"], state)
+                place.table.release_held()
+                self.assertEqual(list_changes(place), ["c1"] if took_effect else [])
+
+    def test_a_change_that_was_looked_up_too_early_stays_refused(self):
+        place = world.World()
+        place.table.hold_commits = 1
+        place.defer = True
+        operation = ask(place, "e1", SUBMIT, "c1", V2)
+        place.carry_out_call()
+        place.carry_out_call()
+        place.defer = False
+        answer = place.settle(place.ask("e2", "GET", "/v1/changes/c1"))
+        self.assertEqual(answer.body["state"], "not-accepted")
+        place.table.release_held()
+        self.assertEqual(place.settle(operation).body["code"], "CR-REC-009")
+        self.assertEqual(list_changes(place), [])
+
+    def test_no_answer_at_all_is_unknown(self):
+        place = world.World()
+        place.defer = True
+        operation = ask(place, "e1", SUBMIT, "c1", V2)
+        place.carry_out_call()
+        commit = place.calls.pop()
+        place.tick(core.CALL_SECONDS)
+        self.assertEqual(place.answers[operation].body["state"], "unknown")
+        place.calls.append(commit)
+        place.carry_out_call()
+        place.defer = False
+        place.run(0.2)
+        self.assertEqual(set(place.revisions().values()), {1})
+
+    def test_a_paused_entry_does_not_overwrite_a_later_change(self):
+        place = world.World()
+        change(place, "e1", SUBMIT, "c0", V2)
+        place.defer = True
+        operation = ask(place, "e1", AMEND, "c1", V2 | {"slots": 9}, 1)
+        place.paused.add("e1")
+        place.carry_out_call()
+        place.defer = False
+        self.assertEqual(change(place, "e2", AMEND, "c2", V2 | {"slots": 7}, 1)[0], 200)
+        place.resume("e1")
+        answer = place.settle(operation)
+        self.assertEqual((answer.status, answer.body["record"]["slots"]), (409, 7))
+        self.assertEqual(list_changes(place), ["c0", "c2"])
+
+    def test_malformed_rows_do_not_end_the_process(self):
+        place = world.World()
+        change(place, "e1", SUBMIT, "c0", V2)
+        row = place.table.rows["config/head"]
+        place.table.rows["config/head"] = type(row)(row.key, {"revision": "x"}, row.version)
+        status, body = change(place, "e1", AMEND, "c1", V2, 1)
+        self.assertEqual((status, body["code"]), (500, "CR-REC-016"))
+        place.run(3)
+        self.assertEqual(place.replica("e1").revision, 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/records/world.py
+++ b/tests/records/world.py
@@ -134,7 +134,8 @@
 class World:
     """Processes, their messages in flight and the operators' answers.
 
-    ``step`` delivers everything in order; tests that drop or reorder messages change ``mail``.
+    ``mail`` holds messages that were not delivered yet. With ``defer``, operations of the table
+    wait in ``calls``. Events of paused processes wait in ``waiting`` until they resume.
     """
 
     def __init__(self, entries=("e1", "e2"), agents=("a1",), table=None):
@@ -143,6 +144,9 @@
         self.mail = []
         self.answers = {}
         self.paused = set()
+        self.waiting = []
+        self.defer = False
+        self.calls = []
         self.names = tuple(entries)
         self.agent_names = tuple(agents)
         self.processes = {}
@@ -155,6 +159,7 @@
         """Start a process, or replace it by a fresh one."""
         number = self.incarnations[name] = self.incarnations.get(name, 0) + 1
         incarnation = ids.Incarnation(str(number))
+        self.paused.discard(name)
         if name in self.agent_names:
             self.processes[name] = Agent(name, self.names, incarnation)
         else:
@@ -171,29 +176,51 @@
         operation = ids.OperationId(f"http:{self.asked}")
         parts = tuple(path.strip("/").split("/"))
         event = events.OperatorAsked(operation, method, parts, query, body)
-        self.carry_out(name, self.processes[name].handle(event, self.now))
+        self.post(name, self.incarnations[name], event)
         return operation
 
+    def post(self, name, incarnation, event):
+        """Give a process an event, unless a fresh process has taken its place."""
+        if self.incarnations[name] != incarnation:
+            return
+        if name in self.paused:
+            self.waiting.append((name, incarnation, event))
+            return
+        self.carry_out(name, self.processes[name].handle(event, self.now))
+
     def carry_out(self, name, produced):
         for effect in produced:
             if isinstance(effect, effects.Send):
-                self.mail.append((name, str(self.incarnations[name]), effect))
+                self.mail.append((name, self.incarnations[name], effect))
             elif isinstance(effect, effects.AnswerOperator):
                 self.answers[effect.operation] = effect
             elif hasattr(effect, "operation"):
-                event = self.table.answer(effect)
-                self.carry_out(name, self.processes[name].handle(event, self.now))
+                self.calls.append((name, self.incarnations[name], effect))
+                if not self.defer:
+                    self.carry_out_call()
+
+    def carry_out_call(self, index=-1):
+        """Let the table carry out a waiting operation and answer it."""
+        name, incarnation, effect = self.calls.pop(index)
+        self.post(name, incarnation, self.table.answer(effect))
+
+    def resume(self, name):
+        """Let a paused process go on with the events that came meanwhile."""
+        self.paused.discard(name)
+        waiting, self.waiting = self.waiting, []
+        for item in waiting:
+            self.post(*item)
 
     def deliver(self, letter):
-        """Deliver one message unless its receiver is paused, which loses it."""
+        """Deliver one message."""
         sender, incarnation, effect = letter
-        if effect.to in self.paused or effect.to not in self.processes:
+        if effect.to not in self.processes:
             return
         # A message crosses the wire, so that a process cannot share state with another.
         data = msgspec.msgpack.encode(effect.message)
         message = msgspec.msgpack.decode(data, type=type(effect.message))
-        event = events.Received(sender, incarnation, message)
-        self.carry_out(effect.to, self.processes[effect.to].handle(event, self.now))
+        event = events.Received(sender, ids.Incarnation(str(incarnation)), message)
+        self.post(effect.to, self.incarnations[effect.to], event)
 
     def deliver_all(self):
         for _ in range(50):
@@ -202,6 +229,8 @@
             letters, self.mail = self.mail, []
             for letter in letters:
                 self.deliver(letter)
+            while self.calls:
+                self.carry_out_call(0)
         raise AssertionError(f"messages never end: {self.mail[:4]}")
 
     def tick(self, seconds=0.1):
