Run the whole path as separate processes

Cause: the demo's first runs failed: class properties hid modules of the same name in annotations, and the status of a cell reached other entries only with the next digest, up to 5 s late. Change: postponed annotations in the two cores; a digest is sent at once when the revision in force in a cell changes; the demo reads the status of an entry.

--- a/crocusrudder/agent/core.py
+++ b/crocusrudder/agent/core.py
@@ -1,5 +1,7 @@
 """The core of an agent: its components and what they read of each other."""
 
+from __future__ import annotations
+
 import random
 
 from crocusrudder.agent import endpoints
@@ -21,7 +23,7 @@
 class _Sources:
     """What heartbeats report, read from the components of the agent."""
 
-    def __init__(self, core: "AgentCore") -> None:
+    def __init__(self, core: AgentCore) -> None:
         self._core = core
 
     def get_revision(self) -> ids.Revision:
--- a/crocusrudder/entry/core.py
+++ b/crocusrudder/entry/core.py
@@ -1,5 +1,7 @@
 """The core of an entry: its components and what they read of each other."""
 
+from __future__ import annotations
+
 import random
 
 from crocusrudder.conf import settings
--- a/crocusrudder/membership/directory.py
+++ b/crocusrudder/membership/directory.py
@@ -85,6 +85,7 @@
         self._index: dict[_ServiceKey, list[messages.EndpointAt]] = {}
         self._indexed_generation = -1
         self._sent_generation = -1
+        self._sent_revisions: dict[ids.CellId, ids.Revision] = {}
         self._sent_at: dict[ids.ProcessId, float] = {}
         self._full_sent_at: dict[ids.ProcessId, float] = {}
         self._sequence = itertools.count(1)
@@ -135,7 +136,10 @@
         self._forget_silent(now)
         changed = self._sent_generation != self._workers.generation
         self._sent_generation = self._workers.generation
-        due = [peer for peer in self._peers.values() if changed or self._is_due(peer, now)]
+        revisions = self._list_revisions(now)
+        urgent = changed or revisions != self._sent_revisions
+        self._sent_revisions = revisions
+        due = [peer for peer in self._peers.values() if urgent or self._is_due(peer, now)]
         return [self._send_digest(peer, changed, now) for peer in due]
 
     def dump(self) -> dict[str, object]:
@@ -152,6 +156,14 @@
             },
         }
 
+    def _list_revisions(self, now: float) -> dict[ids.CellId, ids.Revision]:
+        """Return the revision in force in each owned cell, which operators wait to see."""
+        return {
+            cell: min(view.revision for view in views)
+            for cell in self._ownership.owned(now)
+            if (views := self._workers.list_workers(cell))
+        }
+
     def _is_alive(self, entry: EntryView, now: float) -> bool:
         silence = ALIVE_SECONDS
         peer = self._peers.get(entry.process)
--- a/tools/demo/story.py
+++ b/tools/demo/story.py
@@ -138,12 +138,9 @@
         return took
 
     async def _is_in_force(self) -> bool:
-        done = await curio.run_in_thread(self._running.run_command, "record", "status", "--json")
-        if done.returncode:
-            return False
-        status = json.loads(done.stdout)
-        centres = status["data_centres"].values()
-        return all(centre["revision"] == status["revision"] for centre in centres)
+        port = self._running.layout.entries[-1].http_port
+        status = await self._running.get_json(port, "/v1/records/status")
+        return all(centre["complete"] for centre in status["data_centres"].values())
 
     async def _serves_lookups(self) -> bool:
         return await self._callers.look_up("lilies") is account.Told.DONE
