--- a/crocusrudder/entry/http.py
+++ b/crocusrudder/entry/http.py
@@ -147,7 +147,8 @@
     if not 0 < len(team) <= MAX_TEAM_CHARACTERS or "/" in team:
         raise errors.BadRequestError("the Team header is missing or malformed")
     key = request.get_header("idempotency-key")
-    if len(key) > MAX_KEY_CHARACTERS or not key.isprintable():
+    # A slash would let a key equal one that an entry gives to an idempotent attempt.
+    if len(key) > MAX_KEY_CHARACTERS or not key.isprintable() or "/" in key:
         raise errors.BadRequestError("the Idempotency-Key header is malformed")
     is_standing = standing.OFFSET_HEADER in dict(request.headers)
     if is_standing and request.method != "GET":
--- /dev/null
+++ b/crocusrudder/requests/claims.py
@@ -0,0 +1,143 @@
+"""Claims of attempts in the ledger: commits, conflicts and answers that were lost."""
+
+import enum
+import itertools
+
+import msgspec
+
+from crocusrudder.core import components
+from crocusrudder.core import effects
+from crocusrudder.core import events
+from crocusrudder.core import ids
+from crocusrudder.requests import errors
+from crocusrudder.requests import ledger
+from crocusrudder.requests import tracking
+from crocusrudder.wire import messages
+
+RESOLVE_RETRY_SECONDS = 0.2
+
+RequestState = tracking.RequestState
+TrackedRequest = tracking.TrackedRequest
+
+
+class Step(enum.Enum):
+    """What an answer of the store means for a request."""
+
+    WAIT = "wait"
+    """Another store operation was started; its effects are to be carried out."""
+    CLAIMED = "claimed"
+    """The claim is in the store: the attempt may be sent."""
+    FOLLOW = "follow"
+    """The row was read and is in ``tracked.claim`` (None if absent), its version beside it."""
+    STORE_DOWN = "store-down"
+    UNREADABLE = "unreadable"
+
+
+class ClaimAnswer(msgspec.Struct, frozen=True):
+    """A request and the next step for it."""
+
+    tracked: TrackedRequest
+    step: Step
+    produced: tuple[effects.Effect, ...] = ()
+
+
+class ClaimKeeper:
+    """Read ledger rows and commit claims.
+
+    A claim carries the identity of its writer. After a lost answer the row is read again: the
+    identity tells whether the commit took effect.
+    """
+
+    def __init__(
+        self, operations: components.OperationIds, entry_incarnation: ids.Incarnation
+    ) -> None:
+        self._operations = operations
+        self._incarnation = entry_incarnation
+        self._numbers = itertools.count(1)
+        self._by_operation: dict[ids.OperationId, TrackedRequest] = {}
+
+    def make_writer(self) -> str:
+        """Return the identity of a new write."""
+        return f"{self._incarnation}/{next(self._numbers)}"
+
+    def read(self, tracked: TrackedRequest, state: RequestState) -> effects.Effect:
+        """Read the row; ``state`` says why (READING or RESOLVING)."""
+        tracked.state = state
+        tracked.retry_read_at = float("inf")
+        return effects.ReadRows(self._begin(tracked), (tracked.row_key,))
+
+    def claim(self, tracked: TrackedRequest, target: messages.EndpointAt) -> effects.Effect:
+        """Commit a claim of the next attempt for an endpoint."""
+        attempt = 1 if tracked.claim is None else tracked.claim.attempt + 1
+        tracked.claim = ledger.make_claim(tracked.fingerprint, attempt, target, self.make_writer())
+        tracked.target = target
+        tracked.commits = 0
+        return self._commit(tracked)
+
+    def take(self, event: events.Event, now: float) -> ClaimAnswer | None:
+        """Return the step after the store's answer, or None if nobody waits for it."""
+        tracked = self._by_operation.pop(event.operation, None)
+        if tracked is None or tracked.answered:
+            return None
+        try:
+            return self._take(tracked, event, now)
+        except errors.LedgerRowError:
+            return ClaimAnswer(tracked, Step.UNREADABLE)
+
+    def _take(self, tracked: TrackedRequest, event: events.Event, now: float) -> ClaimAnswer:
+        if isinstance(event, events.Committed):
+            tracked.version = event.versions[tracked.row_key]
+            return ClaimAnswer(tracked, Step.CLAIMED)
+        if isinstance(event, events.CommitUnknown):
+            return _wait(tracked, self.read(tracked, RequestState.RESOLVING))
+        if isinstance(event, events.StoreUnavailable):
+            return _take_unavailable(tracked, now)
+        row = event.rows.get(tracked.row_key)
+        if tracked.state is RequestState.READING:
+            return _follow(tracked, row)
+        return self._resolve(tracked, row, now)
+
+    def _resolve(self, tracked: TrackedRequest, row: effects.Row | None, now: float) -> ClaimAnswer:
+        """Continue after a claim that conflicted or whose answer was lost."""
+        effect = ledger.resolve_lost_commit(row, tracked.claim.writer, tracked.version)
+        if effect is ledger.CommitEffect.APPLIED:
+            tracked.version = row.version
+            return ClaimAnswer(tracked, Step.CLAIMED)
+        if effect is ledger.CommitEffect.REPEATABLE:
+            if tracked.commits > 1 and now < tracked.repeat_commit_at:
+                tracked.state = RequestState.RESOLVING
+                tracked.retry_read_at = tracked.repeat_commit_at
+                return ClaimAnswer(tracked, Step.WAIT)
+            tracked.repeat_commit_at = now + RESOLVE_RETRY_SECONDS
+            return _wait(tracked, self._commit(tracked))
+        return _follow(tracked, row)
+
+    def _commit(self, tracked: TrackedRequest) -> effects.Effect:
+        tracked.state = RequestState.CLAIMING
+        tracked.commits += 1
+        value = ledger.encode(tracked.claim)
+        write = effects.RowWrite(tracked.row_key, value, tracked.version)
+        return effects.Commit(self._begin(tracked), (write,))
+
+    def _begin(self, tracked: TrackedRequest) -> ids.OperationId:
+        operation = self._operations.next()
+        self._by_operation[operation] = tracked
+        return operation
+
+
+def _wait(tracked: TrackedRequest, effect: effects.Effect) -> ClaimAnswer:
+    return ClaimAnswer(tracked, Step.WAIT, (effect,))
+
+
+def _follow(tracked: TrackedRequest, row: effects.Row | None) -> ClaimAnswer:
+    tracked.claim = None if row is None else ledger.decode(row)
+    tracked.version = 0 if row is None else row.version
+    return ClaimAnswer(tracked, Step.FOLLOW)
+
+
+def _take_unavailable(tracked: TrackedRequest, now: float) -> ClaimAnswer:
+    if tracked.state is RequestState.RESOLVING:
+        # The claim may be in the store, but nothing is sent until that is known.
+        tracked.retry_read_at = now + RESOLVE_RETRY_SECONDS
+        return ClaimAnswer(tracked, Step.WAIT)
+    return ClaimAnswer(tracked, Step.STORE_DOWN)
--- a/crocusrudder/requests/dispatch.py
+++ b/crocusrudder/requests/dispatch.py
@@ -11,13 +11,19 @@
 from crocusrudder.core import effects
 from crocusrudder.core import events
 from crocusrudder.core import ids
-from crocusrudder.requests import ledger
+from crocusrudder.requests import answers
 from crocusrudder.requests import limits as limits_module
 from crocusrudder.requests import memory
 from crocusrudder.requests import routing
 from crocusrudder.requests import tracking
 from crocusrudder.wire import messages
 
+MAX_PROBE_PATIENCE = 32
+"""Bound on the growth of the time between probes of a long request; standing requests last
+minutes, and thousands of them must not be probed every second."""
+AVOID_SECONDS = 1.0
+"""How long an endpoint that is down or leaving gets no attempts; about one announcement."""
+
 Flight = tracking.Flight
 TrackedRequest = tracking.TrackedRequest
 
@@ -77,7 +83,7 @@
         """Return a fresh key for an attempt of an idempotent request."""
         return ids.IdempotencyKey(f"{self._incarnation}/{next(self._numbers)}")
 
-    def choose(self, tracked: TrackedRequest) -> messages.EndpointAt | None:
+    def choose(self, tracked: TrackedRequest, now: float) -> messages.EndpointAt | None:
         """Return the endpoint for the next attempt, or None if none has room."""
         busy = {flight.endpoint.endpoint for flight in tracked.flights.values()}
         target = routing.choose_endpoint(
@@ -87,6 +93,7 @@
             tracked.arrival.standing,
             tracked.excluded | busy,
             self._random,
+            now,
         )
         return None if target is None else self._update_window(target)
 
@@ -98,9 +105,11 @@
         """Count an attempt at the endpoint before it is sent."""
         self._loads.begin(target.status, tracked.arrival.standing, now)
 
-    def drop_reservation(self, tracked: TrackedRequest, target: messages.EndpointAt) -> None:
-        """Stop counting an attempt that is not sent."""
-        self._loads.end(target.status, tracked.arrival.standing)
+    def drop_reservation(self, tracked: TrackedRequest) -> None:
+        """Stop counting an attempt that is claimed and not sent."""
+        if tracked.target is not None:
+            self._loads.end(tracked.target.status, tracked.arrival.standing)
+            tracked.target = None
 
     def send(
         self,
@@ -137,21 +146,22 @@
             effects.Send(target.agent, message, target.incarnation),
         ]
 
-    def ask(self, tracked: TrackedRequest, entry: ledger.Entry, now: float) -> Flight:
-        """Await the outcome of another submission's attempt that a claim names."""
+    def ask(self, tracked: TrackedRequest, now: float) -> Flight:
+        """Await the outcome of the attempt of another submission that the claim names."""
+        claim = tracked.claim
         status = messages.EndpointStatus(
-            entry.endpoint, tracked.arrival.service, tracked.schema_version, 0, 0
+            claim.endpoint, tracked.arrival.service, tracked.schema_version, 0, 0
         )
-        identity = (tracked.arrival.team, tracked.arrival.key, entry.attempt)
+        identity = (tracked.arrival.team, tracked.arrival.key, claim.attempt)
         flight = Flight(
-            identity, status, entry.agent, entry.incarnation, entry.window, now, now, own=False
+            identity, status, claim.agent, claim.incarnation, claim.window, now, now, own=False
         )
         self._add(tracked, flight)
         return flight
 
     def probe(self, flight: Flight, now: float) -> effects.Effect:
         """Ask the agent what became of an attempt."""
-        flight.probe_at = now + self._limits.probe_seconds
+        flight.probe_at = now + self._limits.probe_seconds * flight.patience
         query = messages.QueryOutcome(*flight.identity, window=flight.window)
         return effects.Send(flight.agent, query, flight.incarnation)
 
@@ -180,15 +190,30 @@
             load = self._loads.get(flight.endpoint)
             load.concurrency.record_latency(now - flight.sent_at, now)
 
-    def record_overload(self, flight: Flight, now: float) -> None:
-        """Adapt the endpoint's concurrency limit to an overload refusal."""
+    def confirm_running(self, flight: Flight) -> None:
+        """Note that an agent reports an attempt as running, and ask less and less often.
+
+        Another submission asks at the same pace, because it gets no answer without asking.
+        """
+        flight.running = True
         if flight.own:
-            self._loads.get(flight.endpoint).concurrency.record_overload(now)
+            flight.patience = min(MAX_PROBE_PATIENCE, flight.patience * 2)
+
+    def record_refusal(self, flight: Flight, reason: messages.RefusalReason, now: float) -> None:
+        """Adapt to a refusal."""
+        if not flight.own:
+            return
+        load = self._loads.get(flight.endpoint)
+        if reason is messages.RefusalReason.OVERLOADED:
+            load.concurrency.record_overload(now)
+        if reason in answers.LEAVE_ENDPOINT:
+            load.avoid_until = now + AVOID_SECONDS
 
     def learn(self, event: events.Received, answer: messages.RequestAnswer, flight: Flight) -> None:
         """Remember the load and the request window that an agent reports with an answer."""
-        self._loads.get(flight.endpoint).reported = answer.in_flight
-        self._windows[event.sender] = (event.incarnation, answer.window)
+        if flight.own:
+            self._loads.get(flight.endpoint).reported = answer.in_flight
+            self._windows[event.sender] = (event.incarnation, answer.window)
 
     def is_hedge_due(self, tracked: TrackedRequest, now: float) -> bool:
         """Return whether the single attempt of an idempotent request is unusually slow."""
--- a/crocusrudder/requests/gate.py
+++ b/crocusrudder/requests/gate.py
@@ -27,6 +27,7 @@
 SETTLE_SECONDS = 3.0
 """Time after the last answer in which an entry that lost it can still ask: three probes."""
 
+EndpointAnswer = events.EndpointAnswered | events.EndpointUnreached | events.EndpointBroken
 AttemptState = messages.AttemptState
 RefusalReason = messages.RefusalReason
 
@@ -45,7 +46,6 @@
 
     forwarded: attempts.Forwarded
     endpoint: slots.EndpointSlots
-    segment: standing.Segment | None = None
 
 
 class RequestGate:
@@ -63,9 +63,10 @@
         self._operations = components.OperationIds(PREFIX)
         self._endpoints: dict[ids.EndpointId, slots.EndpointSlots] = {}
         self._calls: dict[ids.OperationId, _Call] = {}
-        self._segments: dict[memory.Identity, standing.Segment] = {}
+        self._segments = standing.SegmentKeeper(self._operations)
         self._parked: list[attempts.Forwarded] = []
         self._log = attempts.AttemptLog(max_attempts, max_response_bytes)
+        self._now = 0.0
         self._stopping = False
         self._answered_at = float("-inf")
 
@@ -88,25 +89,27 @@
         """Add an endpoint, or update one that is known."""
         known = self._endpoints.get(status.endpoint)
         if known is None:
-            self._endpoints[status.endpoint] = slots.EndpointSlots(status, host, port)
-            return
+            known = self._endpoints[status.endpoint] = slots.EndpointSlots(status, host, port)
         known.status = status
         known.host = host
         known.port = port
-        known.draining = False
+        if self._stopping:
+            known.drain(self._now)
+        else:
+            known.cancel_drain()
 
     def withdraw_endpoint(self, endpoint: ids.EndpointId) -> None:
         """Stop admitting requests to an endpoint, and remove it once it is idle."""
         known = self._endpoints.get(endpoint)
         if known is not None:
-            known.draining = True
+            known.drain(self._now)
 
     def list_endpoints(self) -> list[messages.EndpointStatus]:
         """Return the endpoints as they are to be announced."""
         return [
             msgspec.structs.replace(
                 endpoint.status,
-                draining=endpoint.draining or self._stopping,
+                draining=endpoint.draining or endpoint.suspended,
                 window=self._log.window,
             )
             for endpoint in self._endpoints.values()
@@ -114,21 +117,24 @@
 
     def handle(self, event: events.Event, now: float) -> list[effects.Effect]:
         """Take one event and return the effects to carry out."""
+        self._now = now
         self._log.advance(now)
         return self._handle(event, now)
 
     def tick(self, now: float) -> list[effects.Effect]:
         """Expire queued requests, advance standing requests and remove idle endpoints."""
+        self._now = now
         self._log.advance(now)
         produced = self._release_parked(now)
         for endpoint in self._endpoints.values():
+            endpoint.resume_due(now)
             produced += self._expire_queue(endpoint, now)
-        for segment in list(self._segments.values()):
-            produced += self._advance_segment(segment, now)
+        produced += self._end_segments(self._segments.end_due(now, self._stopping), now)
+        produced += self._segments.poll_due(now)
         self._endpoints = {
             name: endpoint
             for name, endpoint in self._endpoints.items()
-            if endpoint.busy or not endpoint.draining
+            if endpoint.busy or self._stopping or not endpoint.draining
         }
         return produced
 
@@ -158,43 +164,28 @@
     def _(self, event: events.StopRequested, now: float) -> list[effects.Effect]:
         self._stopping = True
         self._answered_at = now
-        return [
-            effect
-            for segment in list(self._segments.values())
-            for effect in self._end_segment(segment, segment.make_empty_end(), now)
-        ]
-
-    @_handle.register
-    def _(self, event: events.EndpointAnswered, now: float) -> list[effects.Effect]:
-        call = self._calls.pop(event.operation, None)
-        if call is None:
-            return []
-        answer = event.response
-        response = messages.Response(answer.status, answer.headers, answer.body)
-        if call.segment is not None:
-            return self._take_poll(call.segment, response, now)
-        call.endpoint.record_service_time(now - call.forwarded.started_at)
-        return self._finish_call(call, response, now)
-
-    @_handle.register
-    def _(self, event: events.EndpointUnreached, now: float) -> list[effects.Effect]:
-        call = self._calls.pop(event.operation, None)
-        if call is None:
-            return []
-        if call.segment is not None:
-            return self._fail_poll(call.segment, now)
-        call.endpoint.running -= 1
-        refused = self._refuse(call.forwarded, RefusalReason.ENDPOINT_DOWN, now)
-        return refused + self._serve_queue(call.endpoint, now)
+        for endpoint in self._endpoints.values():
+            endpoint.drain(now)
+        return self._end_segments(self._segments.end_due(now, self._stopping), now)
 
     @_handle.register
-    def _(self, event: events.EndpointBroken, now: float) -> list[effects.Effect]:
+    def _(self, event: EndpointAnswer, now: float) -> list[effects.Effect]:
+        if self._segments.owns(event.operation):
+            return self._end_segments(self._segments.take(event, now), now)
         call = self._calls.pop(event.operation, None)
         if call is None:
             return []
-        if call.segment is not None:
-            return self._fail_poll(call.segment, now)
-        return self._finish_call(call, None, now)
+        call.endpoint.end(now - call.forwarded.started_at)
+        if isinstance(event, events.EndpointUnreached):
+            call.endpoint.suspend(now)
+            answered = self._refuse(call.forwarded, RefusalReason.ENDPOINT_DOWN)
+        elif isinstance(event, events.EndpointAnswered):
+            answer = event.response
+            response = messages.Response(answer.status, answer.headers, answer.body)
+            answered = self._answer(call.forwarded, response, now)
+        else:
+            answered = self._answer(call.forwarded, None, now)
+        return answered + self._serve_queue(call.endpoint, now)
 
     # Messages.
 
@@ -243,7 +234,7 @@
         self._log.begin(forwarded.message)
         reason = self._find_refusal(forwarded, now)
         if reason is not None:
-            return self._refuse(forwarded, reason, now)
+            return self._refuse(forwarded, reason)
         if forwarded.message.revision > self._replica.revision:
             self._parked.append(forwarded)
             request = messages.ConfigurationRequest(self._replica.revision)
@@ -254,12 +245,15 @@
         if not self._is_ready():
             return RefusalReason.NOT_READY
         if forwarded.message.standing and not forwarded.message.idempotent:
+            # A standing request reaches the endpoint once for each poll.
             return RefusalReason.NO_CAPACITY
         endpoint = self._endpoints.get(forwarded.message.endpoint)
         if endpoint is None:
             return RefusalReason.UNKNOWN_ENDPOINT
-        if endpoint.draining or self._stopping:
+        if endpoint.draining:
             return RefusalReason.DRAINING
+        if endpoint.suspended:
+            return RefusalReason.ENDPOINT_DOWN
         if forwarded.deadline <= now:
             return RefusalReason.DEADLINE_PASSED
         return None
@@ -268,13 +262,13 @@
         endpoint = self._endpoints[forwarded.message.endpoint]
         if forwarded.message.standing:
             if not endpoint.has_connection:
-                return self._refuse(forwarded, RefusalReason.OVERLOADED, now)
-            return self._start_segment(forwarded, endpoint, now)
+                return self._refuse(forwarded, RefusalReason.OVERLOADED)
+            return self._segments.start(forwarded, endpoint, now)
         if endpoint.has_slot:
             return self._start(forwarded, endpoint, now)
         if not endpoint.can_queue(forwarded.deadline - now):
-            return self._refuse(forwarded, RefusalReason.OVERLOADED, now)
-        endpoint.queue.append(forwarded)
+            return self._refuse(forwarded, RefusalReason.OVERLOADED)
+        endpoint.enqueue(forwarded)
         return []
 
     def _release_parked(self, now: float) -> list[effects.Effect]:
@@ -285,10 +279,10 @@
             if forwarded.message.revision <= self._replica.revision:
                 reason = self._find_refusal(forwarded, now)
                 produced += (
-                    self._refuse(forwarded, reason, now) if reason else self._place(forwarded, now)
+                    self._refuse(forwarded, reason) if reason else self._place(forwarded, now)
                 )
             elif now >= min(patience_ends, forwarded.deadline):
-                produced += self._refuse(forwarded, RefusalReason.STALE_CONFIGURATION, now)
+                produced += self._refuse(forwarded, RefusalReason.STALE_CONFIGURATION)
             else:
                 self._parked.append(forwarded)
         return produced
@@ -296,7 +290,7 @@
     def _start(
         self, forwarded: attempts.Forwarded, endpoint: slots.EndpointSlots, now: float
     ) -> list[effects.Effect]:
-        endpoint.running += 1
+        endpoint.begin()
         forwarded.started_at = now
         operation = self._operations.next()
         self._calls[operation] = _Call(forwarded, endpoint)
@@ -309,28 +303,34 @@
 
     def _serve_queue(self, endpoint: slots.EndpointSlots, now: float) -> list[effects.Effect]:
         produced = self._expire_queue(endpoint, now)
-        while endpoint.queue and endpoint.has_slot:
-            produced += self._start(endpoint.queue.popleft(), endpoint, now)
+        while (forwarded := endpoint.take_startable()) is not None:
+            produced += self._start(forwarded, endpoint, now)
         return produced
 
     def _expire_queue(self, endpoint: slots.EndpointSlots, now: float) -> list[effects.Effect]:
-        expired = [each for each in endpoint.queue if each.deadline <= now]
-        for forwarded in expired:
-            endpoint.queue.remove(forwarded)
         return [
             effect
-            for forwarded in expired
-            for effect in self._refuse(forwarded, RefusalReason.DEADLINE_PASSED, now)
+            for forwarded in endpoint.take_expired(now)
+            for effect in self._refuse(
+                forwarded,
+                RefusalReason.DEADLINE_PASSED
+                if forwarded.deadline <= now
+                else RefusalReason.DRAINING,
+            )
         ]
 
     # Answers.
 
-    def _finish_call(
-        self, call: _Call, response: messages.Response | None, now: float
-    ) -> list[effects.Effect]:
-        call.endpoint.running -= 1
-        answered = self._answer(call.forwarded, response, now)
-        return answered + self._serve_queue(call.endpoint, now)
+    def _end_segments(self, ends: list[standing.SegmentEnd], now: float) -> list[effects.Effect]:
+        return [
+            effect
+            for end in ends
+            for effect in (
+                self._refuse(end.forwarded, RefusalReason.ENDPOINT_DOWN)
+                if end.response is None
+                else self._answer(end.forwarded, end.response, now)
+            )
+        ]
 
     def _answer(
         self, forwarded: attempts.Forwarded, response: messages.Response | None, now: float
@@ -345,11 +345,8 @@
             self._make_answer(forwarded, state, response, None),
         ]
 
-    def _refuse(
-        self, forwarded: attempts.Forwarded, reason: RefusalReason, now: float
-    ) -> list[effects.Effect]:
+    def _refuse(self, forwarded: attempts.Forwarded, reason: RefusalReason) -> list[effects.Effect]:
         """Record and report that an attempt never starts."""
-        self._answered_at = now
         self._log.refuse(forwarded.message, reason)
         return self._answer_refusal(forwarded, reason)
 
@@ -378,58 +375,3 @@
             window=self._log.window,
         )
         return effects.Send(forwarded.sender, answer, forwarded.incarnation)
-
-    # Standing requests.
-
-    def _start_segment(
-        self, forwarded: attempts.Forwarded, endpoint: slots.EndpointSlots, now: float
-    ) -> list[effects.Effect]:
-        segment = standing.start_segment(forwarded, endpoint, now)
-        endpoint.standing += 1
-        self._segments[forwarded.identity] = segment
-        return [effects.Count("gate_segments"), *self._advance_segment(segment, now)]
-
-    def _advance_segment(self, segment: standing.Segment, now: float) -> list[effects.Effect]:
-        if segment.endpoint.draining or now >= segment.ends_at:
-            return self._end_segment(segment, segment.make_empty_end(), now)
-        if segment.polling or now < segment.next_poll:
-            return []
-        segment.polling = True
-        operation = self._operations.next()
-        endpoint = segment.endpoint
-        self._calls[operation] = _Call(segment.forwarded, endpoint, segment)
-        timeout = standing.POLL_TIMEOUT_SECONDS
-        request = segment.make_poll()
-        return [effects.CallEndpoint(operation, endpoint.host, endpoint.port, request, timeout)]
-
-    def _take_poll(
-        self, segment: standing.Segment, response: messages.Response, now: float
-    ) -> list[effects.Effect]:
-        segment.polling = False
-        segment.polled = True
-        if segment.forwarded.identity not in self._segments:
-            return []
-        if response.status == 204:
-            segment.next_poll = now + standing.POLL_PAUSE_SECONDS
-            return []
-        return self._end_segment(segment, response, now)
-
-    def _fail_poll(self, segment: standing.Segment, now: float) -> list[effects.Effect]:
-        """End a segment whose endpoint failed; nothing is lost, as the offset stays."""
-        segment.polling = False
-        if segment.forwarded.identity not in self._segments:
-            return []
-        if segment.polled:
-            return self._end_segment(segment, segment.make_empty_end(), now)
-        self._remove_segment(segment)
-        return self._refuse(segment.forwarded, RefusalReason.ENDPOINT_DOWN, now)
-
-    def _end_segment(
-        self, segment: standing.Segment, response: messages.Response, now: float
-    ) -> list[effects.Effect]:
-        self._remove_segment(segment)
-        return self._answer(segment.forwarded, response, now)
-
-    def _remove_segment(self, segment: standing.Segment) -> None:
-        self._segments.pop(segment.forwarded.identity, None)
-        segment.endpoint.standing -= 1
--- a/crocusrudder/requests/ledger.py
+++ b/crocusrudder/requests/ledger.py
@@ -13,6 +13,7 @@
 
 from crocusrudder.core import effects
 from crocusrudder.core import ids
+from crocusrudder.requests import errors
 from crocusrudder.requests import outcomes
 from crocusrudder.wire import messages
 
@@ -112,8 +113,14 @@
 
 
 def decode(row: effects.Row) -> Entry:
-    """Return the value of a ledger row."""
-    return msgspec.convert(row.value, Entry)
+    """Return the value of a ledger row.
+
+    Raises ``LedgerRowError`` if it is not one.
+    """
+    try:
+        return msgspec.convert(row.value, Entry)
+    except msgspec.ValidationError as error:
+        raise errors.LedgerRowError(f"{row.key}: {error}") from error
 
 
 def encode(entry: Entry) -> dict[str, Any]:
--- a/crocusrudder/requests/limits.py
+++ b/crocusrudder/requests/limits.py
@@ -19,6 +19,7 @@
     max_in_flight_bytes: int = 8 * 1024 * 1024
     retry_share: float = 0.1
     retry_burst: float = 10.0
+    max_attempts: int = 3
     probe_seconds: float = 1.0
     """Time without an answer after which an agent is asked what became of an attempt."""
     min_remaining_seconds: float = 0.005
@@ -29,6 +30,8 @@
     max_pending_records: int = 2_000
     max_pending_bytes: int = 8 * 1024 * 1024
     record_retry_seconds: float = 1.0
+    record_retries_per_tick: int = 1
+    """Paces the repeats when the store is back: 10 a second from each entry."""
     max_remembered_keys: int = 10_000
 
 
--- a/crocusrudder/requests/memory.py
+++ b/crocusrudder/requests/memory.py
@@ -22,6 +22,7 @@
 MAX_ATTEMPTS = 50_000
 MAX_RECENT_ATTEMPTS = 4_096
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
+RESPONSE_OVERHEAD_BYTES = 256
 FILTER_BITS = 16_384
 MAX_FILTERS = 512
 
@@ -117,10 +118,13 @@
         return self._attempts.get(identity)
 
     def add(self, identity: Identity, attempt: Attempt) -> Attempt:
-        """Remember a new attempt and drop the oldest one above the bound."""
+        """Remember a new attempt and drop the oldest one above the bound, if it has ended."""
         self._attempts[identity] = attempt
         if len(self._attempts) > self._max_attempts:
-            self._attempts.popitem(last=False)
+            oldest, dropped = self._attempts.popitem(last=False)
+            if dropped.state is messages.AttemptState.RUNNING:
+                # Slots and connections bound the number of running attempts.
+                self._attempts[oldest] = dropped
         return attempt
 
 
@@ -189,5 +193,6 @@
 
 
 def measure_response(response: messages.Response) -> int:
-    """Return the approximate size of a response in bytes."""
-    return len(response.body) + sum(len(name) + len(value) for name, value in response.headers)
+    """Return the approximate size of a response in memory, in bytes."""
+    headers = sum(len(name) + len(value) for name, value in response.headers)
+    return RESPONSE_OVERHEAD_BYTES + headers + len(response.body)
--- a/crocusrudder/requests/recorder.py
+++ b/crocusrudder/requests/recorder.py
@@ -61,11 +61,10 @@
         self._bytes += _measure(entry)
         return [*self._drop_oldest(), self._commit(row_key, pending)]
 
-    def release(self, row_key: str, entry: ledger.Entry, version: int) -> list[effects.Effect]:
+    def release(self, row_key: str, entry: ledger.Entry, version: int) -> effects.Effect:
         """Write once that an attempt never ran; without it a repeat asks the agent instead."""
-        operation = self._operations.next()
         write = effects.RowWrite(row_key, ledger.encode(entry), version)
-        return [effects.Commit(operation, (write,))]
+        return effects.Commit(self._operations.next(), (write,))
 
     def handle(self, event: events.Event, now: float) -> list[effects.Effect]:
         """Take the answer to one of the recorder's operations."""
@@ -86,7 +85,8 @@
     def tick(self, now: float) -> list[effects.Effect]:
         """Repeat the writes that are due."""
         due = [key for key, pending in self._pending.items() if pending.retry_at <= now]
-        return [self._commit(key, self._pending[key]) for key in due]
+        paced = due[: self._limits.record_retries_per_tick]
+        return [self._commit(key, self._pending[key]) for key in paced]
 
     def _check_conflict(self, row: effects.Row | None, entry: ledger.Entry) -> list[effects.Effect]:
         if row is not None:
--- a/crocusrudder/requests/routing.py
+++ b/crocusrudder/requests/routing.py
@@ -21,11 +21,13 @@
     """Load of one endpoint as this entry knows it."""
 
     def __init__(self, slots: int) -> None:
+        self.slots = slots
         self.concurrency = limits.ConcurrencyLimit(slots)
         self.in_flight = 0
         self.standing = 0
         self.reported = 0
         self.used_at = 0.0
+        self.avoid_until = 0.0
 
     @property
     def cost(self) -> float:
@@ -45,6 +47,9 @@
         load = self._loads.get(status.endpoint)
         if load is None:
             load = self._loads[status.endpoint] = EndpointLoad(status.slots)
+        elif load.slots != status.slots:
+            load.slots = status.slots
+            load.concurrency = limits.ConcurrencyLimit(status.slots)
         return load
 
     def begin(self, status: messages.EndpointStatus, standing: bool, now: float) -> None:
@@ -64,12 +69,14 @@
         else:
             load.in_flight = max(0, load.in_flight - 1)
 
-    def has_room(self, status: messages.EndpointStatus, standing: bool) -> bool:
+    def has_room(self, status: messages.EndpointStatus, standing: bool, now: float) -> bool:
         """Return whether the entry may send the endpoint another request.
 
         Standing requests use the connections that the slots leave free.
         """
         load = self.get(status)
+        if now < load.avoid_until:
+            return False
         if standing:
             return load.standing < status.connections - status.slots
         return load.in_flight < load.concurrency.limit
@@ -102,12 +109,14 @@
     standing: bool,
     excluded: Collection[ids.EndpointId],
     random: random_module.Random,
+    now: float,
 ) -> messages.EndpointAt | None:
     """Return the endpoint for the next attempt, or None if no endpoint has room."""
     free = [
         endpoint
         for endpoint in endpoints
-        if endpoint.status.endpoint not in excluded and book.has_room(endpoint.status, standing)
+        if endpoint.status.endpoint not in excluded
+        and book.has_room(endpoint.status, standing, now)
     ]
     near = [endpoint for endpoint in free if endpoint.data_centre == data_centre]
     candidates = near or free
--- a/crocusrudder/requests/slots.py
+++ b/crocusrudder/requests/slots.py
@@ -6,6 +6,10 @@
 from crocusrudder.wire import messages
 
 SERVICE_TIME_SMOOTHING = 0.2
+SUSPEND_SECONDS = 2.0
+"""How long an endpoint that refuses connections gets no requests."""
+DRAIN_QUEUE_SECONDS = 2.0
+"""How long requests that were queued before an endpoint began to leave may still start."""
 
 
 class EndpointSlots:
@@ -18,21 +22,32 @@
         self.status = status
         self.host = host
         self.port = port
-        self.draining = False
         self.running = 0
         self.standing = 0
-        self.queue: collections.deque[attempts.Forwarded] = collections.deque()
+        self._queue: collections.deque[attempts.Forwarded] = collections.deque()
         self._service_seconds = 0.0
+        self._drained_at: float | None = None
+        self._suspended_until = float("-inf")
+
+    @property
+    def draining(self) -> bool:
+        """Return whether the endpoint is leaving."""
+        return self._drained_at is not None
+
+    @property
+    def suspended(self) -> bool:
+        """Return whether the endpoint refused a connection a short time ago."""
+        return self._suspended_until > float("-inf")
 
     @property
     def in_flight(self) -> int:
         """Return the number of accepted plain requests."""
-        return self.running + len(self.queue)
+        return self.running + len(self._queue)
 
     @property
     def busy(self) -> bool:
         """Return whether any request is in flight."""
-        return bool(self.running or self.standing or self.queue)
+        return bool(self.running or self.standing or self._queue)
 
     @property
     def has_slot(self) -> bool:
@@ -46,25 +61,65 @@
 
     def can_queue(self, remaining_seconds: float) -> bool:
         """Return whether a request may wait: the queue is short and will be served in time."""
-        if len(self.queue) >= max(1, self.status.slots // 2):
+        if len(self._queue) >= max(1, self.status.slots // 2):
             return False
-        position = len(self.queue) + 1
+        position = len(self._queue) + 1
         return position * self._service_seconds / self.status.slots < remaining_seconds
 
-    def record_service_time(self, seconds: float) -> None:
-        """Adapt the expected service time."""
+    def enqueue(self, forwarded: attempts.Forwarded) -> None:
+        """Let a request wait for a slot."""
+        self._queue.append(forwarded)
+
+    def take_startable(self) -> attempts.Forwarded | None:
+        """Remove and return the next waiting request if there is a slot for it."""
+        return self._queue.popleft() if self._queue and self.has_slot else None
+
+    def take_expired(self, now: float) -> list[attempts.Forwarded]:
+        """Remove and return the waiting requests that may not start any more."""
+        leaving = self._drained_at is not None and now >= self._drained_at + DRAIN_QUEUE_SECONDS
+        expired = [each for each in self._queue if leaving or each.deadline <= now]
+        for forwarded in expired:
+            self._queue.remove(forwarded)
+        return expired
+
+    def begin(self) -> None:
+        """Occupy a slot."""
+        self.running += 1
+
+    def end(self, seconds: float) -> None:
+        """Free a slot after a request that took so long."""
+        self.running -= 1
         if self._service_seconds == 0:
             self._service_seconds = seconds
         self._service_seconds += SERVICE_TIME_SMOOTHING * (seconds - self._service_seconds)
 
+    def drain(self, now: float) -> None:
+        """Note that the endpoint is leaving."""
+        if self._drained_at is None:
+            self._drained_at = now
+
+    def cancel_drain(self) -> None:
+        """Note that the endpoint has announced itself again."""
+        self._drained_at = None
+
+    def suspend(self, now: float) -> None:
+        """Refuse requests for a short time, because the endpoint refuses connections."""
+        self._suspended_until = now + SUSPEND_SECONDS
+
+    def resume_due(self, now: float) -> None:
+        """Accept requests again after a suspension."""
+        if now >= self._suspended_until:
+            self._suspended_until = float("-inf")
+
     def dump(self) -> dict[str, object]:
         """Return the state as JSON types."""
         return {
             "host": self.host,
             "port": self.port,
             "draining": self.draining,
+            "suspended": self.suspended,
             "running": self.running,
             "standing": self.standing,
-            "queued": len(self.queue),
+            "queued": len(self._queue),
             "service_seconds": self._service_seconds,
         }
--- a/crocusrudder/requests/standing.py
+++ b/crocusrudder/requests/standing.py
@@ -2,13 +2,18 @@
 
 The endpoint gets the offset from which to answer in ``Standing-Request`` and the longest time to
 hold the poll, in seconds, in ``Standing-Wait``. It answers 200 with what follows the offset and
-the next offset in ``Resume-Offset``, or 204 if there is nothing yet.
+the next offset in ``Resume-Offset``, or 204 if there is nothing yet. A poll changes nothing at the
+endpoint, so an answer that is dropped is not lost: the next segment starts at the same offset.
 """
 
 import msgspec
 
+from crocusrudder.core import components
 from crocusrudder.core import effects
+from crocusrudder.core import events
+from crocusrudder.core import ids
 from crocusrudder.requests import attempts
+from crocusrudder.requests import memory
 from crocusrudder.requests import slots
 from crocusrudder.wire import messages
 
@@ -22,6 +27,7 @@
 POLL_WAIT_SECONDS = 1.0
 POLL_TIMEOUT_SECONDS = 5.0
 POLL_PAUSE_SECONDS = 0.5
+NOTHING_NEW = 204
 
 
 class Segment(msgspec.Struct, eq=False):
@@ -33,8 +39,8 @@
     ends_at: float
     next_poll: float = 0.0
     polling: bool = False
-    polled: bool = False
-    """Whether the endpoint has answered a poll, so that it has seen the request."""
+    reached: bool = False
+    """Whether a poll has reached the endpoint."""
 
     def make_poll(self) -> effects.EndpointRequest:
         """Return the HTTP request of the next poll."""
@@ -43,18 +49,89 @@
         headers = (*kept, (OFFSET_HEADER, self.offset), (WAIT_HEADER, str(POLL_WAIT_SECONDS)))
         return msgspec.structs.replace(request, headers=headers)
 
-    def make_empty_end(self) -> messages.Response:
-        """Return the response that ends the segment without news."""
-        return make_empty_response(self.offset)
 
+class SegmentEnd(msgspec.Struct, frozen=True):
+    """The end of a segment; without a response, the endpoint was never reached."""
 
-def start_segment(
-    forwarded: attempts.Forwarded, endpoint: slots.EndpointSlots, now: float
-) -> Segment:
-    """Return a new segment that ends before the deadline of its request."""
-    remaining = forwarded.deadline - now
-    duration = min(MAX_SEGMENT_SECONDS, remaining * SEGMENT_SHARE)
-    return Segment(forwarded, endpoint, get_offset(forwarded.message.headers), now + duration)
+    forwarded: attempts.Forwarded
+    response: messages.Response | None
+
+
+class SegmentKeeper:
+    """Poll endpoints for the standing requests of one agent."""
+
+    def __init__(self, operations: components.OperationIds) -> None:
+        self._operations = operations
+        self._segments: dict[memory.Identity, Segment] = {}
+        self._polls: dict[ids.OperationId, Segment] = {}
+
+    def __len__(self) -> int:
+        return len(self._segments)
+
+    def owns(self, operation: ids.OperationId) -> bool:
+        """Return whether an operation is a poll."""
+        return operation in self._polls
+
+    def start(
+        self, forwarded: attempts.Forwarded, endpoint: slots.EndpointSlots, now: float
+    ) -> list[effects.Effect]:
+        """Start a segment that ends before the deadline of its request."""
+        duration = min(MAX_SEGMENT_SECONDS, (forwarded.deadline - now) * SEGMENT_SHARE)
+        offset = get_offset(forwarded.message.headers)
+        segment = Segment(forwarded, endpoint, offset, now + duration)
+        self._segments[forwarded.identity] = segment
+        endpoint.standing += 1
+        return [effects.Count("gate_segments"), self._poll(segment)]
+
+    def take(self, event: events.Event, now: float) -> list[SegmentEnd]:
+        """Take the answer to a poll and return the end of its segment if it ends."""
+        segment = self._polls.pop(event.operation)
+        segment.polling = False
+        if segment.forwarded.identity not in self._segments:
+            return []
+        unreached = isinstance(event, events.EndpointUnreached)
+        if unreached and not segment.reached:
+            return [self._end(segment, None)]
+        if not isinstance(event, events.EndpointAnswered):
+            return [self._end(segment, make_empty_response(segment.offset))]
+        segment.reached = True
+        answer = event.response
+        if answer.status != NOTHING_NEW:
+            response = messages.Response(answer.status, answer.headers, answer.body)
+            return [self._end(segment, response)]
+        segment.next_poll = now + POLL_PAUSE_SECONDS
+        return []
+
+    def end_due(self, now: float, stopping: bool) -> list[SegmentEnd]:
+        """End the segments whose time is over or whose endpoint is leaving."""
+        due = [
+            segment
+            for segment in self._segments.values()
+            if stopping or segment.endpoint.draining or now >= segment.ends_at
+        ]
+        return [self._end(segment, make_empty_response(segment.offset)) for segment in due]
+
+    def poll_due(self, now: float) -> list[effects.Effect]:
+        """Poll for the segments that are due."""
+        return [
+            self._poll(segment)
+            for segment in self._segments.values()
+            if not segment.polling and now >= segment.next_poll
+        ]
+
+    def _poll(self, segment: Segment) -> effects.Effect:
+        segment.polling = True
+        operation = self._operations.next()
+        self._polls[operation] = segment
+        endpoint = segment.endpoint
+        request = segment.make_poll()
+        timeout = POLL_TIMEOUT_SECONDS
+        return effects.CallEndpoint(operation, endpoint.host, endpoint.port, request, timeout)
+
+    def _end(self, segment: Segment, response: messages.Response | None) -> SegmentEnd:
+        del self._segments[segment.forwarded.identity]
+        segment.endpoint.standing -= 1
+        return SegmentEnd(segment.forwarded, response)
 
 
 def get_offset(headers: tuple[tuple[str, str], ...]) -> str:
@@ -64,4 +141,4 @@
 
 def make_empty_response(offset: str) -> messages.Response:
     """Return a complete response that tells the caller to resume from ``offset``."""
-    return messages.Response(204, ((RESUME_HEADER, offset),), b"")
+    return messages.Response(NOTHING_NEW, ((RESUME_HEADER, offset),), b"")
--- a/crocusrudder/requests/tracking.py
+++ b/crocusrudder/requests/tracking.py
@@ -40,6 +40,8 @@
     probe_at: float
     own: bool = True
     """False for an attempt of another submission, whose outcome is awaited."""
+    patience: int = 1
+    """Factor on the time between two probes."""
     running: bool = False
     """Whether the agent has reported that the attempt is running."""
 
@@ -59,6 +61,9 @@
     claim: ledger.Entry | None = None
     target: messages.EndpointAt | None = None
     """Endpoint of the attempt that is being claimed."""
+    commits: int = 0
+    """Commits of the current claim; repeats after the first are paced."""
+    repeat_commit_at: float = 0.0
     row_uncertain: bool = False
     """Whether an attempt of another submission with this key may have run."""
     broken: bool = False
@@ -67,7 +72,6 @@
     excluded: set[ids.EndpointId] = msgspec.field(default_factory=set)
     flights: dict[memory.Identity, Flight] = msgspec.field(default_factory=dict)
     retry_read_at: float = float("inf")
-    last_reason: outcomes.Reason | None = None
 
     @property
     def may_have_run(self) -> bool:
--- a/tests/entry/test_http.py
+++ b/tests/entry/test_http.py
@@ -16,6 +16,7 @@
 
 
 def make_request(method="POST", target="/v1/services/dispatch/trays/7?a=1", headers=HEADERS):
+    """Return a caller's request."""
     return http_messages.Request(method, target, headers, b"{}")
 
 
--- a/tests/requests/fakes.py
+++ b/tests/requests/fakes.py
@@ -25,6 +25,16 @@
 TICK_SECONDS = 0.1
 
 
+class _Everything:
+    """A set of kinds that contains each."""
+
+    def __contains__(self, kind):
+        return True
+
+
+ALL_KINDS = _Everything()
+
+
 class FakeReplica:
     """A configuration with one service."""
 
@@ -130,6 +140,7 @@
         self.violations = []
         self.endpoint_fault = None
         self.agents_ready = True
+        self.response_padding = 0
         self._numbers = itertools.count(1)
         for number in range(1, entries + 1):
             self.start_entry(f"e{number}")
@@ -285,31 +296,39 @@
             return events.EndpointBroken(effect.operation)
         status = 204 if arrival.standing else 200
         body = b"" if arrival.standing else make_body(request.target, request.body)
+        body += b"x" * self.response_padding
         return events.EndpointAnswered(effect.operation, effects.EndpointResponse(status, (), body))
 
     def take(self, kind):
-        """Remove and return the oldest item of a kind."""
+        """Remove and return the oldest item of a kind, which may then be run, or never."""
         item = next(item for item in self.pending if item.kind == kind)
         self.pending.remove(item)
         return item
 
-    def settle(self, stop_at=None, rounds=2_000):
-        """Carry out everything in order; stop before an item of the kind ``stop_at``."""
+    def settle(self, hold=(), rounds=5_000):
+        """Carry out everything in order, but for the kinds in ``hold``."""
         for _ in range(rounds):
-            if not self.pending or self.pending[0].kind == stop_at:
+            item = next((item for item in self.pending if item.kind not in hold), None)
+            if item is None:
                 return
-            self.run(self.pending.pop(0))
+            self.pending.remove(item)
+            self.run(item)
         raise AssertionError("the processes never come to rest")
 
-    def advance(self, seconds, settle=True):
-        """Let time pass in ticks, carrying out everything unless ``settle`` is False."""
+    def advance(self, seconds, hold=()):
+        """Let time pass in ticks, carrying out everything but the kinds in ``hold``."""
         for _ in range(round(seconds / TICK_SECONDS)):
             self.now += TICK_SECONDS
             for process in list(self.processes.values()):
                 if process.alive:
                     self._take(process, process.core.tick(self.now))
-            if settle:
-                self.settle()
+            self.settle(hold)
+
+    def warm_up(self, requests=10):
+        """Earn one retry by a number of requests without faults."""
+        for _ in range(requests):
+            self.submit(method="GET")
+            self.settle()
 
     def stop(self, name):
         """Begin a planned stop of a process."""
--- /dev/null
+++ b/tests/requests/test_interleavings.py
@@ -0,0 +1,154 @@
+"""Generated interleavings of faults with two entries and two agents."""
+
+import unittest
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from crocusrudder.core import effects
+from crocusrudder.core import events
+from crocusrudder.requests import limits
+from crocusrudder.requests import outcomes
+from tests.requests import fakes
+
+ENTRIES = strategies.sampled_from(["e1", "e2"])
+AGENTS = strategies.sampled_from(["a1", "a2"])
+KEYS = strategies.sampled_from(["k1", "k2"])
+INDEXES = strategies.integers(0, 30)
+MAX_PENDING = 60
+
+
+class RequestMachine(stateful.RuleBasedStateMachine):
+    """Lose, repeat, delay and reorder everything; replace processes and fail the store.
+
+    The world notes each execution beyond the first of a key, each "not run" of a request that ran
+    or runs later, and each answer that is not the caller's own and whole.
+    """
+
+    def __init__(self):
+        super().__init__()
+        # A full budget from the start, so that retries take part.
+        self._world = fakes.World(
+            request_limits=limits.RequestLimits(retry_share=1.0, probe_seconds=0.2)
+        )
+        self._used = set()
+        self._open = {}
+
+    @stateful.rule(entry=ENTRIES, key=KEYS, timeout=strategies.sampled_from([0.3, 2.0]))
+    def submit(self, entry, key, timeout):
+        repeat = key in self._used
+        self._used.add(key)
+        request = self._world.submit(entry, key, key.encode(), timeout=timeout, repeat=repeat)
+        self._open[request] = self._world.processes[entry]
+
+    @stateful.rule(entry=ENTRIES)
+    def submit_read(self, entry):
+        request = self._world.submit(entry, method="GET", timeout=2.0)
+        self._open[request] = self._world.processes[entry]
+
+    @stateful.precondition(lambda self: self._world.pending)
+    @stateful.rule(index=INDEXES)
+    def run_one(self, index):
+        pending = self._world.pending
+        self._world.run(pending.pop(index % len(pending)))
+
+    @stateful.rule()
+    def settle(self):
+        self._world.settle()
+
+    @stateful.precondition(lambda self: self._messages())
+    @stateful.rule(index=INDEXES)
+    def lose(self, index):
+        lost = self._messages()
+        self._world.pending.remove(lost[index % len(lost)])
+
+    @stateful.precondition(lambda self: self._messages())
+    @stateful.rule(index=INDEXES)
+    def duplicate(self, index):
+        sent = self._messages()
+        if len(self._world.pending) < MAX_PENDING:
+            self._world.pending.append(sent[index % len(sent)])
+
+    @stateful.rule(
+        commits=strategies.sampled_from([None, "down", "answer-lost", "request-lost"]),
+        reads=strategies.sampled_from([None, "down"]),
+    )
+    def change_store(self, commits, reads):
+        self._world.store.faults = {effects.Commit: commits, effects.ReadRows: reads}
+
+    @stateful.rule(fault=strategies.sampled_from([None, "unreached", "broken"]))
+    def change_endpoints(self, fault):
+        self._world.endpoint_fault = fault
+
+    @stateful.rule(entry=ENTRIES)
+    def replace_entry(self, entry):
+        old = self._world.processes[entry]
+        self._open = {each: owner for each, owner in self._open.items() if owner is not old}
+        self._world.start_entry(entry)
+
+    @stateful.rule(agent=AGENTS)
+    def replace_agent(self, agent):
+        self._world.start_agent(agent)
+
+    @stateful.rule(index=INDEXES)
+    def leave(self, index):
+        waiting = [each for each in self._open if each not in self._world.answers]
+        if waiting:
+            request = waiting[index % len(waiting)]
+            self._world.handle(self._open.pop(request), events.CallerLeft(request))
+
+    @stateful.rule(seconds=strategies.sampled_from([0.1, 0.5, 3.0]))
+    def wait(self, seconds):
+        # Without settling, so that everything may be late.
+        for _ in range(round(seconds / fakes.TICK_SECONDS)):
+            if len(self._world.pending) < MAX_PENDING:
+                self._world.advance(fakes.TICK_SECONDS, hold=fakes.ALL_KINDS)
+
+    @stateful.rule()
+    def wait_for_a_window(self):
+        self._world.now += 601
+
+    @stateful.invariant()
+    def keeps_the_promises(self):
+        assert not self._world.violations, self._world.violations
+
+    def teardown(self):
+        """Let all faults end: every caller that still waits gets an answer."""
+        self._world.store.faults = {}
+        self._world.endpoint_fault = None
+        self._world.advance(40)
+        self.keeps_the_promises()
+        missing = [each for each in self._open if each not in self._world.answers]
+        assert not missing, missing
+        for process in self._world.processes.values():
+            assert process.core.in_flight == 0, process.core.dump()
+        self._check_repeats()
+
+    def _check_repeats(self):
+        """Check that a repeat of a key that never ran is not told a response."""
+        for key in self._used:
+            request = self._world.submit("e2", key, key.encode(), repeat=True)
+            self._world.advance(11)
+            outcome = self._world.answers[request]
+            if self._world.executions[key] == 0:
+                assert not isinstance(outcome, outcomes.Done), outcome
+        self.keeps_the_promises()
+
+    def _messages(self):
+        pending = self._world.pending
+        return [item for item in pending if isinstance(item.effect, effects.Send)]
+
+
+InterleavingTest = RequestMachine.TestCase
+InterleavingTest.settings = hypothesis.settings(
+    derandomize=True,
+    database=None,
+    deadline=None,
+    max_examples=300,
+    stateful_step_count=40,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+
+if __name__ == "__main__":
+    unittest.main()
