--- /dev/null
+++ b/tests/platform/test_pool.py
@@ -0,0 +1,216 @@
+"""Tests of kept-alive connections: reuse, bounds and what a closed one means."""
+
+import unittest
+
+import curio
+
+from crocusrudder.core import events
+from crocusrudder.platform import errors
+from crocusrudder.platform import http
+from tests.platform import support
+
+PORT = 29_520
+EMPTY = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+
+
+def make_numbered(number):
+    """Return a response whose body is a number."""
+    body = str(number).encode()
+    return f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body
+
+
+class Script:
+    """Answer the requests of all connections in turn with the given bytes.
+
+    None closes the connection without an answer. ``answered`` is set after each answer.
+    """
+
+    def __init__(self, *answers, close_after=()):
+        self._answers = list(answers)
+        self._close_after = close_after
+        self.requests = 0
+        self.closed = curio.Event()
+
+    async def __call__(self, peer):
+        while await peer.read_request():
+            answer = self._answers[self.requests]
+            self.requests += 1
+            if answer is None:
+                return
+            await peer.send(answer)
+            if self.requests in self._close_after:
+                await peer.finish_sending()
+                await self.closed.set()
+
+
+async def call_twice(script, request=support.POST, between=None):
+    """Return the events of two endpoint calls one after the other, and the connections used."""
+    client = http.HttpClient.from_config(http.HttpConfig())
+    call = support.make_endpoint_call(PORT, request=request)
+    async with support.ScriptedServer(PORT, script) as server:
+        first = await client.perform(call)
+        if between is not None:
+            await between()
+        second = await client.perform(call)
+        await client.close()
+    return first, second, server.connections
+
+
+class ReuseTest(unittest.TestCase):
+    """Guards against requests that are sent twice and responses that go to another request."""
+
+    def test_reuses_a_connection(self):
+        first, second, connections = curio.run(
+            call_twice, Script(make_numbered(1), make_numbered(2))
+        )
+        self.assertEqual((first.response.body, second.response.body), (b"1", b"2"))
+        self.assertEqual(connections, 1)
+
+    def test_connection_closed_after_the_request_is_broken_and_not_repeated(self):
+        for request in (support.POST, support.GET):
+            with self.subTest(method=request.method):
+                script = Script(EMPTY, None, EMPTY)
+                _, second, connections = curio.run(call_twice, script, request)
+                self.assertIsInstance(second, events.EndpointBroken)
+                self.assertEqual((script.requests, connections), (2, 1))
+
+    def test_connection_closed_while_idle_is_replaced(self):
+        script = Script(EMPTY, EMPTY, close_after=(1,))
+        _, second, connections = curio.run(call_twice, script, support.POST, script.closed.wait)
+        self.assertIsInstance(second, events.EndpointAnswered)
+        self.assertEqual((script.requests, connections), (2, 2))
+
+    def test_bytes_after_a_response_do_not_answer_the_next_request(self):
+        for extra in (make_numbered(9), b"\r\n", b"x"):
+            with self.subTest(extra=extra):
+                script = Script(make_numbered(1) + extra, make_numbered(2))
+                _, second, connections = curio.run(call_twice, script)
+                self.assertEqual(second.response.body, b"2")
+                self.assertEqual(connections, 2)
+
+    def test_connection_that_is_to_close_is_not_reused(self):
+        closing = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+        old = b"HTTP/1.0 200 OK\r\nContent-Length: 0\r\n\r\n"
+        for answer in (closing, old):
+            with self.subTest(answer=answer):
+                _, second, connections = curio.run(call_twice, Script(answer, EMPTY))
+                self.assertIsInstance(second, events.EndpointAnswered)
+                self.assertEqual(connections, 2)
+
+    def test_headers_of_one_connection_are_not_passed_on(self):
+        answer = (
+            b"HTTP/1.1 200 OK\r\nConnection: X-Hop\r\nX-Hop: 1\r\nKeep-Alive: 5\r\n"
+            b"X-End: 2\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n"
+        )
+        first, _, _ = curio.run(call_twice, Script(answer, EMPTY))
+        self.assertEqual(first.response.headers, (("x-end", "2"),))
+        self.assertEqual(first.response.body, b"a")
+
+
+class BoundTest(unittest.TestCase):
+    """Guards against more connections than an endpoint takes, and against lost slots."""
+
+    def test_connections_are_bounded(self):
+        client = http.HttpClient.from_config(http.HttpConfig(connections=2))
+        script = Script(*[EMPTY] * 10)
+
+        async def run_calls():
+            call = support.make_endpoint_call(PORT)
+            async with support.ScriptedServer(PORT, script) as server:
+                async with curio.TaskGroup() as group:
+                    for _ in range(10):
+                        await group.spawn(client.perform, call)
+                await client.close()
+            return group.results, server.most_open
+
+        results, most_open = curio.run(run_calls)
+        self.assertTrue(all(isinstance(event, events.EndpointAnswered) for event in results))
+        self.assertLessEqual(most_open, 2)
+
+    def test_call_without_a_free_connection_had_no_effect(self):
+        async def run_calls():
+            client = http.HttpClient.from_config(http.HttpConfig(connections=1))
+            reached = curio.Event()
+
+            async def script(peer):
+                await peer.read_request()
+                await reached.set()
+                await peer.hang()
+
+            async with support.ScriptedServer(PORT, script) as server:
+                first = await curio.spawn(client.perform, support.make_endpoint_call(PORT))
+                await reached.wait()
+                call = support.make_endpoint_call(PORT, support.IMPATIENT_SECONDS)
+                second = await client.perform(call)
+                await first.cancel()
+            return second, server.connections
+
+        second, connections = curio.run(run_calls)
+        self.assertIsInstance(second, events.EndpointUnreached)
+        self.assertEqual(connections, 1)
+
+    def test_cancelled_and_broken_calls_free_their_connection(self):
+        async def run_calls():
+            client = http.HttpClient.from_config(http.HttpConfig(connections=1))
+            reached = curio.Event()
+            requests = []
+
+            async def script(peer):
+                await peer.read_request()
+                requests.append(peer)
+                await reached.set()
+                if len(requests) == 1:
+                    await peer.hang()
+                if len(requests) == 3:
+                    await peer.send(make_numbered(3))
+
+            call = support.make_endpoint_call(PORT)
+            async with support.ScriptedServer(PORT, script):
+                first = await curio.spawn(client.perform, call)
+                await reached.wait()
+                await first.cancel()
+                results = await client.perform(call), await client.perform(call)
+                await client.close()
+            return results
+
+        broken, answered = curio.run(run_calls)
+        self.assertIsInstance(broken, events.EndpointBroken)
+        self.assertEqual(answered.response.body, b"3")
+
+    def test_outer_timeout_passes_through(self):
+        """An outer timeout belongs to the caller; it must not become an answer."""
+
+        async def run_call():
+            client = http.HttpClient.from_config(http.HttpConfig())
+
+            async def script(peer):
+                await peer.hang()
+
+            call = support.make_endpoint_call(PORT)
+            outer = curio.ignore_after(support.IMPATIENT_SECONDS)
+            async with support.ScriptedServer(PORT, script), outer:
+                await client.perform(call)
+            return outer.expired
+
+        self.assertTrue(curio.run(run_call))
+
+    def test_close_ends_idle_connections(self):
+        async def run_call():
+            client = http.HttpClient.from_config(http.HttpConfig())
+            ended = curio.Event()
+
+            async def script(peer):
+                while await peer.read_request():
+                    await peer.send(EMPTY)
+                await ended.set()
+
+            async with support.ScriptedServer(PORT, script):
+                await client.call(support.HOST, PORT, support.GET, support.PATIENT_SECONDS)
+                await client.close()
+                await ended.wait()
+
+        curio.run(run_call)
+
+    def test_errors_carry_stable_codes(self):
+        self.assertEqual(errors.UnreachedError.code, "CR-PLT-001")
+        self.assertEqual(errors.BrokenError.code, "CR-PLT-002")
--- /dev/null
+++ b/tests/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the stand-ins."""
--- a/tools/standin/endpoint.py
+++ b/tools/standin/endpoint.py
@@ -102,24 +102,32 @@
         self._port = int(port)
         self._target = f"/v1/endpoints/{endpoint}"
         self._announcement = announcement
+        self._leaving = curio.Event()
         self._client = http.HttpClient.from_config(http.HttpConfig(connections=1))
 
     async def run(self) -> None:
-        """Repeat the announcement until cancelled."""
+        """Repeat the announcement until ``withdraw`` is called."""
         known = False
-        while True:
+        while not self._leaving.is_set():
             accepted = await self._call("PUT", msgspec.json.encode(self._announcement))
             if accepted != known:
                 logger.info("announced to the agent: {}", accepted)
                 known = accepted
-            await curio.sleep(ANNOUNCE_SECONDS)
+            await curio.ignore_after(ANNOUNCE_SECONDS, self._leaving.wait)
 
-    async def withdraw(self) -> None:
-        """Tell the agent to send nothing more; gives up if it does not answer."""
+    async def withdraw(self, announcing: curio.Task) -> None:
+        """Tell the agent to send nothing more; gives up if it does not answer.
+
+        An announcement under way ends first, as the agent could otherwise read it after the
+        withdrawal.
+        """
+        await self._leaving.set()
+        await announcing.join()
         for _ in range(WITHDRAW_ATTEMPTS):
             if await self._call("DELETE", b""):
-                return
+                break
             await curio.sleep(WITHDRAW_RETRY_SECONDS)
+        await self._client.close()
 
     async def _call(self, method: str, body: bytes) -> bool:
         headers = (("Content-Type", "application/json"),)
@@ -146,8 +154,7 @@
     serving = await curio.spawn(listener.run)
     announcing = await curio.spawn(announcer.run)
     await signals.wait_for_stop()
-    await announcing.cancel()
-    await announcer.withdraw()
+    await announcer.withdraw(announcing)
     await listener.drain()
     await serving.cancel()
     logger.info("stopped")
--- a/tools/standin/service.py
+++ b/tools/standin/service.py
@@ -12,6 +12,7 @@
 from crocusrudder.platform import runtime_calls
 from crocusrudder.wire import messages
 from tools.standin import objects
+from tools.standin import runs
 from tools.standin import runtime
 from tools.standin import server
 from tools.standin import table
@@ -95,6 +96,11 @@
         """Return the table."""
         return self._table
 
+    @property
+    def audit(self) -> runs.Audit:
+        """Return the audit log of the runs."""
+        return self._runtime.audit
+
     @property
     def faults(self) -> Faults:
         """Return the fault switches in force."""
--- a/tools/standin/signals.py
+++ b/tools/standin/signals.py
@@ -10,10 +10,13 @@
     """Return at the first SIGTERM or SIGINT."""
     reader, writer = socket.socketpair()
     writer.setblocking(False)
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: writer.send(b"s"))
+    numbers = (signal.SIGTERM, signal.SIGINT)
+    earlier = {number: signal.signal(number, lambda *_: writer.send(b"s")) for number in numbers}
     notifications = curio.io.Socket(reader)
     try:
         await notifications.recv(1)
     finally:
+        for number, handler in earlier.items():
+            signal.signal(number, handler)
         await notifications.close()
+        writer.close()
