--- /dev/null
+++ b/tools/experiment/driver.py
@@ -0,0 +1,292 @@
+"""Drive one policy against the fake workers of one cell and measure the outcome."""
+
+import collections
+import math
+import random as random_module
+
+import msgspec
+import numpy
+
+from crocusrudder.placement import model
+from crocusrudder.wire import messages
+from tools.experiment import fake
+from tools.experiment import loads
+from tools.experiment import policies
+
+JOBS_PER_STEP = 12
+"""Jobs of the queue that are offered to the policy in one step, in turn."""
+STARTS_PER_JOB = 4
+PREEMPT_AFTER_SECONDS = 0.5
+MAX_TASK_FAILURES = 20
+"""Failures after which the common scheduler gives a task up under every policy."""
+RETRY_MAX_SECONDS = 60.0
+URGENT_TARGET_SECONDS = 3.7
+
+
+class Task:
+    """A task as the scheduler of the experiment holds it."""
+
+    def __init__(self, job: loads.Job, index: int) -> None:
+        self.task = f"{job.job}.{index}"
+        self.index = index
+        self.epoch = 0
+        self.saved = 0.0
+        self.failures = 0
+        self.outgrown = 0
+        self.not_before = job.arrives
+        self.worker: str | None = None
+
+
+class JobState:
+    """A job with its waiting tasks."""
+
+    def __init__(self, job: loads.Job) -> None:
+        self.job = job
+        self.waiting = collections.deque(Task(job, index) for index in range(len(job.works)))
+        self.running: dict[str, Task] = {}
+        self.finished = 0
+        self.starts = 0
+        self.closed = False
+
+
+class Result(msgspec.Struct):
+    """Raw measures of one run; latencies are samples per service in ms."""
+
+    jobs_finished: int = 0
+    tasks_finished: int = 0
+    progress: float = 0.0
+    lost_seconds: float = 0.0
+    repeated_seconds: float = 0.0
+    evictions: int = 0
+    moves: int = 0
+    preemptions: int = 0
+    throttles: int = 0
+    violations: int = 0
+    refusals: int = 0
+    urgent_delays: list[float] = []
+    bad_worker_starts: list[int] = []
+    never_starts: list[int] = []
+    never_reported: int = 0
+    false_verdicts: int = 0
+    false_quarantines: int = 0
+    waiting_tasks: int = 0
+
+
+class Driver:
+    """A plain scheduler: urgent first, then the other jobs in turn."""
+
+    def __init__(self, name: str, user: loads.User, scale: loads.Scale, seed: str) -> None:
+        self._load = loads.make_load(user, scale, seed)
+        number = random_module.Random(seed).getrandbits(32)
+        self._cell = fake.FakeCell(self._load, random_module.Random(f"fake {seed}"), number)
+        self._now = 0.0
+        policy_random = random_module.Random(f"policy {seed}")
+        self._policy = policies.make_policy(
+            name, user, self._load, self._cell, lambda: self._now, policy_random
+        )
+        self._arrivals = collections.deque(self._load.jobs)
+        self._jobs: dict[str, JobState] = {}
+        self._queue: collections.deque[JobState] = collections.deque()
+        self._urgent: list[JobState] = []
+        self._cancellations: list[tuple[float, JobState]] = []
+        self._result = Result()
+        self._never_starts: collections.Counter[str] = collections.Counter()
+
+    @property
+    def policy(self) -> object:
+        """Return the policy that is driven."""
+        return self._policy
+
+    def run(self) -> tuple[Result, list[numpy.ndarray]]:
+        """Run the load and return the measures and the latencies per service."""
+        steps = int(loads.SIMULATED_SECONDS / fake.STEP_SECONDS)
+        for step in range(steps):
+            self._now = step * fake.STEP_SECONDS
+            self._cell.step(self._now)
+            self._take_ends()
+            self._take_arrivals()
+            self._cancel()
+            self._take_reports(step)
+            if step % 2 == 0:
+                self._react()
+            self._schedule()
+        return self._finish(), [numpy.concatenate(known) for known in self._cell.latencies]
+
+    def _take_ends(self) -> None:
+        for end in self._cell.take_ends(self._now):
+            state = self._jobs[end.run.job.job]
+            task = state.running.pop(end.run.task)
+            task.worker = None
+            usage = end.run.usage
+            self._policy.record_end(task.task, end.worker, end.state, self._now, usage, end.reason)
+            task.saved = end.run.saved
+            if end.state is messages.RunState.SUCCEEDED:
+                self._finish_task(state)
+            else:
+                self._retry(state, task, end)
+
+    def _finish_task(self, state: JobState) -> None:
+        state.finished += 1
+        self._result.tasks_finished += 1
+        if state.finished == len(state.job.works):
+            self._result.jobs_finished += 1
+            self._close(state)
+
+    def _retry(self, state: JobState, task: Task, end: fake.End) -> None:
+        if state.closed:
+            return
+        if end.state is messages.RunState.FAILED:
+            task.failures += 1
+            task.outgrown += end.reason == "memory limit"
+            delay = min(2.0 ** min(task.failures - 1, 10), RETRY_MAX_SECONDS)
+            task.not_before = self._now + delay
+        if task.failures >= MAX_TASK_FAILURES:
+            return
+        state.waiting.append(task)
+        verdict = self._policy.find_verdict(state.job.job)
+        if verdict is not None:
+            self._result.never_reported += state.job.never_runs
+            self._result.false_verdicts += not state.job.never_runs
+            self._stop_all(state)
+            self._close(state)
+
+    def _close(self, state: JobState) -> None:
+        state.closed = True
+        state.waiting.clear()
+
+    def _stop_all(self, state: JobState) -> None:
+        for task in state.running.values():
+            self._cell.stop(task.worker, task.task, self._now, messages.RunState.STOPPED)
+
+    def _take_arrivals(self) -> None:
+        while self._arrivals and self._arrivals[0].arrives <= self._now:
+            job = self._arrivals.popleft()
+            state = JobState(job)
+            self._jobs[job.job] = state
+            (self._urgent if job.urgent else self._queue).append(state)
+            if job.cancelled_at < math.inf:
+                self._cancellations.append((job.cancelled_at, state))
+
+    def _cancel(self) -> None:
+        due = [state for at, state in self._cancellations if at <= self._now]
+        self._cancellations = [entry for entry in self._cancellations if entry[0] > self._now]
+        for state in due:
+            if not state.closed:
+                self._stop_all(state)
+                self._close(state)
+
+    def _take_reports(self, step: int) -> None:
+        period = int(fake.HEARTBEAT_SECONDS / fake.STEP_SECONDS)
+        for index in range(step % period, len(self._cell.views), period):
+            report = self._cell.take_report(index, self._now)
+            if report is not None:
+                worker = self._cell.views[index].worker
+                self._policy.record_report(worker, *report, self._now)
+
+    def _react(self) -> None:
+        for reaction in self._policy.propose_reactions(self._cell.views, self._now):
+            kind = reaction.kind
+            if kind is model.ReactionKind.MOVE:
+                started = self._cell.checkpoint(reaction.worker, reaction.task, self._now)
+                self._result.moves += started
+            elif kind is model.ReactionKind.EVICT:
+                self._result.evictions += 1
+                stopped = messages.RunState.STOPPED
+                self._cell.stop(reaction.worker, reaction.task, self._now, stopped)
+            else:
+                self._result.throttles += kind is model.ReactionKind.THROTTLE
+                self._cell.throttle(reaction.worker, reaction.task, reaction.share)
+
+    def _schedule(self) -> None:
+        for state in self._urgent:
+            if state.waiting and not self._start_next(state):
+                self._preempt(state)
+        self._urgent = [state for state in self._urgent if not state.closed]
+        for _ in range(min(JOBS_PER_STEP, len(self._queue))):
+            state = self._queue.popleft()
+            if state.closed:
+                continue
+            for _ in range(STARTS_PER_JOB):
+                if not self._start_next(state):
+                    break
+            self._queue.append(state)
+
+    def _start_next(self, state: JobState) -> bool:
+        if not state.waiting or state.waiting[0].not_before > self._now:
+            state.waiting.rotate(-1)
+            return False
+        task = state.waiting[0]
+        placed = self._describe(state, task)
+        worker = self._policy.choose_worker(placed, self._cell.views, self._now)
+        if worker is None:
+            return False
+        task.epoch += 1
+        started = self._cell.start(
+            worker, task.task, task.epoch, state.job, task.index, task.saved, placed.size, self._now
+        )
+        if not started:
+            return False
+        self._policy.record_start(placed, worker, self._now)
+        task.worker = worker
+        state.running[task.task] = state.waiting.popleft()
+        state.starts += 1
+        if state.job.never_runs:
+            self._never_starts[state.job.job] += 1
+        if state.job.urgent and task.epoch == 1:
+            delay = self._now + fake.START_SECONDS - state.job.arrives
+            self._result.urgent_delays.append(delay)
+        return True
+
+    def _describe(self, state: JobState, task: Task) -> model.PlacementTask:
+        known = self._load.classes[state.job.job_class]
+        memory = known.declared_memory_mb * 2**task.outgrown
+        declared = messages.Resources(
+            known.declared_millicores, min(memory, loads.WORKER_MEMORY_MB // 2), 0
+        )
+        return model.PlacementTask(
+            task=task.task,
+            job=state.job.job,
+            job_class=known.name,
+            team="team",
+            size=self._policy.estimate_size(known.name, declared, task.task),
+            urgent=state.job.urgent,
+            failures=task.failures,
+        )
+
+    def _preempt(self, state: JobState) -> None:
+        task = state.waiting[0]
+        if task.not_before > self._now or self._now - state.job.arrives < PREEMPT_AFTER_SECONDS:
+            return
+        placed = self._describe(state, task)
+        found = self._policy.propose_preemption(placed, self._cell.views, self._now)
+        if found is None:
+            return
+        for name, _ in found.runs:
+            owner = self._jobs[name.rpartition(".")[0]]
+            if name in owner.running and self._cell.checkpoint(found.worker, name, self._now):
+                self._result.preemptions += 1
+
+    def _finish(self) -> Result:
+        result = self._result
+        cell = self._cell
+        result.progress = cell.core_seconds
+        result.lost_seconds = cell.lost_seconds
+        result.repeated_seconds = cell.repeated_seconds
+        result.violations = cell.capacity_violations
+        result.refusals = cell.refusals
+        workers = [cell.views[at].worker for at, _ in self._load.bad_workers]
+        result.bad_worker_starts = [cell.bad_starts[worker] for worker in workers]
+        never = [state.job.job for state in self._jobs.values() if state.job.never_runs]
+        result.never_starts = [self._never_starts[job] for job in never]
+        result.waiting_tasks = sum(len(state.waiting) for state in self._jobs.values())
+        waiting = [state for state in self._jobs.values() if state.job.urgent and state.waiting]
+        result.urgent_delays += [
+            self._now - state.job.arrives for state in waiting if state.waiting[0].epoch == 0
+        ]
+        bad = set(workers)
+        result.false_quarantines = sum(
+            self._policy.is_quarantined(view.worker, self._now)
+            for view in cell.views
+            if view.worker not in bad
+        )
+        return result
