Count only later starts as proof that a worker works

Cause: runs from before a worker broke succeeded and cleared its row of failures, so that it got up to 12 starts. Change: a success clears only the failures of runs that started before it; the experiment counts the probe after quarantine separately, since it is not a start before the worker is set aside; the limit is 8 unproven starts instead of 9.

--- a/crocusrudder/placement/blame.py
+++ b/crocusrudder/placement/blame.py
@@ -18,8 +18,8 @@
 QUARANTINE_MEAN = 0.6
 RELEASE_SECONDS = 600.0
 """Time after which a quarantined worker gets one task as a probe."""
-WORKER_UNPROVEN_STARTS = 9
-"""Most starts a worker gets without one that succeeds or survives; keeps it below ten."""
+WORKER_UNPROVEN_STARTS = 8
+"""Most starts a worker gets without one that succeeds or survives; the bound is nine."""
 YOUNG_SECONDS = 10.0
 """A run younger than this may still fail at start; workers that fail everything fail in seconds."""
 
@@ -62,10 +62,9 @@
     def __init__(self) -> None:
         self.posterior = _Beta(WORKER_PRIOR, WORKER_MEMORY)
         self.young: dict[ids.TaskId, tuple[ids.JobId, float]] = {}
-        self.failed_in_row: collections.Counter[ids.JobId] = collections.Counter()
+        self.failed_in_row: list[tuple[float, ids.JobId]] = []
         self.failures = 0
         self.successes = 0
-        self.proven_until = float("-inf")
         self.quarantined_since: float | None = None
         self.probe: ids.TaskId | None = None
 
@@ -133,13 +132,14 @@
         """Record a run that succeeded."""
         worker_state = self._worker(worker)
         worker_state.young.pop(task, None)
-        worker_state.posterior.update(0.0, 1.0)
         worker_state.successes += 1
-        worker_state.failed_in_row.clear()
+        job_state = self._job(job)
+        _, started = job_state.running.pop(task, (worker, now))
+        self._prove_start(worker_state, started)
+        if not worker_state.failed_in_row:
+            worker_state.posterior.update(0.0, 1.0)
         if task == worker_state.probe:
             self.release(worker)
-        job_state = self._job(job)
-        job_state.running.pop(task, None)
         job_state.posterior.update(0.0, 1.0)
         job_state.successes += 1
         job_state.failures_in_row = 0
@@ -154,9 +154,9 @@
         job_weight = 1.0 - worker_state.posterior.mean
         worker_state.young.pop(task, None)
         worker_state.failures += 1
-        worker_state.failed_in_row[job] += 1
         worker_state.posterior.update(worker_weight, 0.0)
         _, started = job_state.running.pop(task, (worker, now))
+        worker_state.failed_in_row.append((started, job))
         job_state.failed_late |= now - started >= PROOF_SECONDS
         job_state.posterior.update(job_weight, 0.0)
         job_state.failed_on[worker] += 1
@@ -237,7 +237,8 @@
         if state is None or state.verdict is None:
             return
         for worker in state.failed_on:
-            self._worker(worker).failed_in_row.pop(job, None)
+            known = self._worker(worker)
+            known.failed_in_row = [entry for entry in known.failed_in_row if entry[1] != job]
 
     def explain_worker(self, worker: ids.WorkerId, now: float) -> str:
         """Return the state of a worker and its reason in one sentence."""
@@ -249,7 +250,7 @@
         if state.quarantined_since is None:
             return f"worker {worker}: in use; {counts}; {probability}"
         since = now - state.quarantined_since
-        jobs = len(state.failed_in_row)
+        jobs = len({job for _, job in state.failed_in_row})
         return (
             f"worker {worker}: quarantined for {since:.0f} s; {counts}; {probability}; "
             f"tasks of {jobs} jobs failed here in a row"
@@ -300,13 +301,20 @@
         return any(now - started >= PROOF_SECONDS for _, started in state.running.values())
 
     @staticmethod
-    def _mature(state: _Worker, now: float) -> None:
+    def _prove_start(state: _Worker, started: float) -> None:
+        """Drop the failures that a good start at this time outdates.
+
+        Runs from before a worker broke may still succeed; they say nothing about later starts.
+        """
+        state.failed_in_row = [entry for entry in state.failed_in_row if entry[0] > started]
+
+    def _mature(self, state: _Worker, now: float) -> None:
         """Treat runs that outlived the first seconds as proof that the worker starts tasks."""
         old = [task for task, (_, at) in state.young.items() if now - at >= YOUNG_SECONDS]
         for task in old:
-            del state.young[task]
-        if old and state.quarantined_since is None:
-            state.failed_in_row.clear()
+            _, started = state.young.pop(task)
+            if state.quarantined_since is None:
+                self._prove_start(state, started)
 
     def _job_mean_elsewhere(self, state: _Job, worker: ids.WorkerId) -> float:
         """Return the job's failure mean, without its failures on this worker.
@@ -330,8 +338,7 @@
         ]
 
     def _count_failed_in_row(self, state: _Worker) -> int:
-        counts = state.failed_in_row.items()
-        return sum(count for job, count in counts if not self._is_suspect(job))
+        return sum(not self._is_suspect(job) for _, job in state.failed_in_row)
 
     def _decide_quarantine(self, state: _Worker, task: ids.TaskId, now: float) -> None:
         if task == state.probe:
--- a/tools/experiment/report.py
+++ b/tools/experiment/report.py
@@ -93,6 +93,7 @@
         "urgent_late_share": sum(d > driver.URGENT_TARGET_SECONDS for d in delays)
         / max(len(delays), 1),
         "bad_worker_starts": largest("bad_worker_starts"),
+        "probe_starts": total("probe_starts"),
         "never_runs_starts": largest("never_starts"),
         "never_runs_reported": total("never_reported"),
         "never_runs_jobs": float(sum(len(result.never_starts) for result in results)),
