Learn sizes from live runs and set cut-off usages apart

Cause: sizes were learned only at the end of a run, and guesses from capped runs stayed in the quantile; runs lost their time to too small reservations. Change: one sample per run at 15 s, guesses count only until three exact samples exist.

--- a/crocusrudder/placement/demand.py
+++ b/crocusrudder/placement/demand.py
@@ -2,20 +2,21 @@
 
 import collections
 import math
+from collections.abc import Iterable
 
 from crocusrudder.core import ids
 from crocusrudder.wire import messages
 
 SAMPLES = 40
 """Runs per class that an estimate looks back on."""
-LEARNED_SAMPLES = 4
+LEARNED_SAMPLES = 3
 """Runs after which the learned size replaces the declared one."""
 SIZE_QUANTILE = 0.95
 SIZE_MARGIN = 1.15
 """Headroom over the quantile; a run above its reservation is capped or stopped."""
 CENSORED_SHARE = 0.95
 """Usage above this share of the reservation was probably cut off by it."""
-CENSORED_GROWTH = 1.6
+CENSORED_GROWTH = 2.0
 """Growth after a cut-off usage, so that a few runs reach the true size."""
 OUTGROWN_GROWTH = 2.0
 """Growth of a task's memory after it outgrew it; six starts cover a declared size 32 times off."""
@@ -26,16 +27,39 @@
 """Classes remembered; the least recently used is dropped."""
 
 
+class _Samples:
+    """Usages of one resource, with those apart that the reservation cut off."""
+
+    def __init__(self) -> None:
+        self.exact: collections.deque[float] = collections.deque(maxlen=SAMPLES)
+        self.cut_off: collections.deque[float] = collections.deque(maxlen=SAMPLES)
+
+    def __len__(self) -> int:
+        return len(self.exact) + len(self.cut_off)
+
+    def append(self, usage: float, reserved: float) -> None:
+        if reserved and usage >= CENSORED_SHARE * reserved:
+            self.cut_off.append(reserved * CENSORED_GROWTH)
+        else:
+            self.exact.append(usage)
+
+    def estimate(self) -> int:
+        """Return the quantile; guesses from cut-off usages count only while exact ones are few."""
+        enough = len(self.exact) >= LEARNED_SAMPLES
+        samples = self.exact if enough else [*self.exact, *self.cut_off]
+        return math.ceil(_quantile(samples, SIZE_QUANTILE) * SIZE_MARGIN)
+
+
 class _JobClass:
     """Samples of one class."""
 
     def __init__(self) -> None:
-        self.millicores: collections.deque[float] = collections.deque(maxlen=SAMPLES)
-        self.memory_mb: collections.deque[float] = collections.deque(maxlen=SAMPLES)
+        self.millicores = _Samples()
+        self.memory_mb = _Samples()
         self.seconds: collections.deque[float] = collections.deque(maxlen=SAMPLES)
 
 
-def _quantile(samples: collections.deque[float], quantile: float) -> float:
+def _quantile(samples: Iterable[float], quantile: float) -> float:
     ordered = sorted(samples)
     return ordered[min(math.ceil(quantile * len(ordered)), len(ordered)) - 1]
 
@@ -54,8 +78,8 @@
         if not (usage.millicores or usage.memory_mb):
             return
         state = self._get(job_class)
-        state.millicores.append(self._uncensor(usage.millicores, reserved.millicores))
-        state.memory_mb.append(self._uncensor(usage.memory_mb, reserved.memory_mb))
+        state.millicores.append(usage.millicores, reserved.millicores)
+        state.memory_mb.append(usage.memory_mb, reserved.memory_mb)
 
     def record_outgrown(self, task: ids.TaskId, size: messages.Resources) -> None:
         """Record that a run was stopped because its memory outgrew the reservation."""
@@ -85,11 +109,9 @@
         state = self._classes.get(job_class)
         if state is None or len(state.millicores) < LEARNED_SAMPLES:
             return declared
-        millicores = math.ceil(_quantile(state.millicores, SIZE_QUANTILE) * SIZE_MARGIN)
-        memory_mb = math.ceil(_quantile(state.memory_mb, SIZE_QUANTILE) * SIZE_MARGIN)
         return messages.Resources(
-            millicores=max(millicores, MIN_MILLICORES),
-            memory_mb=max(memory_mb, MIN_MEMORY_MB),
+            millicores=max(state.millicores.estimate(), MIN_MILLICORES),
+            memory_mb=max(state.memory_mb.estimate(), MIN_MEMORY_MB),
             accelerators=declared.accelerators,
         )
 
@@ -114,12 +136,6 @@
             }
         return result
 
-    @staticmethod
-    def _uncensor(usage: float, reserved: float) -> float:
-        if reserved and usage >= CENSORED_SHARE * reserved:
-            return reserved * CENSORED_GROWTH
-        return usage
-
     def _get(self, job_class: str) -> _JobClass:
         state = self._classes.get(job_class)
         if state is None:
--- a/crocusrudder/placement/policy.py
+++ b/crocusrudder/placement/policy.py
@@ -27,6 +27,8 @@
 """How long a task stays away from a worker that it was moved off."""
 PREEMPT_AFTER_SECONDS = 60.0
 """Batch that has run for less is not preempted, so that it makes progress."""
+USAGE_SECONDS = 15.0
+"""Age at which a live run's usage is taken for its class; waiting for its end learns too late."""
 TIE_BREAK = 1e-6
 """Weight of the random part of a score; decides between equal workers only."""
 
@@ -144,7 +146,7 @@
         self, workers: Sequence[model.WorkerView], now: float
     ) -> list[model.Reaction]:
         """Return the reactions due now; call about once a second and carry out all of them."""
-        self._record_usage(workers)
+        self._record_usage(workers, now)
         self._forget_old(now)
 
         def find_target(task: model.PlacementTask, source: ids.WorkerId) -> bool:
@@ -351,7 +353,7 @@
         task = run.task
         succeeded = state is messages.RunState.SUCCEEDED
         outgrown = run.peak_memory_mb >= demand.CENSORED_SHARE * max(task.size.memory_mb, 1)
-        if succeeded or outgrown:
+        if outgrown or (succeeded and not run.sampled):
             self._sizes.record_usage(task.job_class, run.peak, task.size)
         if succeeded:
             self._sizes.record_run_time(task.job_class, now - run.started)
@@ -364,12 +366,17 @@
         else:
             self._blame.record_neutral(task.task, task.job, worker)
 
-    def _record_usage(self, workers: Sequence[model.WorkerView]) -> None:
+    def _record_usage(self, workers: Sequence[model.WorkerView], now: float) -> None:
         for view in workers:
             known = self._state(view.worker).runs
             for (task, _), status in view.runs.items():
-                if task in known:
-                    known[task].record_usage(status.usage)
+                run = known.get(task)
+                if run is None:
+                    continue
+                run.record_usage(status.usage)
+                if not run.sampled and run.peak_millicores and now - run.started >= USAGE_SECONDS:
+                    run.sampled = True
+                    self._sizes.record_usage(run.task.job_class, run.peak, run.task.size)
 
     def _list_preemptible(
         self, view: model.WorkerView, worker_state: tracking.WorkerState, now: float
--- a/crocusrudder/placement/tracking.py
+++ b/crocusrudder/placement/tracking.py
@@ -30,6 +30,7 @@
         self.move_asked_at: float | None = None
         self.peak_millicores = 0
         self.peak_memory_mb = 0
+        self.sampled = False
 
     @property
     def peak(self) -> messages.Resources:
