Resume lost runs from their newest checkpoint; report revisions at once

Cause: the demo found work repeated after a lost worker (steps 1 to 5 of two tasks ran twice): the chunk row named no checkpoint yet, because the owner learns of checkpoints with a lag. Records seemed to be in force only after 3 to 4.9 s: an entry without cells told its revision with its next digest, up to 5 s later, while the revision was in force after 0.1 s. Entries had no endpoints of a cell while its owner changed. Change: the agent tries the checkpoints of the epochs after the recorded one, newest first; a digest is sent when a revision changes; a new owner keeps the announced endpoints for 10 s; a new entry is told all endpoints at once.

--- a/crocusrudder/jobs/runner.py
+++ b/crocusrudder/jobs/runner.py
@@ -10,6 +10,7 @@
 from crocusrudder.core import events
 from crocusrudder.core import ids
 from crocusrudder.jobs import capacity as capacity_module
+from crocusrudder.jobs import resume
 from crocusrudder.jobs import runs as runs_module
 from crocusrudder.platform import runtime_calls
 from crocusrudder.wire import messages
@@ -211,9 +212,8 @@
         self._book.add(run, now + EPOCH_MEMORY_SECONDS)
         if reason is not None:
             return self._refuse(run, reason.value, now)
-        run.start = runtime_calls.StartRun(
-            message.task, message.epoch, message.size, message.command, message.checkpoint, deadline
-        )
+        newest, *run.checkpoints = resume.list_checkpoints(*key, message.checkpoint)
+        run.start = runtime_calls.StartRun(*key, message.size, message.command, newest, deadline)
         self._changed.add(key)
         return [effects.Count("starts_admitted"), self._call(run.start, run, now)]
 
@@ -347,6 +347,10 @@
         produced: list[effects.Effect] = [effects.Count("runtime_refusals")]
         if not isinstance(call.call, runtime_calls.StartRun) or run is None or not run.starting:
             return produced
+        if reason == runtime_calls.NO_CHECKPOINT and run.checkpoints:
+            older, *run.checkpoints = run.checkpoints
+            run.start = msgspec.structs.replace(run.start, checkpoint=older)
+            return [self._call(run.start, run, now)]
         if run.uncertain and call.call.lease_deadline > now:
             return produced
         if run.uncertain:
--- a/crocusrudder/jobs/runs.py
+++ b/crocusrudder/jobs/runs.py
@@ -29,6 +29,8 @@
         self.size = size
         self.start: runtime_calls.StartRun | None = None
         """The call that starts it, kept until the runtime has confirmed the run."""
+        self.checkpoints: list[str] = []
+        """Older checkpoints to try if the runtime does not have the one that ``start`` names."""
         self.uncertain = False
         """Whether an answer to ``start`` was lost, so that the run may start at any time."""
         self.confirmed_at: float | None = None
--- a/crocusrudder/membership/directory.py
+++ b/crocusrudder/membership/directory.py
@@ -22,6 +22,9 @@
 ALIVE_SECONDS = 15.0
 FORGET_SECONDS = 90.0
 """Endpoints of a cell whose owner is silent are kept until another owner reports or this passes."""
+INHERIT_SECONDS = 10.0
+"""How long a new owner keeps the endpoints that the earlier one announced, for agents that have
+not reported to it yet. Without this, requests found no endpoint after each change of owner."""
 BEHIND_LIMIT = 8
 
 
@@ -56,6 +59,13 @@
     endpoints: tuple[messages.EndpointAt, ...] = ()
 
 
+class _Inherited(msgspec.Struct):
+    """Endpoints that an earlier owner of a cell announced."""
+
+    until: float
+    endpoints: tuple[messages.EndpointAt, ...]
+
+
 _ServiceKey = tuple[ids.ServiceName, int]
 
 
@@ -82,10 +92,11 @@
         self._count_pending = count_pending
         self._entries: dict[ids.ProcessId, EntryView] = {}
         self._remote: dict[ids.CellId, _RemoteCell] = {}
+        self._inherited: dict[ids.CellId, _Inherited] = {}
         self._index: dict[_ServiceKey, list[messages.EndpointAt]] = {}
         self._indexed_generation = -1
         self._sent_generation = -1
-        self._sent_revisions: dict[ids.CellId, ids.Revision] = {}
+        self._sent_revisions: list[ids.Revision] = []
         self._sent_at: dict[ids.ProcessId, float] = {}
         self._full_sent_at: dict[ids.ProcessId, float] = {}
         self._sequence = itertools.count(1)
@@ -156,13 +167,13 @@
             },
         }
 
-    def _list_revisions(self, now: float) -> dict[ids.CellId, ids.Revision]:
-        """Return the revision in force in each owned cell, which operators wait to see."""
-        return {
-            cell: min(view.revision for view in views)
-            for cell in self._ownership.owned(now)
-            if (views := self._workers.list_workers(cell))
-        }
+    def _list_revisions(self, now: float) -> list[ids.Revision]:
+        """Return the revisions in force here and in the owned cells, which operators wait for."""
+        cells_owned = map(self._workers.list_workers, self._ownership.owned(now))
+        return [
+            self._get_revision(),
+            *(min(view.revision for view in views) for views in cells_owned if views),
+        ]
 
     def _is_alive(self, entry: EntryView, now: float) -> bool:
         silence = ALIVE_SECONDS
@@ -212,19 +223,26 @@
         )
 
     def _list_own_endpoints(self, owned: Iterable[ids.CellId]) -> Iterable[messages.EndpointAt]:
-        views = itertools.chain.from_iterable(map(self._workers.list_workers, owned))
-        for view in views:
-            for status in view.endpoints:
-                yield messages.EndpointAt(
-                    status=msgspec.structs.replace(
-                        status, draining=status.draining or view.draining
-                    ),
-                    agent=view.agent,
-                    incarnation=view.incarnation,
-                    address=view.address,
-                    data_centre=self._data_centre,
-                    cell=view.cell,
-                )
+        for cell in owned:
+            views = self._workers.list_workers(cell)
+            for view in views:
+                yield from self._describe_endpoints(view)
+            inherited = self._inherited.get(cell)
+            if inherited is not None:
+                reported = {view.agent for view in views}
+                yield from (at for at in inherited.endpoints if at.agent not in reported)
+
+    def _describe_endpoints(self, view: workers.WorkerView) -> Iterable[messages.EndpointAt]:
+        for status in view.endpoints:
+            draining = status.draining or view.draining
+            yield messages.EndpointAt(
+                status=msgspec.structs.replace(status, draining=draining),
+                agent=view.agent,
+                incarnation=view.incarnation,
+                address=view.address,
+                data_centre=self._data_centre,
+                cell=view.cell,
+            )
 
     def _rebuild_index(self) -> None:
         self._indexed_generation = self._workers.generation
@@ -245,8 +263,17 @@
             if name in owned or now - cell.heard_at > FORGET_SECONDS
         ]
         for name in silent:
-            del self._remote[name]
-        if silent:
+            cell = self._remote.pop(name)
+            if name in owned:
+                self._inherited[name] = _Inherited(now + INHERIT_SECONDS, cell.endpoints)
+        expired = [
+            name
+            for name, inherited in self._inherited.items()
+            if now >= inherited.until or name not in owned
+        ]
+        for name in expired:
+            del self._inherited[name]
+        if silent or expired:
             self._indexed_generation = -1
 
     @functools.singledispatchmethod
@@ -263,11 +290,20 @@
         if not isinstance(event.message, messages.EntryDigest):
             return []
         digest = event.message
+        known = self._entries.get(event.sender)
+        returned = known is None or known.incarnation != event.incarnation
         if not self._note_entry(event, digest, now):
             return [effects.Count("digests_out_of_order")]
         for summary in digest.cells:
             self._note_cell(event.sender, summary, digest, now)
-        return [effects.LearnAddress(found.agent, found.address) for found in digest.endpoints]
+        learned: list[effects.Effect] = [
+            effects.LearnAddress(found.agent, found.address) for found in digest.endpoints
+        ]
+        peer = self._peers.get(event.sender)
+        if returned and peer is not None:
+            # A new entry knows no endpoints until it has heard from the owners of all cells.
+            learned.append(self._send_digest(peer, True, now))
+        return learned
 
     def _note_entry(self, event: events.Received, digest: messages.EntryDigest, now: float) -> bool:
         known = self._entries.get(event.sender)
--- a/crocusrudder/platform/runtime_calls.py
+++ b/crocusrudder/platform/runtime_calls.py
@@ -14,6 +14,9 @@
 STOP_GRACE_SECONDS = 10.0
 """Time after the lease's deadline at which the runtime stops a suspended run for good."""
 
+NO_CHECKPOINT = "no such checkpoint"
+"""Reason of the refusal of a start whose checkpoint object does not exist."""
+
 
 class StartRun(msgspec.Struct, frozen=True, tag=True):
     """Start a run; starting it again has no effect. ``checkpoint`` may be empty."""
--- a/tests/membership/test_ownership.py
+++ b/tests/membership/test_ownership.py
@@ -235,6 +235,40 @@
             )
             self.assertEqual(len(found), 4, name)
 
+    def test_endpoints_stay_known_while_a_cell_changes_its_owner(self):
+        self.world.run(10)
+        killed = self.find_owner()
+        others = [name for name in ENTRIES if name != killed]
+        self.world.kill(killed)
+
+        def check_endpoints():
+            for name in others:
+                found = self.world.processes[name].core.directory.find_endpoints("dispatch", 1)
+                assert len(found) == 4, f"{name} knows {len(found)} at {self.world.now}"
+
+        self.world.invariants.append(check_endpoints)
+        self.world.run_until(self.world.is_settled, 20)
+        self.world.run(20)
+
+    def test_a_new_entry_learns_the_endpoints_at_once(self):
+        self.world.run(10)
+        bystander = next(
+            name
+            for name in ENTRIES
+            if not self.world.processes[name].core.ownership.owned(
+                self.world.processes[name].local(self.world.now)
+            )
+        )
+        self.world.kill(bystander)
+        self.world.start_entry(bystander)
+        process = self.world.processes[bystander]
+        self.assertLess(
+            self.world.run_until(
+                lambda: len(process.core.directory.find_endpoints("dispatch", 1)) == 4, 10
+            ),
+            1,
+        )
+
     def test_a_draining_worker_disappears_from_every_directory(self):
         self.world.processes["w0"].core.sources.draining = True
 
--- a/tools/demo/account.py
+++ b/tools/demo/account.py
@@ -2,7 +2,6 @@
 
 import collections
 import enum
-import json
 
 import msgspec
 
@@ -22,12 +21,19 @@
     """The account of one run: requests by key, and problems that were found."""
 
     told: dict[str, Told] = msgspec.field(default_factory=dict)
+    codes: dict[str, int] = msgspec.field(default_factory=dict)
     problems: list[str] = msgspec.field(default_factory=list)
 
     def count(self) -> dict[str, int]:
         """Return how many keys ended with each answer."""
         return dict(collections.Counter(told.value for told in self.told.values()))
 
+    def note_code(self, headers: tuple[tuple[str, str], ...]) -> None:
+        """Count the code of an answer that is not done."""
+        code = {name.lower(): value for name, value in headers}.get("crocusrudder-code")
+        if code:
+            self.codes[code] = self.codes.get(code, 0) + 1
+
     def expect(self, condition: bool, problem: str) -> None:
         """Note a problem if a condition does not hold."""
         if not condition:
@@ -85,8 +91,3 @@
     """Return what a response tells about its request."""
     outcome = {name.lower(): value for name, value in headers}.get("crocusrudder-outcome", "")
     return Told(outcome) if outcome else Told.NO_ANSWER
-
-
-def parse_lines(text: str) -> dict:
-    """Return the JSON that a command printed."""
-    return json.loads(text)
--- a/tools/demo/callers.py
+++ b/tools/demo/callers.py
@@ -14,7 +14,7 @@
 ORDER_KIND = "tray-order"
 LOOKUP_KIND = "stock-lookup"
 REPEAT_SECONDS = 0.5
-MAX_REPEATS = 20
+MAX_REPEATS = 4
 ORDER_INTERVAL_SECONDS = 0.05
 
 
@@ -70,6 +70,7 @@
         if response is None:
             return account.Told.NO_ANSWER
         told = account.read_outcome(response.headers)
+        self._sheet.note_code(response.headers)
         if told is account.Told.DONE:
             self._check_answer(key, response.body)
         return told
--- a/tools/demo/story.py
+++ b/tools/demo/story.py
@@ -18,6 +18,7 @@
 KITCHEN_STEPS = 10
 ROUND_STEPS = 25
 STEP_SECONDS = 0.2
+STEPS_BEFORE_LOSS = 5
 
 RECORDS = (
     {
@@ -111,6 +112,7 @@
             running.start_agent(agent)
         for place in (*layout.entries, *layout.agents):
             await self._wait(place.name, lambda port=place.http_port: running.is_healthy(port))
+        await self._wait("all processes know each other", self._is_in_force)
         self._tell(f"{len(running.running)} processes run in two data centres")
 
     async def _submit_records(self) -> None:
@@ -163,7 +165,8 @@
         self._tell(f"{place.name} is replaced")
 
     async def _lose_worker(self) -> None:
-        worker = await self._find_round()
+        await self._wait("round-1 works", lambda: self._has_worked("round-1.0"))
+        worker = (await self._list_active("round-1.0"))[0]
         place = next(p for p in self._running.layout.agents if p.worker == worker)
         before = await self._count_steps("round-1.0")
         self._running.kill(place.name)
@@ -179,12 +182,8 @@
             f"{place.name} is replaced; round-1 resumed {deployment.measure_since(start)} later"
         )
 
-    async def _find_round(self) -> str:
-        async def is_running() -> bool:
-            return bool(await self._list_active("round-1.0"))
-
-        await self._wait("round-1 runs", is_running)
-        return (await self._list_active("round-1.0"))[0]
+    async def _has_worked(self, task: str) -> bool:
+        return await self._count_steps(task) >= STEPS_BEFORE_LOSS
 
     async def _list_active(self, task: str) -> list[str]:
         audit = await self._get_audit()
@@ -257,6 +256,7 @@
             if told in (account.Told.UNKNOWN, account.Told.NO_ANSWER)
         ]
         self._tell(f"{len(self._sheet.told)} orders: {self._sheet.count()}")
+        self._tell(f"codes of the answers that were not done: {self._sheet.codes}")
         if unsettled:
             self._tell(f"outcome unknown, to be checked by hand: {', '.join(unsettled)}")
 
@@ -267,8 +267,13 @@
 
     async def _stop_processes(self) -> None:
         names = self._running.running
-        order = sorted(names, key=lambda name: (name == "platform", name.startswith("entry")))
-        for name in order:
-            code = await curio.run_in_thread(self._running.stop, name)
-            self._sheet.expect(code == 0, f"{name} stopped with exit code {code}")
-        self._tell(f"{len(names)} processes stopped gracefully")
+        for prefix in ("endpoint", "agent", "entry", "platform"):
+            chosen = [name for name in names if name.startswith(prefix)]
+            async with curio.TaskGroup() as group:
+                for name in chosen:
+                    await group.spawn(self._stop_process(name))
+            self._tell(f"{len(chosen)} processes stopped gracefully: {prefix}")
+
+    async def _stop_process(self, name: str) -> None:
+        code = await curio.run_in_thread(self._running.stop, name)
+        self._sheet.expect(code == 0, f"{name} stopped with exit code {code}")
--- a/tools/standin/runtime.py
+++ b/tools/standin/runtime.py
@@ -68,7 +68,7 @@
         except objects.ObjectsDownError:
             return runtime_calls.RuntimeRefusal("the object store is unavailable")
         if call.checkpoint and checkpoint is None:
-            return runtime_calls.RuntimeRefusal("no such checkpoint")
+            return runtime_calls.RuntimeRefusal(runtime_calls.NO_CHECKPOINT)
         self._runs[key] = self._start(call, checkpoint, now)
         return self._describe([key], now)
 
