--- a/crocusrudder/entry/core.py
+++ b/crocusrudder/entry/core.py
@@ -23,6 +23,16 @@
 OPERATOR_PATHS = {"records": "change", "changes": "change", "jobs": "admission"}
 
 
+class _HeldCells:
+    """The cells whose agents this entry tells the configuration, also during a store outage."""
+
+    def __init__(self, ownership: cells.CellOwnership) -> None:
+        self._ownership = ownership
+
+    def owned(self, now: float) -> dict[ids.CellId, ids.CellEpoch]:
+        return self._ownership.held(now)
+
+
 class EntryCore(inspection.Inspectable):
     """Route requests, replicate the configuration and schedule the workers of owned cells."""
 
@@ -36,7 +46,8 @@
         self._stopping = False
         self._ownership = self._make_ownership(document, incarnation)
         self._workers = workers.WorkerTable(self._ownership, document.leases.task_lease_seconds)
-        self._replica = replica.Replica.from_settings(document, self._ownership, randomness)
+        held = _HeldCells(self._ownership)
+        self._replica = replica.Replica.from_settings(document, held, randomness)
         self._directory = self._make_directory(document)
         self._requests = coordinator.RequestCoordinator(
             self._replica,
--- a/crocusrudder/membership/announcer.py
+++ b/crocusrudder/membership/announcer.py
@@ -12,6 +12,8 @@
 
 HEARTBEAT_SECONDS = 5.0
 HELLO_SECONDS = 1.0
+HELD_HELLO_SECONDS = 5.0
+"""Interval while an earlier owner still takes heartbeats, as during an outage of the store."""
 MIN_SPACING_SECONDS = 0.2
 """Shortest interval between heartbeats that report changes."""
 OWNER_SILENCE_SECONDS = 8.0
@@ -81,6 +83,7 @@
         self._last_sent = float("-inf")
         self._last_hello = float("-inf")
         self._last_ack = float("-inf")
+        self._last_lease = float("-inf")
         self._welcomed_at = float("-inf")
         self._full_acked_at = float("-inf")
         self._full_sequence = 0
@@ -110,9 +113,15 @@
         return sender == self._owner and cell_epoch == self._cell_epoch
 
     def lease_deadline(self, heartbeat: int, lease_seconds: float) -> float | None:
-        """Return the deadline that a lease quoting this heartbeat grants; None if it is too old."""
+        """Return the deadline that a lease quoting this heartbeat grants.
+
+        None if the heartbeat is too old, or if nothing is granted, as by a holder whose own lease
+        has lapsed.
+        """
         sent = self._sent_times.get(heartbeat)
-        return None if sent is None else sent + lease_seconds
+        if sent is None or lease_seconds <= 0:
+            return None
+        return sent + lease_seconds
 
     def handle(self, event: events.Event, now: float) -> list[effects.Effect]:
         """Take one event and return the effects to carry out."""
@@ -124,9 +133,8 @@
         """Send what is due."""
         for status in self._sources.take_changed_runs():
             self._changed[(status.task, status.epoch)] = (self._sequence + 1, status)
-        silence = now - max(self._last_ack, self._welcomed_at)
         produced: list[effects.Effect] = []
-        if self._owner is None or silence > OWNER_SILENCE_SECONDS:
+        if self._is_searching(now):
             produced += self._send_hello(now)
         if self._owner is not None and self._is_heartbeat_due(now):
             produced += self._send_heartbeat(now)
@@ -142,12 +150,22 @@
             "last_acknowledged_at": self._last_ack,
         }
 
+    def _is_searching(self, now: float) -> bool:
+        """Return whether the owner is unknown, silent, or no longer grants leases."""
+        granted_at = max(self._last_lease, self._welcomed_at)
+        return self._owner is None or now - granted_at > OWNER_SILENCE_SECONDS
+
     def _send_hello(self, now: float) -> list[effects.Effect]:
-        if now - self._last_hello < HELLO_SECONDS:
+        acknowledged = now - self._last_ack <= OWNER_SILENCE_SECONDS
+        interval = HELD_HELLO_SECONDS if acknowledged else HELLO_SECONDS
+        if now - self._last_hello < interval:
             return []
         self._last_hello = now
-        hello = messages.Hello(self._cell, self._worker, self._cell_epoch)
-        return [effects.Send(next(self._entries), hello)]
+        return [effects.Send(next(self._entries), self._make_hello())]
+
+    def _make_hello(self) -> messages.Hello:
+        endpoints = self._sources.list_endpoints()
+        return messages.Hello(self._cell, self._worker, self._cell_epoch, endpoints)
 
     def _is_heartbeat_due(self, now: float) -> bool:
         if not self._sources.is_ready():
@@ -236,17 +254,16 @@
         if message.cell != self._cell:
             return []
         if not message.owner and self.accepts(event.sender, message.cell_epoch):
-            self._last_ack = self._welcomed_at = float("-inf")
+            self._last_ack = self._last_lease = self._welcomed_at = float("-inf")
         if (
             not message.owner
             or message.cell_epoch < self._cell_epoch
             or message.owner == event.sender
         ):
             return []
-        hello = messages.Hello(self._cell, self._worker, self._cell_epoch)
         return [
             effects.LearnAddress(message.owner, message.address),
-            effects.Send(message.owner, hello),
+            effects.Send(message.owner, self._make_hello()),
         ]
 
     @_receive.register
@@ -267,6 +284,8 @@
         if not self.accepts(event.sender, message.cell_epoch):
             return [effects.Count("acknowledgements_refused")]
         self._last_ack = now
+        if message.lease_seconds > 0:
+            self._last_lease = now
         sequence = message.sequence
         if self._full_sequence and sequence >= self._full_sequence:
             self._full_acked_at = self._sent_times.get(self._full_sequence, now)
--- a/crocusrudder/membership/cells.py
+++ b/crocusrudder/membership/cells.py
@@ -4,6 +4,10 @@
 renewal, counted from the time it was sent, is younger than the cell lease. A challenger takes a
 cell over by raising the epoch in ``cell/<id>/epoch`` after it has seen the lease row unchanged for
 longer than the lease on its own clock. Commits of an owner check the version of the epoch row.
+
+An owner whose lease has lapsed, as in an outage of the store, keeps holding the cell: it still
+takes heartbeats and announces endpoints, but grants no leases and decides nothing. To own the cell
+again it raises the epoch itself, so that commands which it sent before the lapse are refused.
 """
 
 import enum
@@ -20,6 +24,7 @@
 from crocusrudder.core import events
 from crocusrudder.core import ids
 from crocusrudder.membership import errors
+from crocusrudder.wire import messages
 
 CELL_LEASE_SECONDS = 6.0
 RENEW_SECONDS = 2.0
@@ -62,7 +67,13 @@
         self.changed_at = 0.0
         self.checked_at = float("-inf")
         self.epoch = ids.CellEpoch(0)
+        """Epoch under which this process holds the cell."""
+        self.claimed_epoch = ids.CellEpoch(0)
+        """Epoch of the latest claim, which may not be confirmed."""
         self.epoch_version = 0
+        self.holding = False
+        self.was_valid = False
+        """Whether this process has owned the cell under ``epoch``."""
         self.counter = 0
         self.valid_until = float("-inf")
         self.sent_at = float("-inf")
@@ -70,7 +81,7 @@
         self.releasing = False
         """A release was sent or is due. It may take effect at any time, so ownership has ended."""
         self.release_sent = False
-        self.announced = False
+        self.announced_epoch = ids.CellEpoch(0)
 
     @property
     def lease_version(self) -> int:
@@ -132,13 +143,21 @@
             if cell.state is CellState.OWNED and now < cell.valid_until and not cell.releasing
         }
 
+    def held(self, now: float) -> dict[ids.CellId, ids.CellEpoch]:
+        """Return the owned cells and those whose lease lapsed without another owner's claim."""
+        return {
+            name: cell.epoch
+            for name, cell in self._cells.items()
+            if cell.holding and not cell.releasing
+        }
+
     def epoch_check(self, cell: ids.CellId) -> effects.RowCheck:
         """Return the check that makes a commit fail once another process has taken the cell.
 
         Raises ``NotOwnerError`` if this process has never claimed the cell or has lost it.
         """
         known = self._cells[cell]
-        if known.state is not CellState.OWNED:
+        if not known.holding:
             raise errors.NotOwnerError(f"cell {cell}")
         return effects.RowCheck(_epoch_key(cell), known.epoch_version)
 
@@ -150,6 +169,11 @@
         value = known.lease.value
         return ids.ProcessId(value["owner"]), value["address"]
 
+    def get_data_centre(self, cell: ids.CellId) -> ids.DataCentre:
+        """Return the data centre of a cell; empty if the settings do not list it."""
+        known = self._cells.get(cell)
+        return known.config.data_centre if known else ids.DataCentre("")
+
     def get_epoch(self, cell: ids.CellId) -> ids.CellEpoch:
         """Return the highest epoch seen for the cell; 0 if none."""
         known = self._cells.get(cell)
@@ -203,11 +227,15 @@
 
     def _tick_owned(self, cell: _Cell, now: float) -> list[effects.Effect]:
         cell.releasing = cell.releasing or self._stopping
-        due = RENEW_SECONDS if now < cell.valid_until else RETRY_SECONDS
+        lapsed = now >= cell.valid_until
+        due = RETRY_SECONDS if lapsed else RENEW_SECONDS
         if cell.releasing:
             due = RETRY_SECONDS if cell.release_sent else 0.0
         if now - cell.sent_at < due:
             return []
+        if lapsed and cell.was_valid and not cell.releasing:
+            cell.sent_at = now
+            return self._read(cell, "reclaim", now)
         cell.release_sent = cell.releasing
         return self._renew(cell, now)
 
@@ -292,6 +320,20 @@
         self._stopping = True
         return []
 
+    @_dispatch.register
+    def _on_received(self, event: events.Received, now: float) -> list[effects.Effect]:
+        """Stop holding a lapsed cell that another entry reports under a higher epoch."""
+        if not isinstance(event.message, messages.EntryDigest):
+            return []
+        produced: list[effects.Effect] = []
+        for digest in event.message.cells:
+            cell = self._cells.get(digest.cell)
+            if cell is None or not cell.holding or cell.busy or now < cell.valid_until:
+                continue
+            if digest.cell_epoch > cell.epoch:
+                produced += self._lose(cell)
+        return produced
+
     @_dispatch.register
     def _on_read(self, event: events.RowsRead, now: float) -> list[effects.Effect]:
         finished = self._finish(event.operation)
@@ -302,6 +344,8 @@
         epoch_row = event.rows.get(_epoch_key(cell.config.cell))
         if purpose == "claim" and self._may_claim(cell, now):
             return self._claim(cell, epoch_row, now)
+        if purpose == "reclaim":
+            return self._reclaim(cell, epoch_row, now)
         if purpose == "resolve":
             return self._resolve(cell, epoch_row, now)
         return []
@@ -312,50 +356,81 @@
         name = cell.config.cell
         previous = epoch_row.value["epoch"] if epoch_row else 0
         cell.state = CellState.CLAIMING
-        cell.epoch = ids.CellEpoch(previous + 1)
-        cell.epoch_version = epoch_row.version if epoch_row else 0
+        cell.claimed_epoch = ids.CellEpoch(previous + 1)
         cell.counter = 0
         cell.sent_at = now
-        owner = {"owner": self._process, "incarnation": self._incarnation, "epoch": cell.epoch}
+        owner = {
+            "owner": self._process,
+            "incarnation": self._incarnation,
+            "epoch": cell.claimed_epoch,
+        }
         writes = (
-            effects.RowWrite(_epoch_key(name), owner, cell.epoch_version),
-            effects.RowWrite(_lease_key(name), self._lease_value(cell, False), cell.lease_version),
+            effects.RowWrite(_epoch_key(name), owner, epoch_row.version if epoch_row else 0),
+            effects.RowWrite(
+                _lease_key(name),
+                self._lease_value(cell, False) | {"epoch": cell.claimed_epoch},
+                cell.lease_version,
+            ),
         )
         return [self._commit(cell, "claim", writes)]
 
-    def _resolve(
+    def _reclaim(
         self, cell: _Cell, epoch_row: effects.Row | None, now: float
     ) -> list[effects.Effect]:
-        """Decide by the rows whether a claim or renewal with a lost answer took effect."""
-        mine = (
+        """Claim a held cell anew after a lapse, unless another process has taken it."""
+        if not self._is_mine(epoch_row, cell.epoch) or cell.lease is None:
+            return self._lose(cell)
+        return self._claim(cell, epoch_row, now)
+
+    def _is_mine(self, epoch_row: effects.Row | None, epoch: ids.CellEpoch) -> bool:
+        return (
             epoch_row is not None
             and epoch_row.value["incarnation"] == self._incarnation
-            and epoch_row.value["epoch"] == cell.epoch
+            and epoch_row.value["epoch"] == epoch
         )
-        if not mine or cell.lease is None or cell.lease.value["released"]:
+
+    def _resolve(
+        self, cell: _Cell, epoch_row: effects.Row | None, now: float
+    ) -> list[effects.Effect]:
+        """Decide by the rows whether a claim or renewal with a lost answer took effect."""
+        released = cell.lease is None or cell.lease.value["released"]
+        if not released and cell.holding and self._is_mine(epoch_row, cell.epoch):
+            # A claim after a lapse has not taken effect.
+            cell.state = CellState.OWNED
+            return []
+        if released or not self._is_mine(epoch_row, cell.claimed_epoch):
             return self._lose(cell)
-        cell.epoch_version = epoch_row.version
+        self._take_epoch(cell, epoch_row.version)
         # The time at which the write took effect is not known, so only a further renewal that is
         # confirmed extends the validity.
         cell.state = CellState.OWNED
         return []
 
+    def _take_epoch(self, cell: _Cell, epoch_version: int) -> None:
+        if cell.epoch != cell.claimed_epoch:
+            cell.was_valid = False
+            cell.valid_until = float("-inf")
+        cell.epoch = cell.claimed_epoch
+        cell.epoch_version = epoch_version
+        cell.holding = True
+
     def _gain(self, cell: _Cell) -> list[effects.Effect]:
         cell.state = CellState.OWNED
+        cell.was_valid = True
         cell.valid_until = cell.sent_at + self._lease_seconds
-        if cell.announced:
+        if cell.announced_epoch == cell.epoch:
             return []
-        cell.announced = True
+        cell.announced_epoch = cell.epoch
         fields = {"cell": cell.config.cell, "epoch": cell.epoch}
         return [effects.Count("cells_claimed"), effects.LogChange("cell_owned", fields)]
 
     def _lose(self, cell: _Cell) -> list[effects.Effect]:
-        was_announced = cell.announced
+        was_announced = cell.holding
         cell.state = CellState.WATCHING
+        cell.holding = False
         cell.valid_until = float("-inf")
         cell.releasing = False
         cell.release_sent = False
-        cell.announced = False
         if not was_announced:
             return [effects.Count("cell_claims_lost")]
         fields = {"cell": cell.config.cell, "epoch": cell.epoch}
@@ -371,11 +446,12 @@
         released = purpose == "renew" and cell.releasing
         value = self._lease_value(cell, released)
         version = event.versions[_lease_key(name)]
+        if purpose == "claim":
+            self._take_epoch(cell, event.versions[_epoch_key(name)])
+            value = self._lease_value(cell, released)
         self._observe_lease(cell, effects.Row(_lease_key(name), value, version), now)
         if released:
             return self._lose(cell)
-        if purpose == "claim":
-            cell.epoch_version = event.versions[_epoch_key(name)]
         return self._gain(cell)
 
     @_dispatch.register
@@ -410,7 +486,7 @@
             return []
         _, cell = finished
         if cell.state is CellState.CLAIMING:
-            cell.state = CellState.WATCHING
+            cell.state = CellState.OWNED if cell.holding else CellState.WATCHING
         # After a store outage every lease looks old; the owners get the time to renew first.
         cell.changed_at = now
         return []
--- a/crocusrudder/membership/directory.py
+++ b/crocusrudder/membership/directory.py
@@ -1,6 +1,5 @@
 """The endpoints and cells of the region, as the entries tell each other."""
 
-import collections
 import functools
 import itertools
 from collections.abc import Callable
@@ -11,6 +10,7 @@
 from crocusrudder.core import effects
 from crocusrudder.core import events
 from crocusrudder.core import ids
+from crocusrudder.membership import catalogue
 from crocusrudder.membership import cells
 from crocusrudder.membership import workers
 from crocusrudder.wire import messages
@@ -20,11 +20,6 @@
 FULL_DIGEST_SECONDS = 30.0
 """Interval at which endpoints are repeated even if unchanged, which repairs lost digests."""
 ALIVE_SECONDS = 15.0
-FORGET_SECONDS = 90.0
-"""Endpoints of a cell whose owner is silent are kept until another owner reports or this passes."""
-INHERIT_SECONDS = 10.0
-"""How long a new owner keeps the endpoints that the earlier one announced, for agents that have
-not reported to it yet. Without this, requests found no endpoint after each change of owner."""
 BEHIND_LIMIT = 8
 
 
@@ -51,22 +46,11 @@
 
 
 class _RemoteCell(msgspec.Struct):
-    """Latest digest and endpoints of a cell that another entry owns."""
+    """Latest digest of a cell that another entry owns."""
 
     digest: messages.CellDigest
     owner: ids.ProcessId
     heard_at: float
-    endpoints: tuple[messages.EndpointAt, ...] = ()
-
-
-class _Inherited(msgspec.Struct):
-    """Endpoints that an earlier owner of a cell announced."""
-
-    until: float
-    endpoints: tuple[messages.EndpointAt, ...]
-
-
-_ServiceKey = tuple[ids.ServiceName, int]
 
 
 class Directory:
@@ -92,9 +76,7 @@
         self._count_pending = count_pending
         self._entries: dict[ids.ProcessId, EntryView] = {}
         self._remote: dict[ids.CellId, _RemoteCell] = {}
-        self._inherited: dict[ids.CellId, _Inherited] = {}
-        self._index: dict[_ServiceKey, list[messages.EndpointAt]] = {}
-        self._indexed_generation = -1
+        self._catalogue = catalogue.EndpointCatalogue()
         self._sent_generation = -1
         self._sent_revisions: list[ids.Revision] = []
         self._sent_at: dict[ids.ProcessId, float] = {}
@@ -107,9 +89,7 @@
         self, service: ids.ServiceName, schema_version: int
     ) -> list[messages.EndpointAt]:
         """Return the endpoints of a service that are not draining, in no particular order."""
-        if self._indexed_generation != self._workers.generation:
-            self._rebuild_index()
-        return self._index.get((service, schema_version), [])
+        return self._catalogue.find(service, schema_version)
 
     def list_entries(self) -> list[EntryView]:
         """Return the other entries that are alive."""
@@ -127,7 +107,7 @@
 
     def digests(self) -> list[messages.CellDigest]:
         """Return the digests of all known cells, own ones first."""
-        own = [self._digest_cell(cell) for cell in self._ownership.owned(self._now)]
+        own = [self._digest_cell(cell) for cell in self._ownership.held(self._now)]
         names = {digest.cell for digest in own}
         return own + [remote.digest for cell, remote in self._remote.items() if cell not in names]
 
@@ -147,6 +127,7 @@
         self._forget_silent(now)
         changed = self._sent_generation != self._workers.generation
         self._sent_generation = self._workers.generation
+        self._catalogue_own_cells(changed, now)
         revisions = self._list_revisions(now)
         urgent = changed or revisions != self._sent_revisions
         self._sent_revisions = revisions
@@ -161,15 +142,12 @@
                 for name, entry in self._entries.items()
             },
             "cells": [msgspec.to_builtins(digest) for digest in self.digests()],
-            "endpoints": {
-                f"{service}@{version}": [found.status.endpoint for found in endpoints]
-                for (service, version), endpoints in self._index.items()
-            },
+            "endpoints": self._catalogue.dump(),
         }
 
     def _list_revisions(self, now: float) -> list[ids.Revision]:
         """Return the revisions in force here and in the owned cells, which operators wait for."""
-        cells_owned = map(self._workers.list_workers, self._ownership.owned(now))
+        cells_owned = map(self._workers.list_workers, self._ownership.held(now))
         return [
             self._get_revision(),
             *(min(view.revision for view in views) for views in cells_owned if views),
@@ -190,7 +168,7 @@
         self._sent_at[peer.process] = now
         last_full = self._full_sent_at.get(peer.process, float("-inf"))
         full = changed or now - last_full >= FULL_DIGEST_SECONDS
-        owned = self._ownership.owned(now)
+        owned = self._ownership.held(now)
         if full:
             self._full_sent_at[peer.process] = now
         digest = messages.EntryDigest(
@@ -200,7 +178,9 @@
             stopping=self._stopping,
             cells=tuple(self._digest_cell(cell) for cell in owned),
             full_cells=tuple(owned) if full else (),
-            endpoints=tuple(self._list_own_endpoints(owned)) if full else (),
+            endpoints=tuple(itertools.chain.from_iterable(map(self._list_endpoints, owned)))
+            if full
+            else (),
         )
         return effects.Send(peer.process, digest)
 
@@ -222,15 +202,9 @@
             behind=tuple(behind[:BEHIND_LIMIT]),
         )
 
-    def _list_own_endpoints(self, owned: Iterable[ids.CellId]) -> Iterable[messages.EndpointAt]:
-        for cell in owned:
-            views = self._workers.list_workers(cell)
-            for view in views:
-                yield from self._describe_endpoints(view)
-            inherited = self._inherited.get(cell)
-            if inherited is not None:
-                reported = {view.agent for view in views}
-                yield from (at for at in inherited.endpoints if at.agent not in reported)
+    def _list_endpoints(self, cell: ids.CellId) -> Iterable[messages.EndpointAt]:
+        for view in self._workers.list_workers(cell):
+            yield from self._describe_endpoints(view)
 
     def _describe_endpoints(self, view: workers.WorkerView) -> Iterable[messages.EndpointAt]:
         for status in view.endpoints:
@@ -244,37 +218,24 @@
                 cell=view.cell,
             )
 
-    def _rebuild_index(self) -> None:
-        self._indexed_generation = self._workers.generation
-        index: dict[_ServiceKey, list[messages.EndpointAt]] = collections.defaultdict(list)
-        owned = self._ownership.owned(self._now)
-        remote = (cell.endpoints for name, cell in self._remote.items() if name not in owned)
-        own = self._list_own_endpoints(owned)
-        for found in itertools.chain(own, itertools.chain.from_iterable(remote)):
-            if not found.status.draining:
-                index[(found.status.service, found.status.schema_version)].append(found)
-        self._index = dict(index)
+    def _catalogue_own_cells(self, changed: bool, now: float) -> None:
+        for cell, epoch in self._ownership.held(now).items():
+            if changed:
+                listed = catalogue.group_by_agent(self._list_endpoints(cell))
+                self._catalogue.update_cell(cell, epoch, listed, now)
+            else:
+                self._catalogue.refresh_cell(cell, epoch, now)
+        self._catalogue.expire(now)
 
     def _forget_silent(self, now: float) -> None:
-        owned = self._ownership.owned(now)
+        held = self._ownership.held(now)
         silent = [
             name
             for name, cell in self._remote.items()
-            if name in owned or now - cell.heard_at > FORGET_SECONDS
+            if name in held or now - cell.heard_at > catalogue.FORGET_SECONDS
         ]
         for name in silent:
-            cell = self._remote.pop(name)
-            if name in owned:
-                self._inherited[name] = _Inherited(now + INHERIT_SECONDS, cell.endpoints)
-        expired = [
-            name
-            for name, inherited in self._inherited.items()
-            if now >= inherited.until or name not in owned
-        ]
-        for name in expired:
-            del self._inherited[name]
-        if silent or expired:
-            self._indexed_generation = -1
+            del self._remote[name]
 
     @functools.singledispatchmethod
     def _dispatch(self, event: events.Event, now: float) -> list[effects.Effect]:
@@ -287,6 +248,8 @@
 
     @_dispatch.register
     def _on_received(self, event: events.Received, now: float) -> list[effects.Effect]:
+        if isinstance(event.message, messages.Hello):
+            return self._note_unowned(event, event.message, now)
         if not isinstance(event.message, messages.EntryDigest):
             return []
         digest = event.message
@@ -305,6 +268,24 @@
             learned.append(self._send_digest(peer, True, now))
         return learned
 
+    def _note_unowned(
+        self, event: events.Received, message: messages.Hello, now: float
+    ) -> list[effects.Effect]:
+        """Keep the endpoints of an agent whose owner is gone, as while the store is down."""
+        endpoints = tuple(
+            messages.EndpointAt(
+                status=status,
+                agent=event.sender,
+                incarnation=event.incarnation,
+                address=event.address,
+                data_centre=self._ownership.get_data_centre(message.cell),
+                cell=message.cell,
+            )
+            for status in message.endpoints
+        )
+        self._catalogue.update_agent(event.sender, message.cell, endpoints, now)
+        return [effects.LearnAddress(event.sender, event.address)]
+
     def _note_entry(self, event: events.Received, digest: messages.EntryDigest, now: float) -> bool:
         known = self._entries.get(event.sender)
         same = known is not None and known.incarnation == event.incarnation
@@ -333,11 +314,13 @@
         known = self._remote.get(summary.cell)
         if known is not None and known.digest.cell_epoch > summary.cell_epoch:
             return
-        endpoints = known.endpoints if known else ()
         if summary.cell in digest.full_cells:
-            endpoints = tuple(at for at in digest.endpoints if at.cell == summary.cell)
-            self._indexed_generation = -1
-        self._remote[summary.cell] = _RemoteCell(summary, sender, now, endpoints)
+            listed = (found for found in digest.endpoints if found.cell == summary.cell)
+            reported = catalogue.group_by_agent(listed)
+            self._catalogue.update_cell(summary.cell, summary.cell_epoch, reported, now)
+        else:
+            self._catalogue.refresh_cell(summary.cell, summary.cell_epoch, now)
+        self._remote[summary.cell] = _RemoteCell(summary, sender, now)
 
 
 def add(first: messages.Resources, second: messages.Resources) -> messages.Resources:
--- a/crocusrudder/membership/workers.py
+++ b/crocusrudder/membership/workers.py
@@ -71,7 +71,7 @@
 
 
 class WorkerTable:
-    """Receive heartbeats for owned cells, grant leases and keep a view of each worker."""
+    """Receive heartbeats for held cells, grant leases in owned ones, keep a view of each worker."""
 
     def __init__(
         self,
@@ -129,10 +129,10 @@
 
     def tick(self, now: float) -> list[effects.Effect]:
         """Follow the changes of ownership."""
-        owned = self._ownership.owned(now)
-        ended = [cell for cell in self._cells if owned.get(cell) != self._cells[cell].epoch]
+        held = self._ownership.held(now)
+        ended = [cell for cell in self._cells if held.get(cell) != self._cells[cell].epoch]
         produced = list(itertools.chain.from_iterable(map(self._drop_cell, ended)))
-        for cell, epoch in owned.items():
+        for cell, epoch in held.items():
             self._view_cell(cell, epoch, now)
         return produced
 
@@ -145,8 +145,6 @@
 
     def _drop_cell(self, cell: ids.CellId) -> list[effects.Effect]:
         """Forget a cell and tell its agents to look for the next owner."""
-        # Leases granted under a lapsed ownership still run. If the same epoch resumes, the wait
-        # counts from the resumption, which is later than any of them.
         view = self._cells.pop(cell)
         self._generation += 1
         notice = messages.OwnerIs(cell, ids.ProcessId(""), "", view.epoch)
@@ -170,13 +168,18 @@
     def _on_hello(
         self, message: messages.Hello, event: events.Received, now: float
     ) -> list[effects.Effect]:
+        epoch = self._ownership.held(now).get(message.cell)
+        known = self.get_worker(message.worker)
+        admitted = known is not None and known.incarnation == event.incarnation
+        if epoch is not None and admitted and message.cell_epoch == epoch:
+            return []
         return [self._answer_for_cell(message.cell, event, now)]
 
     @_receive.register
     def _on_heartbeat(
         self, message: messages.Heartbeat, event: events.Received, now: float
     ) -> list[effects.Effect]:
-        epoch = self._ownership.owned(now).get(message.cell)
+        epoch = self._ownership.held(now).get(message.cell)
         if epoch is None or epoch != message.cell_epoch:
             return [self._answer_for_cell(message.cell, event, now)]
         view = self._view_cell(message.cell, epoch, now)
@@ -188,12 +191,12 @@
         if message.sequence <= known.heartbeat:
             return [effects.Count("heartbeats_out_of_order")]
         self._update(known, message, now)
-        return [self._acknowledge(known)]
+        return [self._acknowledge(known, now)]
 
     def _answer_for_cell(
         self, cell: ids.CellId, event: events.Received, now: float
     ) -> effects.Effect:
-        epoch = self._ownership.owned(now).get(cell)
+        epoch = self._ownership.held(now).get(cell)
         if epoch is not None:
             answer: messages.Message = messages.Welcome(cell, epoch)
         else:
@@ -227,13 +230,13 @@
             draining=message.draining,
             heartbeat=message.sequence,
             heard_at=now,
-            lost_after=now,
+            lost_after=view.owned_since + clocks.wait_for_task_lease(self._lease_seconds),
             revision=message.revision,
         )
         view.workers[message.worker] = admitted
         self._update(admitted, message, now)
         fields = {"worker": message.worker, "incarnation": event.incarnation}
-        return [self._acknowledge(admitted), effects.LogChange("worker_admitted", fields)]
+        return [self._acknowledge(admitted, now), effects.LogChange("worker_admitted", fields)]
 
     def _note_replaced(self, incarnation: ids.Incarnation) -> None:
         """Refuse delayed heartbeats of an agent that another one has replaced."""
@@ -244,7 +247,6 @@
     def _update(self, known: WorkerView, message: messages.Heartbeat, now: float) -> None:
         known.heartbeat = message.sequence
         known.heard_at = now
-        known.lost_after = now + clocks.wait_for_task_lease(self._lease_seconds)
         known.capacity = message.capacity
         known.reserved = message.reserved
         known.revision = message.revision
@@ -258,10 +260,13 @@
             known.draining = message.draining
             self._generation += 1
 
-    def _acknowledge(self, known: WorkerView) -> effects.Effect:
-        ack = messages.HeartbeatAck(
-            known.heartbeat, known.cell, known.cell_epoch, self._lease_seconds
-        )
+    def _acknowledge(self, known: WorkerView, now: float) -> effects.Effect:
+        """Acknowledge a heartbeat; this renews the lease only while the cell is owned."""
+        granted = 0.0
+        if self._ownership.owned(now).get(known.cell) == known.cell_epoch:
+            granted = self._lease_seconds
+            known.lost_after = now + clocks.wait_for_task_lease(self._lease_seconds)
+        ack = messages.HeartbeatAck(known.heartbeat, known.cell, known.cell_epoch, granted)
         return effects.Send(known.agent, ack, known.incarnation)
 
 
--- a/crocusrudder/wire/messages.py
+++ b/crocusrudder/wire/messages.py
@@ -103,6 +103,8 @@
     worker: ids.WorkerId
     cell_epoch: ids.CellEpoch
     """Highest cell epoch that the agent has acknowledged."""
+    endpoints: tuple[EndpointStatus, ...] = ()
+    """Endpoints of the worker, so that requests reach them while the cell has no owner."""
 
 
 class Heartbeat(Message, frozen=True):
--- a/tests/support/simulation.py
+++ b/tests/support/simulation.py
@@ -71,6 +71,14 @@
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
         self._incarnations = itertools.count(1)
+        self._clocks: dict[str, tuple[float, float]] = {}
+
+    def get_clock(self, name: str) -> tuple[float, float]:
+        """Return rate and offset of the clock of a process's VM; they survive a restart."""
+        if name not in self._clocks:
+            rate = self.random.uniform(0.995, 1.005)
+            self._clocks[name] = rate, self.random.uniform(0, 1e4)
+        return self._clocks[name]
 
     def schedule(self, delay: float, action: Callable[[], None]) -> None:
         """Run an action after a delay of simulated seconds."""
@@ -81,14 +89,9 @@
     ) -> Process:
         """Start or restart a process under a new incarnation."""
         incarnation = f"i{next(self._incarnations)}"
-        rate = self.random.uniform(0.995, 1.005)
-        process = Process(
-            name,
-            incarnation,
-            make_core(ids.Incarnation(incarnation)),
-            rate,
-            self.random.uniform(0, 1e4),
-        )
+        rate, offset = self.get_clock(name)
+        core = make_core(ids.Incarnation(incarnation))
+        process = Process(name, incarnation, core, rate, offset)
         self.processes[name] = process
         self.schedule(self.random.uniform(0, components.TICK_SECONDS), lambda: self._tick(process))
         return process
