--- a/crocusrudder/platform/http.py
+++ b/crocusrudder/platform/http.py
@@ -19,9 +19,13 @@
 from crocusrudder.core import effects
 from crocusrudder.core import events
 from crocusrudder.platform import errors
+from crocusrudder.wire import codec
 
 MAX_HEADER_BYTES = 64 * 1024
-MAX_BODY_BYTES = 16 * 1024 * 1024
+# An endpoint's response travels in one envelope, together with its headers.
+MAX_BODY_BYTES = codec.MAX_ENVELOPE_BYTES - 256 * 1024
+STORE_BODY_BYTES = 16 * 1024 * 1024
+"""Limit for the platform's services, whose scans are larger than any response to a caller."""
 MAX_INTERIM_RESPONSES = 8
 RECEIVE_BYTES = 64 * 1024
 STATUS_UNAVAILABLE = 503
--- a/crocusrudder/platform/runtime.py
+++ b/crocusrudder/platform/runtime.py
@@ -41,7 +41,8 @@
     def __init__(self, config: RuntimeConfig) -> None:
         self._config = config
         self._target = f"/runtime/{urllib.parse.quote(config.worker, safe='')}/call"
-        self._http = http.HttpClient(http.HttpConfig(connections=config.connections))
+        limits = http.HttpConfig(config.connections, max_body_bytes=http.STORE_BODY_BYTES)
+        self._http = http.HttpClient.from_config(limits)
 
     @classmethod
     def from_config(cls, config: RuntimeConfig) -> Self:
--- a/crocusrudder/platform/table.py
+++ b/crocusrudder/platform/table.py
@@ -47,7 +47,8 @@
 
     def __init__(self, config: TableConfig) -> None:
         self._config = config
-        self._http = http.HttpClient(http.HttpConfig(connections=config.connections))
+        limits = http.HttpConfig(config.connections, max_body_bytes=http.STORE_BODY_BYTES)
+        self._http = http.HttpClient.from_config(limits)
 
     @classmethod
     def from_config(cls, config: TableConfig) -> Self:
--- a/tests/platform/test_responses.py
+++ b/tests/platform/test_responses.py
@@ -39,7 +39,7 @@
 
 NOT_PROCESSED = "Request-Processed: no"
 OTHER_ROW = b'{"rows":{"b":{"key":"b","value":{},"version":1}}}'
-LARGE = http.MAX_BODY_BYTES + 1
+LARGE = http.STORE_BODY_BYTES + 1
 
 # The response is missing, incomplete, ambiguous or beyond the limits.
 BROKEN = (
--- a/tools/standin/endpoint.py
+++ b/tools/standin/endpoint.py
@@ -149,11 +149,12 @@
             await curio.sleep(delay)
         return service.answer(request)
 
+    stop = signals.StopSignal()
     listener = server.Server(listen.host, listen.port, handle)
     listener.listen()
     serving = await curio.spawn(listener.run)
     announcing = await curio.spawn(announcer.run)
-    await signals.wait_for_stop()
+    await stop.wait()
     await announcer.withdraw(announcing)
     await listener.drain()
     await serving.cancel()
--- a/tools/standin/platform.py
+++ b/tools/standin/platform.py
@@ -13,8 +13,9 @@
 
 async def serve(listener: server.Server) -> None:
     """Serve until SIGTERM or SIGINT."""
+    stop = signals.StopSignal()
     serving = await curio.spawn(listener.run)
-    await signals.wait_for_stop()
+    await stop.wait()
     await serving.cancel()
 
 
