Answer a call for which no socket can be opened

Cause: without a free file descriptor the client raised an error instead of answering the effect, and the core would have waited for good.

Change: the call is answered as certainly without effect. A declared length above the limit breaks the call before any of the body is read, and eight interim responses are allowed as the constant says, not seven.

--- a/crocusrudder/platform/http.py
+++ b/crocusrudder/platform/http.py
@@ -169,21 +169,20 @@
 
     async def _receive(self) -> effects.EndpointResponse:
         head = await self._receive_head()
-        declared = self._check_framing(head)
+        self._check_framing(head)
         body = bytearray()
         while not isinstance(event := await self._next_event(), h11.EndOfMessage):
             if not isinstance(event, h11.Data):
                 raise h11.RemoteProtocolError("the connection ended within a response")
             body += event.data
-            if max(len(body), declared) > self._config.max_body_bytes:
-                raise h11.RemoteProtocolError("the response body is too large")
+            self._check_size(len(body))
         headers = tuple(
             (key.decode("latin-1"), value.decode("latin-1")) for key, value in head.headers
         )
         return effects.EndpointResponse(head.status_code, strip_hop_by_hop(headers), bytes(body))
 
     async def _receive_head(self) -> h11.Response:
-        for _ in range(MAX_INTERIM_RESPONSES):
+        for _ in range(MAX_INTERIM_RESPONSES + 1):
             event = await self._next_event()
             if not isinstance(event, h11.Response | h11.InformationalResponse):
                 raise h11.RemoteProtocolError("the connection ended before a response")
@@ -195,20 +194,24 @@
                 return event
         raise h11.RemoteProtocolError("too many interim responses")
 
-    def _check_framing(self, head: h11.Response) -> int:
-        """Return the declared length of the body, 0 if it has none or is chunked.
+    def _check_framing(self, head: h11.Response) -> None:
+        """Refuse a response whose end is uncertain, or that is too large.
 
-        Refuses a response without a length, as its end cannot be told from a broken connection,
-        and one with two lengths, on which two readers may differ (RFC 9112, section 6.3).
+        Without a length, the end cannot be told from a broken connection. With two, readers may
+        differ (RFC 9112, section 6.3).
         """
         framing = {key: value for key, value in head.headers if key in _FRAMING_HEADERS}
         if len(framing) > 1:
             raise h11.RemoteProtocolError("the response has two lengths")
         if head.status_code in _BODILESS_STATUSES or self._method == "HEAD":
-            return 0
+            return
         if not framing:
             raise h11.RemoteProtocolError("the response has no length")
-        return int(framing.get(b"content-length", 0))
+        self._check_size(int(framing.get(b"content-length", 0)))
+
+    def _check_size(self, size: int) -> None:
+        if size > self._config.max_body_bytes:
+            raise h11.RemoteProtocolError("the response body is too large")
 
     async def _next_event(self) -> object:
         while True:
@@ -283,13 +286,18 @@
             await connection.close()
         return await self._connect()
 
-    async def _connect(self) -> _Connection:
+    def _open_stream(self) -> curio.socket.socket:
+        """Return a socket that is not connected; raises ``UnreachedError``."""
         try:
+            # A name would be looked up, and that blocks the process.
             ipaddress.ip_address(self._host)
-        except ValueError as error:
+            family = curio.socket.AF_INET6 if ":" in self._host else curio.socket.AF_INET
+            return curio.socket.socket(family, curio.socket.SOCK_STREAM)
+        except (OSError, ValueError) as error:
             raise errors.UnreachedError(str(error)) from error
-        family = curio.socket.AF_INET6 if ":" in self._host else curio.socket.AF_INET
-        stream = curio.socket.socket(family, curio.socket.SOCK_STREAM)
+
+    async def _connect(self) -> _Connection:
+        stream = self._open_stream()
         try:
             await stream.connect((self._host, self._port))
             # A connection to an unused local port can meet itself (simultaneous open).
--- a/tests/platform/test_responses.py
+++ b/tests/platform/test_responses.py
@@ -1,9 +1,12 @@
 """Contract of the clients against scripted servers: one table of connection faults."""
 
 import enum
+import errno
 import unittest
+from unittest import mock
 
 import curio
+import curio.socket
 import msgspec
 
 from crocusrudder.core import events
@@ -20,6 +23,8 @@
     CLOSE = enum.auto()
     RESET = enum.auto()
     HANG = enum.auto()
+    CLIENT = enum.auto()
+    """Wait until the client closes the connection."""
 
 
 class Fault(msgspec.Struct):
@@ -59,7 +64,7 @@
     Fault("length and chunks", make_response(200, b"0\r\n\r\n", "Transfer-Encoding: chunked")),
     Fault("unknown coding", b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n"),
     Fault("large headers", make_response(200, b"{}", *[f"A: {'x' * 1_000}"] * 70)),
-    Fault("large declared body", f"HTTP/1.1 200 OK\r\nContent-Length: {LARGE}\r\n\r\nx".encode()),
+    Fault("large body", f"HTTP/1.1 200 OK\r\nContent-Length: {LARGE}\r\n\r\n".encode(), End.CLIENT),
     Fault("interim responses only", b"HTTP/1.1 100 Continue\r\n\r\n" * 9 + make_response(200)),
     Fault("unasked upgrade", b"HTTP/1.1 101 Switching\r\nUpgrade: x\r\n\r\n"),
     Fault("part of a refusal", make_response(503, b"{}", NOT_PROCESSED)[:-1]),
@@ -90,7 +95,8 @@
     Fault("refusal", make_response(503, b"{}", NOT_PROCESSED)),
     Fault("refusal in lower case", make_response(503, b"", NOT_PROCESSED.lower())),
     Fault(
-        "refusal after 100", b"HTTP/1.1 100 Go on\r\n\r\n" + make_response(503, b"", NOT_PROCESSED)
+        "refusal after 8 interim responses",
+        b"HTTP/1.1 100 Go on\r\n\r\n" * 8 + make_response(503, b"", NOT_PROCESSED),
     ),
 )
 
@@ -111,6 +117,8 @@
             await peer.send(fault.data)
             if fault.end is End.HANG:
                 await peer.hang()
+            if fault.end is End.CLIENT:
+                await peer.read_some()
             if fault.end is End.RESET:
                 peer.reset_on_close()
 
@@ -173,6 +181,12 @@
             with self.subTest(effect=type(effect).__name__):
                 self.assertIsInstance(curio.run(clients.perform, effect), event)
 
+    def test_call_without_a_free_descriptor_had_no_effect(self):
+        none_left = mock.patch.object(curio.socket, "socket", side_effect=OSError(errno.EMFILE, ""))
+        with none_left:
+            event = curio.run(support.Clients(CLOSED_PORT).perform, support.WRITE)
+        self.assertIsInstance(event, events.StoreUnavailable)
+
     def test_call_that_cannot_be_sent_had_no_effect(self):
         post = support.POST
         calls = (
