--- a/tests/platform/test_responses.py
+++ b/tests/platform/test_responses.py
@@ -1,9 +1,12 @@
 """Contract of the clients against scripted servers: one table of connection faults."""
 
 import enum
+import errno
 import unittest
+from unittest import mock
 
 import curio
+import curio.socket
 import msgspec
 
 from crocusrudder.core import events
@@ -20,6 +23,8 @@
     CLOSE = enum.auto()
     RESET = enum.auto()
     HANG = enum.auto()
+    CLIENT = enum.auto()
+    """Wait until the client closes the connection."""
 
 
 class Fault(msgspec.Struct):
@@ -39,7 +44,7 @@
 
 NOT_PROCESSED = "Request-Processed: no"
 OTHER_ROW = b'{"rows":{"b":{"key":"b","value":{},"version":1}}}'
-LARGE = http.MAX_BODY_BYTES + 1
+LARGE = http.STORE_BODY_BYTES + 1
 
 # The response is missing, incomplete, ambiguous or beyond the limits.
 BROKEN = (
@@ -59,7 +64,7 @@
     Fault("length and chunks", make_response(200, b"0\r\n\r\n", "Transfer-Encoding: chunked")),
     Fault("unknown coding", b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n"),
     Fault("large headers", make_response(200, b"{}", *[f"A: {'x' * 1_000}"] * 70)),
-    Fault("large declared body", f"HTTP/1.1 200 OK\r\nContent-Length: {LARGE}\r\n\r\nx".encode()),
+    Fault("large body", f"HTTP/1.1 200 OK\r\nContent-Length: {LARGE}\r\n\r\n".encode(), End.CLIENT),
     Fault("interim responses only", b"HTTP/1.1 100 Continue\r\n\r\n" * 9 + make_response(200)),
     Fault("unasked upgrade", b"HTTP/1.1 101 Switching\r\nUpgrade: x\r\n\r\n"),
     Fault("part of a refusal", make_response(503, b"{}", NOT_PROCESSED)[:-1]),
@@ -90,7 +95,8 @@
     Fault("refusal", make_response(503, b"{}", NOT_PROCESSED)),
     Fault("refusal in lower case", make_response(503, b"", NOT_PROCESSED.lower())),
     Fault(
-        "refusal after 100", b"HTTP/1.1 100 Go on\r\n\r\n" + make_response(503, b"", NOT_PROCESSED)
+        "refusal after 8 interim responses",
+        b"HTTP/1.1 100 Go on\r\n\r\n" * 8 + make_response(503, b"", NOT_PROCESSED),
     ),
 )
 
@@ -98,27 +104,36 @@
 IDEMPOTENT = (*READS, support.PUT)
 
 
-async def perform_under_fault(fault, effect):
-    """Return the event for an effect whose server behaves in this way."""
+def perform_under_fault(fault, effect):
+    """Return the event for an effect whose server behaves in this way, and the connections."""
+    servers = []
 
-    async def script(peer):
-        if fault.reads:
-            await peer.read_request()
-        await peer.send(fault.data)
-        if fault.end is End.HANG:
-            await peer.hang()
-        if fault.end is End.RESET:
-            peer.reset_on_close()
-
-    hangs = fault.end is End.HANG
-    seconds = support.IMPATIENT_SECONDS if hangs else support.PATIENT_SECONDS
-    clients = support.Clients(PORT, seconds)
-    if effect is None:
-        effect = support.make_endpoint_call(PORT, seconds)
-    async with support.ScriptedServer(PORT, script) as server:
-        event = await clients.perform(effect)
-        await clients.close()
-    return event, server.connections
+    async def call(seconds):
+        reached = curio.Event()
+
+        async def script(peer):
+            await (peer.read_request() if fault.reads else peer.wait_for_bytes())
+            await reached.set()
+            await peer.send(fault.data)
+            if fault.end is End.HANG:
+                await peer.hang()
+            if fault.end is End.CLIENT:
+                await peer.read_some()
+            if fault.end is End.RESET:
+                peer.reset_on_close()
+
+        clients = support.Clients(PORT, seconds)
+        async with support.ScriptedServer(PORT, script) as server:
+            event = await clients.perform(effect or support.make_endpoint_call(PORT, seconds))
+            await clients.close()
+        servers.append(server)
+        return event, reached.is_set()
+
+    if fault.end is End.HANG:
+        event = support.run_until_reached(call)
+    else:
+        event, _ = curio.run(call, support.PATIENT_SECONDS)
+    return event, servers[-1].connections
 
 
 class FaultTest(unittest.TestCase):
@@ -128,7 +143,7 @@
         for fault in faults:
             for effect, expected in effects_and_events:
                 with self.subTest(fault=fault.name, effect=type(effect).__name__):
-                    event, connections = curio.run(perform_under_fault, fault, effect)
+                    event, connections = perform_under_fault(fault, effect)
                     self.assertIsInstance(event, expected)
                     self.assertEqual(event.operation, support.OPERATION)
                     self.assertEqual(connections, 1, "the request was sent again")
@@ -166,6 +181,12 @@
             with self.subTest(effect=type(effect).__name__):
                 self.assertIsInstance(curio.run(clients.perform, effect), event)
 
+    def test_call_without_a_free_descriptor_had_no_effect(self):
+        none_left = mock.patch.object(curio.socket, "socket", side_effect=OSError(errno.EMFILE, ""))
+        with none_left:
+            event = curio.run(support.Clients(CLOSED_PORT).perform, support.WRITE)
+        self.assertIsInstance(event, events.StoreUnavailable)
+
     def test_call_that_cannot_be_sent_had_no_effect(self):
         post = support.POST
         calls = (
@@ -206,12 +227,7 @@
             await peer.send(answer)
             await peer.read_some()
 
-        async def run_call():
-            call = support.make_endpoint_call(PORT, request=large)
-            async with support.ScriptedServer(PORT, script):
-                return await support.Clients(PORT).perform(call)
-
-        event = curio.run(run_call)
+        event = curio.run(call_script, script, large)
         self.assertIsInstance(event, events.EndpointAnswered)
         self.assertEqual((event.response.status, event.response.body), (413, b"large"))
 
@@ -223,37 +239,35 @@
             (chunked + b"a\r\n0123456789\r\n0\r\n\r\n", events.EndpointAnswered),
             (chunked + b"a\r\n0123456789\r\n1\r\nx\r\n0\r\n\r\n", events.EndpointBroken),
         )
+        for data, expected in cases:
 
-        async def run_call(data):
-            async def script(peer):
+            async def script(peer, data=data):
                 await peer.read_request()
                 await peer.send(data)
 
-            client = http.HttpClient.from_config(http.HttpConfig(max_body_bytes=10))
-            async with support.ScriptedServer(PORT, script):
-                event = await client.perform(support.make_endpoint_call(PORT))
-                await client.close()
-            return event
-
-        for data, expected in cases:
             with self.subTest(data=data):
-                self.assertIsInstance(curio.run(run_call, data), expected)
+                event = curio.run(call_script, script, support.POST, 10)
+                self.assertIsInstance(event, expected)
 
     def test_connection_ends_after_a_broken_response(self):
-        async def run_call():
-            ended = curio.Event()
-
-            async def script(peer):
-                await peer.read_request()
-                await peer.send(b"\x00\r\n\r\n")
-                while await peer.read_some():
-                    pass
-                await ended.set()
+        ended = curio.Event()
 
-            client = http.HttpClient.from_config(http.HttpConfig())
-            async with support.ScriptedServer(PORT, script):
-                event = await client.perform(support.make_endpoint_call(PORT))
-                await ended.wait()
-            return event
-
-        self.assertIsInstance(curio.run(run_call), events.EndpointBroken)
+        async def script(peer):
+            await peer.read_request()
+            await peer.send(b"\x00\r\n\r\n")
+            while await peer.read_some():
+                pass
+            await ended.set()
+
+        event = curio.run(call_script, script, support.POST, 10, ended.wait)
+        self.assertIsInstance(event, events.EndpointBroken)
+
+
+async def call_script(script, request, max_body_bytes=http.MAX_BODY_BYTES, afterwards=None):
+    """Return the event of one endpoint call to a script."""
+    limited = support.run_script(PORT, script, max_body_bytes=max_body_bytes)
+    async with limited as (client, _):
+        event = await client.perform(support.make_endpoint_call(PORT, request=request))
+        if afterwards is not None:
+            await afterwards()
+    return event
