Test jobs with generated histories of faults

Cause: I1, I2 and I3 must hold under any interleaving of faults. A reaction for a worker that has no view is skipped; it raised KeyError.

--- a/crocusrudder/jobs/reconciler.py
+++ b/crocusrudder/jobs/reconciler.py
@@ -127,7 +127,7 @@
             return _withdraw_if(withdrawn, ended, position, job), []
         view = self._workers.get_worker(task.worker)
         if self._is_lost(cell, chunk, position, view, now):
-            pending = chunks.return_to_pending(row, position, task.epoch, reason="worker lost")
+            pending = chunks.return_to_pending(row, position, task.epoch, reason="run lost")
             return _withdraw_if(withdrawn, pending, position, job), []
         if view is None:
             return row, []
--- a/crocusrudder/jobs/scheduler.py
+++ b/crocusrudder/jobs/scheduler.py
@@ -385,7 +385,8 @@
         produced: list[effects.Effect] = []
         reactions = self._policy.propose_reactions([view for _, view in views.values()], now)
         for reaction in reactions:
-            produced += self._carry_out(reaction, *views[reaction.worker], now)
+            if reaction.worker in views:
+                produced += self._carry_out(reaction, *views[reaction.worker], now)
         return produced
 
     def _carry_out(
--- a/tests/jobs/world.py
+++ b/tests/jobs/world.py
@@ -1,5 +1,6 @@
 """Entries and agents joined by a network, a table and runtimes that all may misbehave."""
 
+import collections
 import heapq
 import itertools
 import random as random_module
@@ -17,23 +18,28 @@
 from tests.jobs import runtime
 from tests.jobs import table
 
+ENTRY_CLOCK_RATE = 1.004
+AGENT_CLOCK_RATE = 0.996
+"""Slow clocks of agents make leases last longer than owners see them."""
+
 _STORE = (effects.Commit, effects.ReadRows, effects.ScanRows)
 
 
 class Process:
     """One incarnation of an entry or an agent, with its own clock."""
 
-    def __init__(self, world, name, offset):
+    def __init__(self, world, name, offset, rate=1.0):
         self.world = world
         self.name = name
         self.incarnation = f"{name}#{next(world.numbers)}"
         self.offset = offset
+        self.rate = rate
         self.paused = False
         self.inbox = []
 
     @property
     def now(self):
-        return self.world.now + self.offset
+        return self.world.now * self.rate + self.offset
 
     def deliver(self, event):
         if self.paused:
@@ -59,7 +65,7 @@
 
 class Entry(Process):
     def __init__(self, world, name, offset):
-        super().__init__(world, name, offset)
+        super().__init__(world, name, offset, ENTRY_CLOCK_RATE)
         self.ownership = fakes.FakeOwnership()
         self.workers = fakes.FakeWorkerTable(self.ownership, world.lease_seconds)
         self.policy = fakes.FakePolicy(world.greedy)
@@ -97,7 +103,7 @@
 
 class Agent(Process):
     def __init__(self, world, name, offset):
-        super().__init__(world, name, offset)
+        super().__init__(world, name, offset, AGENT_CLOCK_RATE)
         self.announcer = fakes.FakeAnnouncer(name, list(world.entries) or ["e1", "e2"])
         self.book = capacity.CapacityBook(fakes.CAPACITY)
         self.runner = runner.TaskRunner(self.announcer, self.book, name)
@@ -126,6 +132,7 @@
         self.renewed_at = float("-inf")
         self.queue = []
         self.answers = []
+        self.counters = collections.Counter()
         self.sent = []
         self.started = {}
         self.evicted = {}
@@ -201,7 +208,7 @@
     def step(self):
         self.now += components.TICK_SECONDS
         for name, worker in self.runtimes.items():
-            worker.advance(self.now + self.agents[name].offset)
+            worker.advance(self.agents[name].now)
         while self.queue and self.queue[0][0] <= self.now:
             _, _, deliver = heapq.heappop(self.queue)
             deliver()
@@ -216,6 +223,8 @@
             self._answer(process, self.table.answer(effect))
         elif isinstance(effect, effects.CallRuntime):
             self._call(process, effect)
+        elif isinstance(effect, effects.Count):
+            self.counters[effect.name] += effect.amount
         elif isinstance(effect, effects.AnswerOperator):
             self.answers.append(effect)
 
@@ -245,17 +254,26 @@
             process.deliver(event)
 
     def _call(self, process, effect):
-        lost = self.random.random() < self.runtime_loss
-        if not lost or self.random.random() < 0.5:
-            worker = self.runtimes[process.name]
-            count = len(worker.history)
-            answer = worker.call(effect.call, process.now)
-            for start in worker.history[count:]:
-                self._note_start(process.name, start)
-        if lost:
-            self._answer(process, events.RuntimeUnknown(effect.operation))
-        else:
+        """Make a runtime call; of lost ones a third each happens, does not, happens late."""
+        fate = self.random.randrange(3) if self.random.random() < self.runtime_loss else None
+        if fate in (None, 0):
+            answer = self._apply_call(process, effect.call)
+        elif fate == 1:
+            self._later(lambda: self._apply_call(process, effect.call), self.random.uniform(0, 4))
+        if fate is None:
             self._answer(process, events.RuntimeAnswered(effect.operation, answer))
+        else:
+            self._answer(process, events.RuntimeUnknown(effect.operation))
+
+    def _apply_call(self, process, call):
+        if process is not self.agents[process.name]:
+            return None
+        worker = self.runtimes[process.name]
+        count = len(worker.history)
+        answer = worker.call(call, process.now)
+        for start in worker.history[count:]:
+            self._note_start(process.name, start)
+        return answer
 
     # Invariants.
 
