Stop starts of an earlier holding and to silent workers

Cause: generated histories found a run that started twice under one epoch, when a worker was replaced while its owner's lease lapsed and resumed under the same cell epoch; and a task that waited for ever, because starts repeated to a silent worker kept extending its lease. Change: after a lapse the owner asks the agent to stop the run, which also refuses a start under way, instead of starting it again; silent workers get no repeated starts. Tests with one fault each drive scheduler and runner together.

--- a/crocusrudder/jobs/reconciler.py
+++ b/crocusrudder/jobs/reconciler.py
@@ -194,8 +194,16 @@
         view: Any,
         now: float,
     ) -> list[effects.Effect]:
+        """Send the start again, or make sure that one sent under an earlier holding is refused."""
+        if not view.inventoried or view.is_silent(now):
+            # A start to a silent worker would only put off the time when its lease has passed.
+            return []
+        task = chunk.row.tasks[position]
         sent = chunk.sent.get(position)
-        if not view.inventoried or (sent and now - sent.sent_at < RESEND_SECONDS):
+        if sent is None or sent.epoch != task.epoch:
+            key = (chunk.row.get_task_id(position), task.epoch)
+            return self.command(cell, view, messages.StopTask, key, now)
+        if now - sent.sent_at < RESEND_SECONDS:
             return []
         return self.send_start(cell, chunk, position, now)
 
--- a/tests/jobs/fakes.py
+++ b/tests/jobs/fakes.py
@@ -195,9 +195,12 @@
         bad = {worker for worker, count in self.failures.items() if count >= 3}
         fitting = [view for view in fitting if view.worker not in bad - self.good_workers]
         known = self.failed_on.get(task.job, set())
-        fitting.sort(key=lambda view: (view.worker in known, view.reserved.millicores))
+        fitting.sort(key=lambda view: (view.worker in known, self._count_started(view)))
         return fitting[0].worker if fitting else None
 
+    def _count_started(self, view):
+        return sum(worker == view.worker for worker, _ in self.started)
+
     def _has_room(self, task, view):
         waiting = [
             started.size
--- a/tests/jobs/table.py
+++ b/tests/jobs/table.py
@@ -16,6 +16,8 @@
         self.outage = False
         self.lost_answers = 0.0
         """Share of commits whose answer is lost; a third each take effect, never do, do later."""
+        self.fate: int | None = None
+        """What becomes of lost commits: 0 takes effect, 1 does late, 2 never; None is random."""
         self.late: list[effects.Commit] = []
         self.commits: list[effects.Commit] = []
         self._random = random
@@ -54,7 +56,7 @@
     def _commit(self, commit: effects.Commit) -> events.Event:
         self.commits.append(commit)
         if self._random.random() < self.lost_answers:
-            fate = self._random.randrange(3)
+            fate = self._random.randrange(3) if self.fate is None else self.fate
             if fate == 0:
                 self._apply(commit)
             elif fate == 1:
--- a/tests/jobs/world.py
+++ b/tests/jobs/world.py
@@ -134,6 +134,8 @@
         self.answers = []
         self.counters = collections.Counter()
         self.sent = []
+        self.hold = lambda message: False
+        self.held = []
         self.started = {}
         self.evicted = {}
         self.size = runtime.SMALL
@@ -179,6 +181,29 @@
     def replace_entry(self, name):
         self.entries[name] = Entry(self, name, self.entries[name].offset)
 
+    def release(self):
+        """Deliver the messages that were held back."""
+        self.hold = lambda message: False
+        held, self.held = self.held, []
+        for effect, received in held:
+            self._receive(effect, received)
+
+    def replay(self, kind):
+        """Deliver again all messages of a type that were ever sent."""
+        for sender, effect in list(self.sent):
+            if isinstance(effect.message, kind):
+                process = self.entries.get(sender) or self.agents[sender]
+                received = events.Received(sender, process.incarnation, effect.message)
+                self._receive(effect, received)
+
+    def list_starts(self, sender=None):
+        """Return (task, epoch) of the starts sent, in order."""
+        return [
+            (effect.message.task, effect.message.epoch)
+            for name, effect in self.sent
+            if isinstance(effect.message, messages.StartTask) and sender in (None, name)
+        ]
+
     def ask(self, method, *path, body=None, entry="e1", query=None):
         operation = f"op{next(self.numbers)}"
         path = ("v1", "jobs", *path)
@@ -232,7 +257,13 @@
         heapq.heappush(self.queue, (self.now + delay, next(self.numbers), deliver))
 
     def _send(self, process, effect):
-        self.sent.append(effect)
+        self.sent.append((process.name, effect))
+        if isinstance(effect.message, messages.StartTask):
+            self._check_start(effect.message)
+        if self.hold(effect.message):
+            received = events.Received(process.name, process.incarnation, effect.message)
+            self.held.append((effect, received))
+            return
         copies = 1 + (self.random.random() < self.duplication)
         for _ in range(copies if self.random.random() >= self.loss else 0):
             received = events.Received(process.name, process.incarnation, effect.message)
@@ -287,6 +318,12 @@
         if checkpoint != start.checkpoint:
             raise AssertionError(f"I3: {key} resumes from {start.checkpoint!r}, not {checkpoint!r}")
 
+    def _check_start(self, start):
+        name, _, index = start.task.rpartition(".")
+        row = self.table.list_tasks(name)[int(index)]
+        if row.epoch < start.epoch:
+            raise AssertionError(f"{start.task} is started before {row} is committed")
+
     def _note_evictions(self):
         for worker in self.runtimes.values():
             self.evicted.update(worker.checkpointed)
