Keep the urgent reserve off quarantined workers and hold preempted room

Cause: the empty quarantined worker counted as the holder of the reserve, and each preemption proposal named another worker while ordinary batch took the freed room. Change: the reserve looks at usable workers only; a preemption claims its worker for 6 s.

--- a/crocusrudder/placement/blame.py
+++ b/crocusrudder/placement/blame.py
@@ -175,8 +175,7 @@
             return True
         self._mature(state, now)
         if state.quarantined_since is not None:
-            due = now - state.quarantined_since >= RELEASE_SECONDS
-            return due and state.probe is None
+            return self.is_probe_due(worker, now)
         return self._count_failed_in_row(state) + len(state.young) < WORKER_UNPROVEN_STARTS
 
     def may_start(self, job: ids.JobId, now: float) -> bool:
@@ -215,6 +214,13 @@
         state = self._workers.get(worker)
         return state is not None and state.quarantined_since is not None
 
+    def is_probe_due(self, worker: ids.WorkerId, now: float) -> bool:
+        """Return whether a quarantined worker should get one task to see if it recovered."""
+        state = self._workers.get(worker)
+        if state is None or state.quarantined_since is None or state.probe is not None:
+            return False
+        return now - state.quarantined_since >= RELEASE_SECONDS
+
     def release(self, worker: ids.WorkerId) -> None:
         """Forget the failures of a worker."""
         young = self._worker(worker).young
--- a/crocusrudder/placement/policy.py
+++ b/crocusrudder/placement/policy.py
@@ -27,6 +27,8 @@
 """How long a task stays away from a worker that it was moved off."""
 PREEMPT_AFTER_SECONDS = 60.0
 """Batch that has run for less is not preempted, so that it makes progress."""
+CLAIM_SECONDS = 6.0
+"""How long a worker is kept for the urgent task that preempts there; a checkpoint takes 2 s."""
 USAGE_SECONDS = 15.0
 """Age at which a live run's usage is taken for its class; waiting for its end learns too late."""
 TIE_BREAK = 1e-6
@@ -71,6 +73,7 @@
         self._workers: dict[ids.WorkerId, tracking.WorkerState] = {}
         self._held_since: dict[ids.JobId, float] = {}
         self._avoid: dict[ids.TaskId, tuple[ids.WorkerId, float]] = {}
+        self._claims: dict[ids.TaskId, tuple[model.Preemption, float]] = {}
         self._trials: dict[tuple[ids.ServiceName, str], tuple[ids.WorkerId, float]] = {}
 
     def choose_worker(
@@ -94,6 +97,7 @@
         worker_state.take_token(now)
         self._blame.record_start(task.task, task.job, worker, now)
         self._held_since.pop(task.job, None)
+        self._claims.pop(task.task, None)
         self._record_placement(worker, worker_state, now)
         for service in self._pairs.services_on(worker):
             if not self._pairs.is_tested(service, task.job_class):
@@ -146,6 +150,7 @@
         self, workers: Sequence[model.WorkerView], now: float
     ) -> list[model.Reaction]:
         """Return the reactions due now; call about once a second and carry out all of them."""
+        self._forget_claims(now)
         self._record_usage(workers, now)
         self._forget_old(now)
 
@@ -163,16 +168,28 @@
     def propose_preemption(
         self, task: model.PlacementTask, workers: Sequence[model.WorkerView], now: float
     ) -> model.Preemption | None:
-        """Return the batch runs to checkpoint so that an urgent task fits, or None."""
+        """Return the batch runs to checkpoint so that an urgent task fits, or None.
+
+        The same answer is repeated while they end, and their worker is kept from ordinary batch.
+        """
+        self._forget_claims(now)
+        claimed = self._claims.get(task.task)
+        if claimed is not None:
+            return claimed[0]
+        taken = {claim.worker for claim, _ in self._claims.values()}
         best: model.Preemption | None = None
         for view in workers:
-            if view.draining or not self._blame.may_start_on(view.worker, now):
+            if view.draining or view.worker in taken:
+                continue
+            if not self._blame.may_start_on(view.worker, now):
                 continue
             worker_state = self._state(view.worker)
             runs = self._list_preemptible(view, worker_state, now)
             chosen = scoring.choose_preempted(worker_state.compute_free(view), task.size, runs)
             if chosen and (best is None or len(chosen) < len(best.runs)):
                 best = model.Preemption(view.worker, chosen)
+        if best is not None:
+            self._claims[task.task] = (best, now)
         return best
 
     def estimate_size(
@@ -248,6 +265,24 @@
         self, task: model.PlacementTask, workers: Sequence[model.WorkerView], now: float
     ) -> list[tuple[model.WorkerView, scoring.Free]]:
         """Return the workers that may take the task now, with what is free there."""
+        usable = [
+            view
+            for view in workers
+            if not view.draining and not self._blame.is_quarantined(view.worker)
+        ]
+        probed = [
+            view
+            for view in workers
+            if not view.draining and self._blame.is_probe_due(view.worker, now)
+        ]
+        candidates = self._list_fitting(task, usable, now)
+        if not task.urgent:
+            candidates += self._list_fitting(task, probed, now)
+        return self._prefer_fresh(task.job, candidates)
+
+    def _list_fitting(
+        self, task: model.PlacementTask, workers: Sequence[model.WorkerView], now: float
+    ) -> list[tuple[model.WorkerView, scoring.Free]]:
         states = [self._state(view.worker) for view in workers]
         frees = [known.compute_free(view) for known, view in zip(states, workers, strict=True)]
         capacities = [view.capacity for view in workers]
@@ -255,13 +290,15 @@
         avoided, _ = self._avoid.get(task.task, (None, 0.0))
         candidates = []
         for index, (view, known, free) in enumerate(zip(workers, states, frees, strict=True)):
-            if view.draining or view.worker == avoided or not free.fits(task.size):
-                continue
-            if reserve is not None and not reserve.allows(index, free, task.size):
+            if view.worker == avoided or not free.fits(task.size):
                 continue
+            if reserve is not None:
+                claimed = any(view.worker == claim.worker for claim, _ in self._claims.values())
+                if claimed or not reserve.allows(index, free, task.size):
+                    continue
             if known.has_token(now) and self._blame.may_start_on(view.worker, now):
                 candidates.append((view, free))
-        return self._prefer_fresh(task.job, candidates)
+        return candidates
 
     def _prefer_fresh(
         self, job: ids.JobId, candidates: list[tuple[model.WorkerView, scoring.Free]]
@@ -396,6 +433,11 @@
             and now - run.started >= PREEMPT_AFTER_SECONDS
         ]
 
+    def _forget_claims(self, now: float) -> None:
+        old = [task for task, (_, at) in self._claims.items() if now - at >= CLAIM_SECONDS]
+        for task in old:
+            del self._claims[task]
+
     def _forget_old(self, now: float) -> None:
         old = [task for task, (_, at) in self._avoid.items() if now - at >= AVOID_SECONDS]
         for task in old:
