Never repeat a failure of an unproven job on the same worker while others are untried

Cause: on a full cell the only worker with room got the failing job again and again, 8 starts before it had failed on three workers. Change: such a job waits for another worker.

--- a/crocusrudder/placement/blame.py
+++ b/crocusrudder/placement/blame.py
@@ -197,6 +197,11 @@
         state = self._jobs.get(job)
         return state is not None and worker in state.failed_on
 
+    def is_unproven(self, job: ids.JobId) -> bool:
+        """Return whether the job has failed and not succeeded yet."""
+        state = self._jobs.get(job)
+        return state is not None and not state.successes and bool(state.failed_on)
+
     def runs_there(self, job: ids.JobId, worker: ids.WorkerId) -> bool:
         """Return whether an unproven job already has a run on the worker."""
         state = self._jobs.get(job)
--- a/crocusrudder/placement/policy.py
+++ b/crocusrudder/placement/policy.py
@@ -278,7 +278,8 @@
         candidates = self._list_fitting(task, usable, now)
         if not task.urgent:
             candidates += self._list_fitting(task, probed, now)
-        return self._prefer_fresh(task.job, candidates)
+        places = [view.worker for view in usable]
+        return self._prefer_fresh(task.job, candidates, places)
 
     def _list_fitting(
         self, task: model.PlacementTask, workers: Sequence[model.WorkerView], now: float
@@ -301,16 +302,31 @@
         return candidates
 
     def _prefer_fresh(
-        self, job: ids.JobId, candidates: list[tuple[model.WorkerView, scoring.Free]]
+        self,
+        job: ids.JobId,
+        candidates: list[tuple[model.WorkerView, scoring.Free]],
+        places: Sequence[ids.WorkerId],
     ) -> list[tuple[model.WorkerView, scoring.Free]]:
-        """Prefer workers that the job has not failed on, and spread a job without a success."""
-        fresh = [
+        """Prefer workers that the job has not failed on, and spread a job without a success.
+
+        Such a job waits rather than repeats a failure while one of ``places`` is untried.
+        """
+        untried = [
             candidate
             for candidate in candidates
             if not self._blame.failed_there(job, candidate[0].worker)
-            and not self._blame.runs_there(job, candidate[0].worker)
         ]
-        return fresh or candidates
+        fresh = [
+            candidate
+            for candidate in untried
+            if not self._blame.runs_there(job, candidate[0].worker)
+        ]
+        if fresh or untried:
+            return fresh or untried
+        must_wait = self._blame.is_unproven(job) and not all(
+            self._blame.failed_there(job, worker) for worker in places
+        )
+        return [] if must_wait else candidates
 
     def _choose_by_score(
         self,
