--- a/crocusrudder/placement/blame.py
+++ b/crocusrudder/placement/blame.py
@@ -175,8 +175,7 @@
             return True
         self._mature(state, now)
         if state.quarantined_since is not None:
-            due = now - state.quarantined_since >= RELEASE_SECONDS
-            return due and state.probe is None
+            return self.is_probe_due(worker, now)
         return self._count_failed_in_row(state) + len(state.young) < WORKER_UNPROVEN_STARTS
 
     def may_start(self, job: ids.JobId, now: float) -> bool:
@@ -188,20 +187,21 @@
             return False
         if self._is_proven(state, now):
             return True
-        excused = sum(
-            count
-            for worker, count in state.failed_on.items()
-            if self._workers[worker].quarantined_since is not None
-        )
-        running = len(state.running)
         allowed = 1 if state.outgrown else JOB_UNPROVEN_RUNNING
-        return running < allowed and state.starts - excused < JOB_UNPROVEN_STARTS
+        if state.starts < JOB_UNPROVEN_STARTS:
+            return len(state.running) < allowed
+        return not state.running and len(self._list_working(state)) < self._count_required()
 
     def failed_there(self, job: ids.JobId, worker: ids.WorkerId) -> bool:
         """Return whether the job, without a success so far, failed on the worker."""
         state = self._jobs.get(job)
         return state is not None and worker in state.failed_on
 
+    def is_unproven(self, job: ids.JobId) -> bool:
+        """Return whether the job has failed and not succeeded yet."""
+        state = self._jobs.get(job)
+        return state is not None and not state.successes and bool(state.failed_on)
+
     def runs_there(self, job: ids.JobId, worker: ids.WorkerId) -> bool:
         """Return whether an unproven job already has a run on the worker."""
         state = self._jobs.get(job)
@@ -219,6 +219,13 @@
         state = self._workers.get(worker)
         return state is not None and state.quarantined_since is not None
 
+    def is_probe_due(self, worker: ids.WorkerId, now: float) -> bool:
+        """Return whether a quarantined worker should get one task to see if it recovered."""
+        state = self._workers.get(worker)
+        if state is None or state.quarantined_since is None or state.probe is not None:
+            return False
+        return now - state.quarantined_since >= RELEASE_SECONDS
+
     def release(self, worker: ids.WorkerId) -> None:
         """Forget the failures of a worker."""
         young = self._worker(worker).young
