--- a/crocusrudder/requests/memory.py
+++ b/crocusrudder/requests/memory.py
@@ -118,9 +118,11 @@
         return self._attempts.get(identity)
 
     def add(self, identity: Identity, attempt: Attempt) -> Attempt:
-        """Remember a new attempt and drop the oldest one above the bound, if it has ended."""
+        """Remember a new attempt and drop the oldest ended ones above the bound."""
         self._attempts[identity] = attempt
-        if len(self._attempts) > self._max_attempts:
+        for _ in range(len(self._attempts)):
+            if len(self._attempts) <= self._max_attempts:
+                break
             oldest, dropped = self._attempts.popitem(last=False)
             if dropped.state is messages.AttemptState.RUNNING:
                 # Slots and connections bound the number of running attempts.
