Harden the HTTP server and the entry's HTTP interface

Tests found three faults: an endpoint's header with a control character or outside Latin-1 ended the connection without a response (such headers are now left out), an invalid status did the same (now 500), and a second answer to the same request replaced the first one before its caller read it (the first now stays).

--- a/crocusrudder/entry/http.py
+++ b/crocusrudder/entry/http.py
@@ -78,6 +78,10 @@
                     if waiting is not None:
                         await waiting.set()
 
+    def close(self) -> None:
+        """Close what wakes the requests; call it when no request waits any more."""
+        self._writer.close()
+
     async def handle_request(self, request: http_messages.Request) -> http_messages.Response:
         """Answer one HTTP request.
 
@@ -126,7 +130,7 @@
             self._answers.pop(identity, None)
 
     def _take(self, identity: str, effect: effects.Effect) -> None:
-        if identity not in self._waiting:
+        if identity not in self._waiting or identity in self._answers:
             return
         self._answers[identity] = effect
         notify = not self._answered
--- a/crocusrudder/hosting/http_connection.py
+++ b/crocusrudder/hosting/http_connection.py
@@ -1,5 +1,6 @@
 """One HTTP/1.1 connection: h11's state machine over a curio socket."""
 
+import re
 import socket
 from typing import Protocol
 
@@ -28,6 +29,8 @@
     "upgrade",
 }
 _BODILESS_STATUSES = {204, 304}
+_HEADER_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+_HEADER_VALUE = re.compile(r"[\t\x20-\x7e\x80-\xff]*")
 
 
 class ServerLimits(msgspec.Struct, frozen=True):
@@ -109,7 +112,11 @@
         """
         if self._state.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return False
-        data = self._encode(response, close)
+        try:
+            data = self._encode(response, close)
+        except h11.LocalProtocolError as error:
+            failed = errors.HandlerFailedError(f"the response is not valid: {error}")
+            data = self._encode(http_messages.make_error_response(failed), close)
         async with curio.timeout_after(self._limits.write_seconds):
             await self._client.sendall(data)
         if self._state.our_state is h11.DONE and self._state.their_state is h11.DONE:
@@ -185,22 +192,27 @@
 
     def _encode(self, response: http_messages.Response, close: bool) -> bytes:
         kept = [
-            (name, value)
-            for name, value in response.headers
-            if name.lower() not in _FRAMING_HEADERS
+            header
+            for header in response.headers
+            if header[0].lower() not in _FRAMING_HEADERS and _is_sendable(header)
         ]
         bodiless = response.status in _BODILESS_STATUSES
         if not bodiless:
             kept.append(("content-length", str(len(response.body))))
         if close:
             kept.append(("connection", "close"))
-        headers = [(name.encode("ascii"), value.encode("latin-1")) for name, value in kept]
+        headers = [(name.encode("ascii"), value.strip().encode("latin-1")) for name, value in kept]
         data = self._state.send(h11.Response(status_code=response.status, headers=headers))
         if response.body and not bodiless and self._method != "HEAD":
             data += self._state.send(h11.Data(data=response.body))
         return data + self._state.send(h11.EndOfMessage())
 
 
+def _is_sendable(header: tuple[str, str]) -> bool:
+    name, value = header
+    return bool(_HEADER_NAME.fullmatch(name) and _HEADER_VALUE.fullmatch(value.strip()))
+
+
 def _translate(error: h11.RemoteProtocolError) -> errors.HttpError:
     if error.error_status_hint == 431:
         return errors.HeadersTooLargeError(str(error))
--- a/crocusrudder/hosting/http_server.py
+++ b/crocusrudder/hosting/http_server.py
@@ -120,6 +120,9 @@
             await self._serve_requests(connection, task)
         except (OSError, curio.TaskTimeout):
             self._count("http_connections_broken")
+        except Exception:
+            self._count("http_connections_failed")
+            logger.exception("http connection failed")
         finally:
             await connection.close()
             self._tasks.discard(task)
--- a/tests/entry/test_http.py
+++ b/tests/entry/test_http.py
@@ -3,55 +3,194 @@
 import unittest
 
 import curio
+import msgspec
 
 from crocusrudder.core import effects
 from crocusrudder.core import events
 from crocusrudder.entry import http
+from crocusrudder.hosting import errors
 from crocusrudder.hosting import http_messages
 from crocusrudder.requests import outcomes
 from crocusrudder.wire import messages
 
-HEADERS = (("team", "arriola"), ("idempotency-key", "k1"), ("request-timeout", "2.5"))
+HEADERS = {"team": "arriola", "idempotency-key": "k1", "request-timeout": "2.5", "host": "x"}
 DONE = outcomes.Done(messages.Response(201, (("x-tray", "7"),), b"whole"), True)
+TARGET = "/v1/services/dispatch/trays/7?a=1"
 
 
-def make_request(method="POST", target="/v1/services/dispatch/trays/7?a=1", headers=HEADERS):
-    """Return a caller's request."""
-    return http_messages.Request(method, target, headers, b"{}")
+def make_request(method="POST", target=TARGET, body=b"{}", **changes):
+    """Return a caller's request; a header that is None is left out."""
+    changed = {name.replace("_", "-"): value for name, value in changes.items()}
+    headers = {**HEADERS, **changed}
+    kept = tuple((name, value) for name, value in headers.items() if value is not None)
+    return http_messages.Request(method, target, kept, body)
 
 
-def serve(request, answer):
-    """Return the response to a request and the events that reached the core."""
+def serve(requests, answer):
+    """Return the responses to requests at the same time and the events that reached the core.
+
+    ``answer`` takes the HTTP interface and the event.
+    """
     seen = []
 
     async def run():
         async def post(event):
             seen.append(event)
-            if isinstance(event, events.CallerArrived):
-                entry_http.answer_caller(effects.AnswerCaller(event.request, answer))
-            elif isinstance(event, events.OperatorAsked):
-                entry_http.answer_operator(effects.AnswerOperator(event.operation, 200, answer))
+            answer(entry_http, event)
 
         entry_http = http.EntryHttp(post)
-        delivering = await curio.spawn(entry_http.deliver_forever, daemon=True)
-        response = await entry_http.handle_request(request)
-        await delivering.cancel()
-        return response
+        delivering = await curio.spawn(entry_http.deliver_forever)
+
+        async def catch(request):
+            try:
+                return await entry_http.handle_request(request)
+            except errors.HttpError as error:
+                return error
+
+        tasks = [await curio.spawn(catch, each) for each in requests]
+        for task in tasks:
+            await task.wait()
+        assert entry_http.waiting == 0
+        entry_http.close()
+        await delivering.join()
+        return [task.result for task in tasks]
 
     return curio.run(run), seen
 
 
+def answer_with(outcome):
+    """Return a core that answers every caller with the outcome."""
+
+    def answer(entry_http, event):
+        entry_http.answer_caller(effects.AnswerCaller(event.request, outcome))
+
+    return answer
+
+
 class CallerTest(unittest.TestCase):
-    """Guards against requests and outcomes that are changed on their way."""
+    """Guards against requests and outcomes that are changed or mixed up on their way."""
+
+    def test_turns_a_request_into_an_arrival(self):
+        _, (event,) = serve([make_request(request_repeat="true")], answer_with(DONE))
+        sent = ("team", "idempotency-key", "request-timeout", "request-repeat")
+        expected = outcomes.Arrival(
+            "arriola",
+            "dispatch",
+            "trays",
+            "POST",
+            "/trays/7?a=1",
+            tuple((name, {**HEADERS, "request-repeat": "true"}[name]) for name in sent),
+            b"{}",
+            "k1",
+            2.5,
+            False,
+            True,
+        )
+        self.assertEqual(event.arrival, expected)
+
+    def test_turns_each_outcome_into_a_response(self):
+        reason = outcomes.Reason
+        table = [
+            (DONE, 201, "done", None),
+            (outcomes.NotRun(reason.KEY_MISSING), 400, "not-run", "1"),
+            (outcomes.NotRun(reason.KEY_REUSED), 422, "not-run", "1"),
+            (outcomes.NotRun(reason.NO_SUCH_SERVICE), 404, "not-run", "1"),
+            (outcomes.NotRun(reason.OVERLOADED, 3), 503, "not-run", "3"),
+            (outcomes.OutcomeUnknown(reason.ANSWER_LOST), 504, "outcome-unknown", None),
+            (outcomes.OutcomeUnknown(reason.KEY_REUSED), 504, "outcome-unknown", None),
+        ]
+        for outcome, status, name, retry_after in table:
+            with self.subTest(outcome):
+                (response,), _ = serve([make_request()], answer_with(outcome))
+                headers = dict(response.headers)
+                self.assertEqual(response.status, status)
+                self.assertEqual(headers["crocusrudder-outcome"], name)
+                self.assertEqual(headers.get("retry-after"), retry_after)
+                if isinstance(outcome, outcomes.Done):
+                    self.assertEqual((response.body, headers["x-tray"]), (b"whole", "7"))
+                    self.assertEqual(headers["crocusrudder-replayed"], "true")
+                else:
+                    code = msgspec.json.decode(response.body)["code"]
+                    self.assertEqual((code, headers["crocusrudder-code"]), (code, code))
+                    self.assertEqual(code, outcome.reason.value)
+
+    def test_refuses_malformed_requests_before_the_core_sees_them(self):
+        table = [
+            ("short path", {"target": "/v1/services/dispatch"}),
+            ("no team", {"team": None}),
+            ("team with a slash", {"team": "a/b"}),
+            ("long team", {"team": "a" * 65}),
+            ("key with a slash", {"idempotency_key": "e1/5"}),
+            ("key with a control character", {"idempotency_key": "a\x01"}),
+            ("long key", {"idempotency_key": "k" * 201}),
+            ("time is not a number", {"request_timeout": "soon"}),
+            ("time is not finite", {"request_timeout": "nan"}),
+            ("no time", {"request_timeout": "0"}),
+            ("too much time", {"request_timeout": "601"}),
+            ("standing request that is not a GET", {"standing_request": "0"}),
+            ("operator's body is not JSON", {"target": "/v1/jobs", "body": b"{"}),
+            ("operator's body is nested", {"target": "/v1/jobs", "body": b"[" * 100_000}),
+        ]
+        for name, changes in table:
+            with self.subTest(name):
+                (error,), seen = serve([make_request(**changes)], answer_with(DONE))
+                self.assertIsInstance(error, errors.HttpError)
+                self.assertEqual((error.status, error.code, seen), (400, "CR-ENT-001", []))
+
+    def test_gives_each_caller_its_own_answer(self):
+        waiting = []
+
+        def answer_in_reverse(entry_http, event):
+            waiting.append(event)
+            if len(waiting) == 20:
+                for each in reversed(waiting):
+                    response = messages.Response(200, (), each.arrival.body)
+                    outcome = outcomes.Done(response)
+                    entry_http.answer_caller(effects.AnswerCaller(each.request, outcome))
+                    entry_http.answer_caller(effects.AnswerCaller(each.request, DONE))
+
+        bodies = [str(number).encode() for number in range(20)]
+        requests = [make_request(body=body) for body in bodies]
+        responses, _ = serve(requests, answer_in_reverse)
+        self.assertEqual([response.body for response in responses], bodies)
+
+    def test_tells_the_core_that_a_caller_left(self):
+        seen = []
+
+        async def run():
+            async def post(event):
+                seen.append(event)
+
+            entry_http = http.EntryHttp(post)
+            delivering = await curio.spawn(entry_http.deliver_forever)
+            serving = await curio.spawn(entry_http.handle_request, make_request())
+            while not seen:
+                await curio.sleep(0)
+            await serving.cancel()
+            # An answer that crosses the leaving caller is dropped.
+            entry_http.answer_caller(effects.AnswerCaller(seen[0].request, DONE))
+            entry_http.close()
+            await delivering.join()
+            return entry_http.waiting
+
+        self.assertEqual(curio.run(run), 0)
+        self.assertEqual(seen[1], events.CallerLeft(seen[0].request))
+
+
+class OperatorTest(unittest.TestCase):
+    """Guards against operators' calls that reach the core changed or are not answered."""
+
+    def test_hands_a_call_to_the_core_and_answers_it(self):
+        def answer(entry_http, event):
+            entry_http.answer_operator(
+                effects.AnswerOperator(event.operation, 409, {"code": "CR-REC-003"})
+            )
 
-    def test_turns_a_request_into_an_arrival_and_back(self):
-        response, (event,) = serve(make_request(), DONE)
-        self.assertEqual(event.arrival.target, "/trays/7?a=1")
+        request = make_request("PUT", "/v1/records?kind=team&x=", b'{"a": 1}')
+        (response,), (event,) = serve([request], answer)
         self.assertEqual(
-            (event.arrival.service, event.arrival.order_kind, event.arrival.key),
-            ("dispatch", "trays", "k1"),
+            (event.method, event.path, event.query, event.body),
+            ("PUT", ("v1", "records"), {"kind": "team", "x": ""}, {"a": 1}),
         )
-        self.assertEqual(event.arrival.timeout_seconds, 2.5)
-        self.assertEqual((response.status, response.body), (201, b"whole"))
-        self.assertIn(("crocusrudder-outcome", "done"), response.headers)
-        self.assertIn(("x-tray", "7"), response.headers)
+        self.assertEqual(response.status, 409)
+        self.assertEqual(msgspec.json.decode(response.body), {"code": "CR-REC-003"})
