Do not extend the wait for a lost worker by repeated starts

Cause: the scenario of a worker that is lost for good: its tasks stayed assigned. Starts that the silent worker had not answered were repeated, and each repetition moved the time after which its leases are taken for expired. Change: that time follows from the heartbeat which the start quotes.

--- a/crocusrudder/membership/workers.py
+++ b/crocusrudder/membership/workers.py
@@ -116,10 +116,15 @@
         return view.owned_since + clocks.wait_for_task_lease(self._lease_seconds)
 
     def note_start(self, worker: ids.WorkerId, now: float) -> None:
-        """Extend ``lost_after`` because a start grants a lease."""
+        """Extend ``lost_after`` because a start grants a lease.
+
+        The lease counts from the send time of the heartbeat that the start quotes, so starts that
+        are repeated to a silent worker do not extend it.
+        """
         known = self.get_worker(worker)
         if known is not None:
-            known.lost_after = now + clocks.wait_for_task_lease(self._lease_seconds)
+            granted_until = known.heard_at + clocks.wait_for_task_lease(self._lease_seconds)
+            known.lost_after = max(known.lost_after, granted_until)
 
     def handle(self, event: events.Event, now: float) -> list[effects.Effect]:
         """Take one event and return the effects to carry out."""
