--- a/tests/jobs/runtime.py
+++ b/tests/jobs/runtime.py
@@ -74,6 +74,9 @@
         if key not in self.infos:
             if call.lease_deadline <= now:
                 return runtime_calls.RuntimeRefusal("deadline passed")
+            if call.checkpoint and "@" not in call.checkpoint:
+                # Checkpoints of this fake name their progress; it has no others.
+                return runtime_calls.RuntimeRefusal(runtime_calls.NO_CHECKPOINT)
             running = runtime_calls.RuntimeState.RUNNING
             self.infos[key] = runtime_calls.RunInfo(*key, running, call.size)
             self.history.append(call)
