Retry without budget when an endpoint has gone; scenarios for planned stops

Cause: a scenario in which the entries cannot tell each other that an endpoint leaves: an order was told not-run although another endpoint was idle, because the retry budget of an entry with little traffic is empty.

--- a/crocusrudder/requests/answers.py
+++ b/crocusrudder/requests/answers.py
@@ -36,6 +36,15 @@
 """Refusals after which the same endpoint may accept the next attempt."""
 
 
+ENDPOINT_GONE = {
+    RefusalReason.DRAINING,
+    RefusalReason.UNKNOWN_ENDPOINT,
+    RefusalReason.STALE_INCARNATION,
+}
+"""Refusals that correct the directory. Another attempt after one needs no retry budget: it adds no
+load to any endpoint, and an entry with little traffic has no budget when an endpoint leaves."""
+
+
 def translate_refusal(reason: RefusalReason) -> Reason:
     """Return the reason to give a caller for an agent's refusal."""
     return _REASONS.get(reason, Reason.REFUSED)
--- a/crocusrudder/requests/coordinator.py
+++ b/crocusrudder/requests/coordinator.py
@@ -316,7 +316,7 @@
             return self._claim(tracked, now)
         if tracked.flights:
             return []
-        if self._may_retry(tracked, now):
+        if self._may_retry(tracked, now, is_free=reason in answers.ENDPOINT_GONE):
             return self._attempt_again(tracked, now)
         return self._registry.refuse(tracked, answers.translate_refusal(reason), now)
 
@@ -334,12 +334,13 @@
             return self._attempt_again(tracked, now)
         return self._registry.refuse(tracked, reason, now)
 
-    def _may_retry(self, tracked: TrackedRequest, now: float) -> bool:
+    def _may_retry(self, tracked: TrackedRequest, now: float, is_free: bool = False) -> bool:
+        """Return whether another attempt may be made; a free one does not need the budget."""
         return (
             tracked.attempts < self._limits.max_attempts
             and tracked.deadline - now > self._limits.min_remaining_seconds
             and self._dispatcher.choose(tracked, now) is not None
-            and self._budget.try_take()
+            and (is_free or self._budget.try_take())
         )
 
     def _attempt_again(self, tracked: TrackedRequest, now: float) -> list[effects.Effect]:
--- a/tests/support/scenario.py
+++ b/tests/support/scenario.py
@@ -359,9 +359,7 @@
         assert self._system.is_settled(), "an entry does not know all endpoints"
 
     def _expect_stopped(self, process):
-        core = self._system.processes[process].core
-        assert core.finished, f"{process} has not finished its planned stop"
+        assert process in self._system.exited, f"{process} has not completed its planned stop"
 
     def _expect_draining(self, process):
-        core = self._system.processes[process].core
-        assert not core.finished, f"{process} has finished its planned stop"
+        assert process not in self._system.exited, f"{process} has completed its planned stop"
--- a/tests/support/simulation.py
+++ b/tests/support/simulation.py
@@ -63,6 +63,8 @@
         self.objects: dict[str, bytes] = {}
         self.processes: dict[str, Process] = {}
         self.counts: collections.Counter[str] = collections.Counter()
+        self.exited: set[str] = set()
+        """Processes that completed a planned stop."""
         self.changes: list[tuple[float, str, str, dict]] = []
         self.answers: dict[ids.RequestId, list] = collections.defaultdict(list)
         self.operator_answers: dict[ids.OperationId, effects.AnswerOperator] = {}
@@ -120,6 +122,7 @@
             return
         produced = process.core.handle(event, process.local(self.now))
         self._perform_all(process, produced)
+        self._exit_if_finished(process)
 
     def run(self, seconds: float) -> None:
         """Run for a time, checking the invariants after every event."""
@@ -145,8 +148,14 @@
             return
         if not process.paused:
             self._perform_all(process, process.core.tick(process.local(self.now)))
+            self._exit_if_finished(process)
         self.schedule(components.TICK_SECONDS, lambda: self._tick(process))
 
+    def _exit_if_finished(self, process: Process) -> None:
+        if getattr(process.core, "finished", False):
+            process.core = None
+            self.exited.add(process.name)
+
     def _perform_all(self, process: Process, produced: list[effects.Effect]) -> None:
         for effect in produced:
             handler = self.handlers.get(type(effect))
--- /dev/null
+++ b/tools/proofs/__init__.py
@@ -0,0 +1,1 @@
+"""Switch mechanisms off one by one and check that tests notice."""
--- /dev/null
+++ b/tools/proofs/mechanisms.py
@@ -0,0 +1,199 @@
+"""The mechanisms behind the nine points: where each stands, how to switch it off, who notices.
+
+A mechanism is switched off by replacing ``before`` by ``after`` in a copy of its file.
+"""
+
+import msgspec
+
+SCENARIO = "tests.scenarios.test_scenarios.ScenarioTest.test_"
+JOBS = "tests.jobs.test_faults."
+JOB_HISTORIES = "tests.jobs.test_histories"
+REQUESTS = "tests.requests."
+INTERLEAVINGS = "tests.requests.test_interleavings"
+RECORD_HISTORIES = "tests.records.test_histories"
+OWNERSHIP = "tests.membership.test_ownership."
+
+
+class Mechanism(msgspec.Struct, frozen=True):
+    """One mechanism, and the tests that must fail without it."""
+
+    point: str
+    title: str
+    file: str
+    before: str
+    after: str
+    tests: tuple[str, ...]
+
+
+MECHANISMS = (
+    Mechanism(
+        "I1",
+        "the agent reserves only what fits",
+        "crocusrudder/jobs/capacity.py",
+        "if not fits(size, subtract(self._capacity, self._reserved)):",
+        "if False:",
+        (JOB_HISTORIES,),
+    ),
+    Mechanism(
+        "I1",
+        "an endpoint is admitted only if it fits beside the tasks",
+        "crocusrudder/agent/endpoints.py",
+        'if not self._book.try_reserve(("endpoint", name), size):',
+        "if False:",
+        ("tests.agent.test_endpoints",),
+    ),
+    Mechanism(
+        "I2",
+        "a task is restarted only after the lease of its worker has certainly expired",
+        "crocusrudder/jobs/reconciler.py",
+        "if now > self._workers.lost_after(cell.cell, task.worker):",
+        "if view is None or view.is_silent(now):",
+        (SCENARIO + "holder_is_paused_past_its_lease", JOB_HISTORIES),
+    ),
+    Mechanism(
+        "I2",
+        "commits of an owner fail once another has raised the epoch",
+        "crocusrudder/jobs/writer.py",
+        "self._ownership.epoch_check(",
+        "effects.RowCheck('absent', 0) or self._ownership.epoch_check(",
+        (JOB_HISTORIES, JOBS + "OwnerTest"),
+    ),
+    Mechanism(
+        "I2",
+        "the agent obeys only the owner under the acknowledged epoch",
+        "crocusrudder/membership/announcer.py",
+        "return sender == self._owner and cell_epoch == self._cell_epoch",
+        "return True",
+        (OWNERSHIP + "RandomFaultsTest", SCENARIO + "owner_is_paused_past_its_lease"),
+    ),
+    Mechanism(
+        "I2",
+        "an owner acts only while its own renewal is recent",
+        "crocusrudder/membership/cells.py",
+        "if cell.state is CellState.OWNED and now < cell.valid_until and not cell.releasing",
+        "if cell.state is CellState.OWNED",
+        (OWNERSHIP + "RandomFaultsTest",),
+    ),
+    Mechanism(
+        "I2",
+        "the agent starts each task epoch once",
+        "crocusrudder/jobs/runner.py",
+        "if message.epoch <= self._book.get_epoch(message.task):",
+        "if False:",
+        (JOBS + "StaleStartTest", JOB_HISTORIES),
+    ),
+    Mechanism(
+        "I3",
+        "a lost run resumes from its newest checkpoint, not only from the recorded one",
+        "crocusrudder/jobs/resume.py",
+        "return (*itertools.islice(later, MAX_PROBES), recorded)",
+        "return (recorded,)",
+        (SCENARIO + "lost_worker_is_never_replaced", "tests.jobs.test_resume"),
+    ),
+    Mechanism(
+        "I3",
+        "reports of an earlier epoch are refused",
+        "crocusrudder/jobs/chunks.py",
+        "def is_stale(",
+        "def is_stale(*ignored):\n    return False\n\n\ndef _is_stale_unused(",
+        (JOB_HISTORIES, JOBS + "CommitTest", "tests.jobs.test_chunks"),
+    ),
+    Mechanism(
+        "I4",
+        "an answer is taken only for the attempt that waits for it",
+        "crocusrudder/requests/attempts.py",
+        "identity = (message.team, message.key, message.attempt)\n"
+        "        return (self._recent if message.idempotent else self._attempts).get(identity)",
+        "return None",
+        (REQUESTS + "test_gate.OnceTest",),
+    ),
+    Mechanism(
+        "I5",
+        "an attempt that was told never-started is tombstoned",
+        "crocusrudder/requests/attempts.py",
+        "return self._attempts.add(identity, window, tombstone).state",
+        "return tombstone.state",
+        (REQUESTS + "test_gate", INTERLEAVINGS),
+    ),
+    Mechanism(
+        "I5",
+        "a query about an older window is never answered never-started",
+        "crocusrudder/requests/attempts.py",
+        "if not self._can_tombstone(window):",
+        "if False:",
+        (REQUESTS + "test_gate",),
+    ),
+    Mechanism(
+        "I6",
+        "the claim is committed before the first send",
+        "crocusrudder/requests/ledger.py",
+        "    if entry.state is RowState.RELEASED:\n        return Decision.CLAIM\n"
+        "    return Decision.ASK_AGENT",
+        "    return Decision.CLAIM",
+        (INTERLEAVINGS, SCENARIO + "entry_dies_between_dispatch_and_answer"),
+    ),
+    Mechanism(
+        "I6",
+        "the agent runs an attempt once",
+        "crocusrudder/requests/gate.py",
+        "        known = self._log.find(message)\n        if known is not None:",
+        "        known = None\n        if known is not None:",
+        (REQUESTS + "test_gate.OnceTest", INTERLEAVINGS),
+    ),
+    Mechanism(
+        "I7",
+        "a leaving endpoint is refused by its agent at once",
+        "crocusrudder/requests/gate.py",
+        "        if endpoint.draining:\n            return RefusalReason.DRAINING",
+        "        if False:\n            return RefusalReason.DRAINING",
+        (REQUESTS + "test_gate", SCENARIO + "endpoint_leaves_unknown_to_entries"),
+    ),
+    Mechanism(
+        "I8",
+        "a planned stop waits for the requests in flight",
+        "crocusrudder/agent/core.py",
+        "return self._stopping and self._runner.drained and self._gate.is_settled(self._now)",
+        "return self._stopping",
+        (SCENARIO + "planned_stop_waits_for_requests_in_flight",),
+    ),
+    Mechanism(
+        "I8",
+        "the HTTP server finishes the requests in flight",
+        "crocusrudder/hosting/http_server.py",
+        "        while self._tasks:\n            self._ended.clear()",
+        "        while False:\n            self._ended.clear()",
+        ("tests.hosting.test_http_server.StopTest",),
+    ),
+    Mechanism(
+        "I9",
+        "a process adopts only higher revisions",
+        "crocusrudder/records/state.py",
+        "        if revision <= self._revision:\n            return False",
+        "        if False:\n            return False",
+        (RECORD_HISTORIES, "tests.records.test_core"),
+    ),
+    Mechanism(
+        "I9",
+        "a change expects the revision that it follows",
+        "crocusrudder/records/transactions.py",
+        "effects.RowWrite(rows.HEAD_KEY, _make_head(call, revision), _get_version(head_row)),",
+        "effects.RowWrite(rows.HEAD_KEY, _make_head(call, revision), None),",
+        (RECORD_HISTORIES, "tests.records.test_core"),
+    ),
+    Mechanism(
+        "I9",
+        "a push is repeated until the receiver reports the revision",
+        "crocusrudder/records/replica.py",
+        "        produced += self._push(now)\n        if now >= self._next_ask:",
+        "        if now >= self._next_ask:",
+        (RECORD_HISTORIES, SCENARIO + "pushes_are_lost"),
+    ),
+    Mechanism(
+        "truth",
+        "endpoints stay known while their cell has no owner",
+        "crocusrudder/membership/catalogue.py",
+        "known.expires_at = min(known.expires_at, now + INHERIT_SECONDS)",
+        "del self._agents[agent]",
+        (OWNERSHIP + "OwnershipTest",),
+    ),
+)
