Skip overlapping reports of settled services

Cause: a p99 report costs 0.15 ms, at 35 workers and 7 services about 0.7% of a core for an owner. Change: a settled service learns from one report per worker and measurement window; a skipped one costs 0.011 ms.

--- a/crocusrudder/placement/interference.py
+++ b/crocusrudder/placement/interference.py
@@ -70,6 +70,7 @@
         self.reports: collections.Counter[str] = collections.Counter()
         self.observed = 0
         self.estimates: dict[str, PairEstimate] = {}
+        self.learned_at: dict[ids.WorkerId, float] = {}
         self.updated = now
 
     def count_report(self, row: Mapping[str, float]) -> None:
@@ -111,12 +112,34 @@
         state = self._services.get(service)
         if state is None:
             state = self._services[service] = _Service(value, now)
+        if not self._overlaps(worker, service, state, now):
+            self._learn(worker, service, state, value, now)
+        self._smooth_excess(worker, service, value, now)
+
+    def _overlaps(
+        self, worker: ids.WorkerId, service: ids.ServiceName, state: _Service, now: float
+    ) -> bool:
+        """Return whether the report repeats most of what was learned from the last one.
+
+        Successive windows overlap; a settled service skips such reports, which halves the cost.
+        """
+        learned = state.learned_at.get(worker, -math.inf)
+        return state.observed >= SETTLED_REPORTS and now - learned < MEASUREMENT_WINDOW_SECONDS
+
+    def _learn(
+        self,
+        worker: ids.WorkerId,
+        service: ids.ServiceName,
+        state: _Service,
+        value: float,
+        now: float,
+    ) -> None:
         row = self._design_row(service, state, self._measured_exposure(worker, now))
         state.filter.advance(now - state.updated)
         state.updated = now
+        state.learned_at[worker] = now
         state.filter.observe(row, value)
         state.count_report(row)
-        self._smooth_excess(worker, service, value, now)
 
     def estimate(self, service: ids.ServiceName, job_class: str) -> PairEstimate:
         """Return what is known of a pair; the prior if it was never observed."""
@@ -155,6 +178,8 @@
         """Forget the placements of a worker; what it taught about pairs stays."""
         self._history.pop(worker, None)
         self._excess.pop(worker, None)
+        for state in self._services.values():
+            state.learned_at.pop(worker, None)
 
     def dump(self) -> dict[str, object]:
         """Return the estimates by service and class."""
