--- a/tests/records/test_histories.py
+++ b/tests/records/test_histories.py
@@ -51,6 +51,7 @@
         )
         self.patches = [patch for patch in patches if patch.start() is not None]
         self.world = world.World(agents=("a1", "a2"))
+        self.world.run(1)
         self.asked = {}
         self.highest = {}
 
@@ -119,6 +120,10 @@
     def tick(self, seconds):
         self.world.tick(seconds)
 
+    @stateful.rule()
+    def lose_all_messages(self):
+        self.world.mail.clear()
+
     @stateful.rule(steps=strategies.integers(5, 20))
     def let_messages_flow(self, steps):
         for _ in range(steps):
