--- a/crocusrudder/requests/memory.py
+++ b/crocusrudder/requests/memory.py
@@ -5,8 +5,11 @@
 the anti-replay service of RFC 4303, section 3.4.3.
 """
 
+from __future__ import annotations
+
 import collections
 import enum
+from collections.abc import Iterator
 
 import msgspec
 
@@ -44,6 +47,8 @@
     number: int
     state: messages.AttemptState
     reason: messages.RefusalReason | None = None
+    previous: Attempt | None = None
+    """The record made before for the same request and window."""
 
 
 class AttemptMemory:
@@ -52,8 +57,7 @@
     def __init__(self, max_attempts: int = MAX_ATTEMPTS) -> None:
         self._max_attempts = max_attempts
         self._count = 0
-        self._requests: dict[RequestKey, list[Attempt]] = {}
-        self._by_window: dict[int, list[Identity]] = collections.defaultdict(list)
+        self._windows: dict[int, dict[RequestKey, Attempt]] = collections.defaultdict(dict)
 
     @property
     def full(self) -> bool:
@@ -66,41 +70,42 @@
     def get(self, identity: Identity) -> Attempt | None:
         """Return the record of an attempt."""
         team, key, number = identity
-        attempts = self._requests.get((team, key), ())
-        return next((attempt for attempt in attempts if attempt.number == number), None)
+        return next((each for each in self._list(team, key) if each.number == number), None)
 
     def has_later(self, identity: Identity) -> bool:
         """Return whether a later attempt of the same request is remembered."""
         team, key, number = identity
-        return any(attempt.number > number for attempt in self._requests.get((team, key), ()))
+        return any(each.number > number for each in self._list(team, key))
 
     def add(self, identity: Identity, window: int, attempt: Attempt) -> Attempt:
         """Remember a new attempt."""
         team, key, _ = identity
-        self._requests.setdefault((team, key), []).append(attempt)
-        self._by_window[window].append(identity)
+        attempts = self._windows[window]
+        attempt.previous = attempts.get((team, key))
+        attempts[team, key] = attempt
         self._count += 1
         return attempt
 
     def forget_before(self, window: int) -> None:
-        """Forget the attempts of windows before ``window``, but for those still running."""
-        for old in [number for number in self._by_window if number < window]:
-            identities = self._by_window.pop(old)
-            running = [identity for identity in identities if not self._forget(identity)]
+        """Forget the attempts of windows before ``window``, but for requests that still run."""
+        for old in [number for number in self._windows if number < window]:
+            running = {
+                request: attempt
+                for request, attempt in self._windows.pop(old).items()
+                if any(_is_running(each) for each in _follow(attempt))
+            }
             if running:
-                self._by_window[old] = running
+                self._windows[old] = running
+        self._count = sum(
+            1
+            for attempts in self._windows.values()
+            for attempt in attempts.values()
+            for _ in _follow(attempt)
+        )
 
-    def _forget(self, identity: Identity) -> bool:
-        attempt = self.get(identity)
-        if attempt.state is messages.AttemptState.RUNNING:
-            return False
-        team, key, _ = identity
-        attempts = self._requests[team, key]
-        attempts.remove(attempt)
-        if not attempts:
-            del self._requests[team, key]
-        self._count -= 1
-        return True
+    def _list(self, team: ids.TeamId, key: ids.IdempotencyKey) -> Iterator[Attempt]:
+        for attempts in self._windows.values():
+            yield from _follow(attempts.get((team, key)))
 
 
 class RecentAttempts:
@@ -124,7 +129,7 @@
             if len(self._attempts) <= self._max_attempts:
                 break
             oldest, dropped = self._attempts.popitem(last=False)
-            if dropped.state is messages.AttemptState.RUNNING:
+            if _is_running(dropped):
                 # Slots and connections bound the number of running attempts.
                 self._attempts[oldest] = dropped
         return attempt
@@ -194,6 +199,16 @@
         return Novelty.REPEATED if seen >> offset & 1 else Novelty.FRESH
 
 
+def _follow(attempt: Attempt | None) -> Iterator[Attempt]:
+    while attempt is not None:
+        yield attempt
+        attempt = attempt.previous
+
+
+def _is_running(attempt: Attempt) -> bool:
+    return attempt.state is messages.AttemptState.RUNNING
+
+
 def measure_response(response: messages.Response) -> int:
     """Return the approximate size of a response in memory, in bytes."""
     headers = sum(len(name) + len(value) for name, value in response.headers)
--- a/tests/requests/fakes.py
+++ b/tests/requests/fakes.py
@@ -86,10 +86,12 @@
         current = {write.key: self.rows.get(write.key) for write in effect.writes}
         for write in effect.writes:
             row = current[write.key]
-            if write.expected_version != (0 if row is None else row.version):
+            version = 0 if row is None else row.version
+            if write.expected_version not in (None, version):
                 return events.CommitConflicted(effect.operation, current)
         for write in effect.writes:
-            version = write.expected_version + 1
+            row = current[write.key]
+            version = 1 if row is None else row.version + 1
             value = msgspec.json.decode(msgspec.json.encode(write.value))
             self.rows[write.key] = effects.Row(write.key, value, version)
         return events.Committed(
--- a/tests/requests/test_gate.py
+++ b/tests/requests/test_gate.py
@@ -196,6 +196,15 @@
                 self.assertEqual(self.receive(make_forward(key, idempotent=idempotent)), [answer])
                 self.assertEqual(self.calls, [])
 
+    def test_a_forgotten_read_never_runs_again(self):
+        self.forward("e1-1/1", idempotent=True)
+        self.answer()
+        for number in range(2, memory.MAX_RECENT_ATTEMPTS + 3):
+            self.forward(f"e1-1/{number}", idempotent=True, remaining_ms=0)
+        self.assertEqual(self.receive(make_forward("e1-1/1", idempotent=True)), [])
+        self.assertEqual(self.calls, [])
+        self.assertEqual(self.query("e1-1/1", window=0), BROKEN)
+
     def test_an_older_attempt_is_refused(self):
         self.forward("k1", attempt=2)
         self.assertEqual(self.forward("k1", attempt=1), Refusal.TOMBSTONED)
