--- a/crocusrudder/hosting/errors.py
+++ b/crocusrudder/hosting/errors.py
@@ -58,3 +58,9 @@
 
     code = "CR-HTTP-007"
     status = 501
+
+
+class ServerStartError(errors.CrocusrudderError):
+    """Report an address that the server cannot listen on."""
+
+    code = "CR-HTTP-008"
--- a/crocusrudder/hosting/http_server.py
+++ b/crocusrudder/hosting/http_server.py
@@ -80,10 +80,17 @@
         return self._buffer.size
 
     async def start(self) -> None:
-        """Bind the address and accept connections in the background."""
+        """Bind the address and accept connections in the background.
+
+        Raises ``ServerStartError`` if the address cannot be bound.
+        """
         listener = curio.socket.socket(curio.socket.AF_INET, curio.socket.SOCK_STREAM)
         listener.setsockopt(curio.socket.SOL_SOCKET, curio.socket.SO_REUSEADDR, 1)
-        listener.bind(self._address)
+        try:
+            listener.bind(self._address)
+        except OSError as error:
+            await listener.close()
+            raise errors.ServerStartError(f"cannot bind {self._address}: {error}") from error
         listener.listen(BACKLOG)
         self._listener = listener
         self._accepting = await curio.spawn(self._accept_forever, daemon=True)
--- a/crocusrudder/requests/slots.py
+++ b/crocusrudder/requests/slots.py
@@ -64,7 +64,7 @@
         if len(self._queue) >= max(1, self.status.slots // 2):
             return False
         position = len(self._queue) + 1
-        return position * self._service_seconds / self.status.slots < remaining_seconds
+        return position * self._service_seconds / max(1, self.status.slots) < remaining_seconds
 
     def enqueue(self, forwarded: attempts.Forwarded) -> None:
         """Let a request wait for a slot."""
--- a/tests/hosting/test_http_server.py
+++ b/tests/hosting/test_http_server.py
@@ -11,6 +11,7 @@
 import curio.socket
 import msgspec
 
+from crocusrudder.hosting import errors
 from crocusrudder.hosting import http_connection
 from crocusrudder.hosting import http_messages
 from crocusrudder.hosting import http_server
@@ -141,6 +142,13 @@
             with self.subTest(handler):
                 self.assertEqual(get_status(run_server(scenario, handler)), 500)
 
+    def test_an_address_in_use_is_reported(self):
+        async def scenario(server):
+            with self.assertRaises(errors.ServerStartError):
+                await http_server.Server(HOST, PORT, echo).start()
+
+        run_server(scenario)
+
     def test_a_handler_is_cancelled_when_the_caller_leaves(self):
         seen = []
 
--- a/tests/requests/test_failure_points.py
+++ b/tests/requests/test_failure_points.py
@@ -6,8 +6,6 @@
 import pathlib
 import unittest
 
-import msgspec
-
 from crocusrudder.core import effects
 from crocusrudder.core import events
 from crocusrudder.requests import limits
@@ -22,292 +20,131 @@
     outcomes.OutcomeUnknown: "outcome-unknown",
 }
 
-ANSWERS = "RequestAnswer,OutcomeReport"
-STORE_DOWN = "store Commit=down ReadRows=down"
-WARM_UP = "; ".join(["submit method=GET", "settle"] * 10)
-UNTIL_EXECUTED = f"submit; settle hold=ForwardRequest; {STORE_DOWN}; settle"
-FILL_ENTRY = "limits max_in_flight=2; submit key=k2; submit key=k3"
-
-# Failure, steps, outcome and code of the last submission, executions of the key k1.
-TABLE = [
-    ("the entry is stopping", "stop e1; submit", "not-run", "CR-REQ-008", 0),
-    ("the entry has no confirmed configuration", "unready; submit", "not-run", "CR-REQ-009", 0),
-    ("no key", "submit key=", "not-run", "CR-REQ-001", 0),
-    ("unknown service or order kind", "submit order_kind=x", "not-run", "CR-REQ-003", 0),
-    ("the entry is full", f"{FILL_ENTRY}; submit", "not-run", "CR-REQ-005", 0),
-    (
-        "the entry is full; repeat",
-        f"submit; settle; {FILL_ENTRY}; submit repeat=1",
-        "outcome-unknown",
-        "CR-REQ-005",
-        1,
-    ),
-    ("no time left on arrival", "submit timeout=0", "not-run", "CR-REQ-007", 0),
-    ("no endpoint is announced", "withdraw; submit", "not-run", "CR-REQ-004", 0),
-    (
-        "all endpoints are at their limits",
-        "submit key=k2; submit key=k3; submit",
-        "not-run",
-        "CR-REQ-005",
-        0,
-    ),
-    ("store down before the claim", f"{STORE_DOWN}; submit; settle", "not-run", "CR-REQ-006", 0),
-    (
-        "store down; repeat",
-        f"submit; settle; {STORE_DOWN}; submit entry=e2 repeat=1; settle",
-        "outcome-unknown",
-        "CR-REQ-006",
-        1,
-    ),
-    (
-        "answer to the claim lost, claim stored",
-        "submit; store Commit=answer-lost; run Commit; store; settle",
-        "done",
-        "",
-        1,
-    ),
-    (
-        "answer to the claim lost, claim not stored",
-        "submit; store Commit=request-lost; run Commit; store; settle",
-        "done",
-        "",
-        1,
-    ),
-    (
-        "answer to the claim lost, store down until the deadline",
-        "submit; store Commit=answer-lost ReadRows=down; settle; advance 11",
-        "not-run",
-        "CR-REQ-006",
-        0,
-    ),
-    (
-        "claim answered after the deadline",
-        "submit; advance 11 hold=Commit; settle",
-        "not-run",
-        "CR-REQ-007",
-        0,
-    ),
-    (
-        "key reused with another body",
-        "submit; settle; submit entry=e2 body=other; settle",
-        "not-run",
-        "CR-REQ-002",
-        1,
-    ),
-    (
-        "the ledger row cannot be read",
-        "submit; corrupt; settle",
-        "outcome-unknown",
-        "CR-REQ-010",
-        0,
-    ),
-    (
-        "request to the agent lost",
-        "submit; settle hold=ForwardRequest; drop ForwardRequest; advance 2",
-        "not-run",
-        "CR-REQ-010",
-        0,
-    ),
-    (
-        "request to the agent lost, retry allowed",
-        f"{WARM_UP}; submit; settle hold=ForwardRequest; drop ForwardRequest; advance 2",
-        "done",
-        "",
-        1,
-    ),
-    (
-        "request to the agent duplicated",
-        "submit; settle hold=ForwardRequest; repeat ForwardRequest; settle",
-        "done",
-        "",
-        1,
-    ),
-    (
-        "request arrives after the query",
-        "submit; settle hold=ForwardRequest; advance 2 hold=ForwardRequest; settle",
-        "not-run",
-        "CR-REQ-010",
-        0,
-    ),
-    (
-        "request arrives after the deadline",
-        "submit timeout=0.5; advance 0.6 hold=ForwardRequest,QueryOutcome; settle",
-        "outcome-unknown",
-        "CR-REQ-012",
-        1,
-    ),
-    (
-        "the agent is overloaded",
-        "submit entry=e2 key=k2; submit entry=e2 key=k3; submit key=k4; submit; "
-        "settle hold=CallEndpoint",
-        "not-run",
-        "CR-REQ-005",
-        0,
-    ),
-    ("the agent is draining", "stop a1; submit; settle", "not-run", "CR-REQ-004", 0),
-    ("the agent is starting", "starting; submit; settle", "not-run", "CR-REQ-009", 0),
-    (
-        "the endpoint refuses the connection",
-        "endpoint unreached; submit; settle",
-        "not-run",
-        "CR-REQ-004",
-        0,
-    ),
-    (
-        "time runs out in the agent's queue",
-        "submit entry=e2 key=k2; submit entry=e2 key=k3; settle hold=CallEndpoint; "
-        "submit timeout=0.5; settle hold=CallEndpoint; advance 0.8 hold=CallEndpoint",
-        "not-run",
-        "CR-REQ-007",
-        0,
-    ),
-    (
-        "the agent lacks the configuration",
-        "revision 2; submit; settle hold=QueryOutcome; advance 2 hold=QueryOutcome",
-        "not-run",
-        "CR-REQ-010",
-        0,
-    ),
-    ("the request window is too old", "advance 1300; submit; settle", "not-run", "CR-REQ-010", 0),
-    (
-        "the endpoint fails after bytes were sent",
-        "endpoint broken; submit; settle",
-        "outcome-unknown",
-        "CR-REQ-014",
-        1,
-    ),
-    (
-        "answer of the agent lost",
-        "submit; settle hold=RequestAnswer; drop RequestAnswer; advance 2",
-        "done",
-        "",
-        1,
-    ),
-    (
-        "all answers lost until the deadline",
-        f"submit; advance 11 hold={ANSWERS}",
-        "outcome-unknown",
-        "CR-REQ-012",
-        1,
-    ),
-    (
-        "repeat after a late answer",
-        f"submit; advance 11 hold={ANSWERS}; settle; submit entry=e2 repeat=1; settle",
-        "done",
-        "",
-        1,
-    ),
-    (
-        "the agent is replaced",
-        "submit; settle hold=CallEndpoint; start a1; advance 2",
-        "outcome-unknown",
-        "CR-REQ-013",
-        1,
-    ),
-    (
-        "the agent was replaced; repeat",
-        "submit; settle hold=CallEndpoint; start a1; advance 2; submit entry=e2 repeat=1; "
-        "advance 2",
-        "outcome-unknown",
-        "CR-REQ-013",
-        1,
-    ),
-    (
-        "the entry died after the dispatch; repeat",
-        "submit; settle hold=CallEndpoint; start e1; settle; submit entry=e2 repeat=1; settle",
-        "done",
-        "",
-        1,
-    ),
-    (
-        "the entry died before the dispatch; repeat",
-        "submit; settle hold=ForwardRequest; start e1; submit entry=e2 repeat=1; "
-        "settle hold=ForwardRequest; settle",
-        "done",
-        "",
-        1,
-    ),
-    (
-        "still running; repeat",
-        "submit timeout=30; settle hold=CallEndpoint; submit entry=e2 repeat=1; "
-        "advance 11 hold=CallEndpoint",
-        "outcome-unknown",
-        "CR-REQ-011",
-        0,
-    ),
-    ("store down after the execution", UNTIL_EXECUTED, "done", "", 1),
-    (
-        "store down after the execution; repeat through the same entry",
-        f"{UNTIL_EXECUTED}; submit repeat=1; settle",
-        "done",
-        "",
-        1,
-    ),
-    (
-        "store down after the execution; repeat through another entry",
-        f"{UNTIL_EXECUTED}; submit entry=e2 repeat=1; settle",
-        "outcome-unknown",
-        "CR-REQ-006",
-        1,
-    ),
-    (
-        "store was down after the execution and is back; repeat",
-        f"{UNTIL_EXECUTED}; store; advance 2; submit entry=e2 repeat=1; settle",
-        "done",
-        "",
-        1,
-    ),
-    (
-        "response above the limit",
-        "padding 2000000; submit; settle",
-        "outcome-unknown",
-        "CR-REQ-014",
-        1,
-    ),
-    (
-        "planned stop of the agent",
-        "submit; settle hold=CallEndpoint; stop a1; settle",
-        "done",
-        "",
-        1,
-    ),
-    (
-        "planned stop of the entry",
-        "submit; settle hold=CallEndpoint; stop e1; settle",
-        "done",
-        "",
-        1,
-    ),
-    (
-        "planned stop during a standing request",
-        "submit method=GET standing=17 timeout=600; settle; stop a1; settle",
-        "done",
-        "",
-        0,
-    ),
-    (
-        "GET: all answers lost until the deadline",
-        f"submit method=GET; advance 11 hold={ANSWERS}",
-        "outcome-unknown",
-        "CR-REQ-012",
-        0,
-    ),
-    (
-        "GET: the endpoint fails after bytes were sent",
-        "endpoint broken; submit method=GET; settle",
-        "outcome-unknown",
-        "CR-REQ-014",
-        0,
-    ),
-    (
-        "GET: the endpoint fails after bytes were sent, retry allowed",
-        f"{WARM_UP}; submit method=GET; settle hold=CallEndpoint; endpoint broken; "
-        "run CallEndpoint; endpoint; settle",
-        "done",
-        "",
-        0,
-    ),
-]
+ANSWERS = ["RequestAnswer", "OutcomeReport"]
+
+# Failure -> outcome and code of the last submission, executions of the key k1; then the steps.
+ROWS = """
+the entry is stopping -> not-run CR-REQ-008 0
+    stop e1; submit
+the entry has no confirmed configuration -> not-run CR-REQ-009 0
+    unready; submit
+no key -> not-run CR-REQ-001 0
+    submit key=
+unknown service or order kind -> not-run CR-REQ-003 0
+    submit order_kind=x
+the entry is full -> not-run CR-REQ-005 0
+    fill; submit
+the entry is full; repeat -> outcome-unknown CR-REQ-005 1
+    submit; settle; fill; submit repeat=1
+no time left on arrival -> not-run CR-REQ-007 0
+    submit timeout=0
+no endpoint is announced -> not-run CR-REQ-004 0
+    withdraw; submit
+all endpoints are at their limits -> not-run CR-REQ-005 0
+    submit key=k2; submit key=k3; submit
+store down before the claim -> not-run CR-REQ-006 0
+    store down; submit; settle
+store down; repeat -> outcome-unknown CR-REQ-006 1
+    submit; settle; store down; submit entry=e2 repeat=1; settle
+answer to the claim lost, claim stored -> done none 1
+    submit; store Commit=answer-lost; run Commit; store; settle
+answer to the claim lost, claim not stored -> done none 1
+    submit; store Commit=request-lost; run Commit; store; settle
+answer to the claim lost, store down until the deadline -> not-run CR-REQ-006 0
+    submit; store Commit=answer-lost ReadRows=down; settle; advance 11
+claim answered after the deadline -> not-run CR-REQ-007 0
+    submit; advance 11 hold=Commit; settle
+key reused with another body -> not-run CR-REQ-002 1
+    submit; settle; submit entry=e2 body=other; settle
+the ledger row cannot be read -> outcome-unknown CR-REQ-010 0
+    submit; corrupt; settle
+request to the agent lost -> not-run CR-REQ-010 0
+    submit; settle hold=ForwardRequest; drop ForwardRequest; advance 2
+request to the agent lost, retry allowed -> done none 1
+    warm; submit; settle hold=ForwardRequest; drop ForwardRequest; advance 2
+request to the agent duplicated -> done none 1
+    submit; settle hold=ForwardRequest; repeat ForwardRequest; settle
+request arrives after the query -> not-run CR-REQ-010 0
+    submit; settle hold=ForwardRequest; advance 2 hold=ForwardRequest; settle
+request arrives after the deadline -> outcome-unknown CR-REQ-012 1
+    submit timeout=0.5; advance 0.6 hold=ForwardRequest,QueryOutcome; settle
+the agent is overloaded -> not-run CR-REQ-005 0
+    submit entry=e2 key=k2; submit entry=e2 key=k3; submit key=k4; submit;
+    settle hold=CallEndpoint
+the agent is draining -> not-run CR-REQ-004 0
+    stop a1; submit; settle
+the agent is starting -> not-run CR-REQ-009 0
+    starting; submit; settle
+the endpoint refuses the connection -> not-run CR-REQ-004 0
+    endpoint unreached; submit; settle
+time runs out in the agent's queue -> not-run CR-REQ-007 0
+    submit entry=e2 key=k2; submit entry=e2 key=k3; settle hold=CallEndpoint; submit timeout=0.5;
+    settle hold=CallEndpoint; advance 0.8 hold=CallEndpoint
+the agent lacks the configuration -> not-run CR-REQ-010 0
+    revision 2; submit; settle hold=QueryOutcome; advance 2 hold=QueryOutcome
+the request window is too old -> not-run CR-REQ-010 0
+    advance 1300; submit; settle
+the endpoint fails after bytes were sent -> outcome-unknown CR-REQ-014 1
+    endpoint broken; submit; settle
+answer of the agent lost -> done none 1
+    submit; settle hold=RequestAnswer; drop RequestAnswer; advance 2
+all answers lost until the deadline -> outcome-unknown CR-REQ-012 1
+    submit; advance 11 hold=answers
+repeat after a late answer -> done none 1
+    submit; advance 11 hold=answers; settle; submit entry=e2 repeat=1; settle
+the agent is replaced -> outcome-unknown CR-REQ-013 1
+    submit; settle hold=CallEndpoint; start a1; advance 2
+the agent was replaced; repeat -> outcome-unknown CR-REQ-013 1
+    submit; settle hold=CallEndpoint; start a1; advance 2; submit entry=e2 repeat=1; advance 2
+the entry died after the dispatch; repeat -> done none 1
+    submit; settle hold=CallEndpoint; start e1; settle; submit entry=e2 repeat=1; settle
+the entry died before the dispatch; repeat -> done none 1
+    submit; settle hold=ForwardRequest; start e1; submit entry=e2 repeat=1;
+    settle hold=ForwardRequest; settle
+still running; repeat -> outcome-unknown CR-REQ-011 0
+    submit timeout=30; settle hold=CallEndpoint; submit entry=e2 repeat=1;
+    advance 11 hold=CallEndpoint
+store down after the execution -> done none 1
+    submit; settle hold=ForwardRequest; store down; settle
+store down after the execution; repeat through the same entry -> done none 1
+    submit; settle hold=ForwardRequest; store down; settle; submit repeat=1; settle
+store down after the execution; repeat through another entry -> outcome-unknown CR-REQ-006 1
+    submit; settle hold=ForwardRequest; store down; settle; submit entry=e2 repeat=1; settle
+store was down after the execution and is back; repeat -> done none 1
+    submit; settle hold=ForwardRequest; store down; settle; store; advance 2;
+    submit entry=e2 repeat=1; settle
+response above the limit -> outcome-unknown CR-REQ-014 1
+    padding 2000000; submit; settle
+planned stop of the agent -> done none 1
+    submit; settle hold=CallEndpoint; stop a1; settle
+planned stop of the entry -> done none 1
+    submit; settle hold=CallEndpoint; stop e1; settle
+planned stop during a standing request -> done none 0
+    submit method=GET standing=17 timeout=600; settle; stop a1; settle
+GET: all answers lost until the deadline -> outcome-unknown CR-REQ-012 0
+    submit method=GET; advance 11 hold=answers
+GET: the endpoint fails after bytes were sent -> outcome-unknown CR-REQ-014 0
+    endpoint broken; submit method=GET; settle
+GET: the endpoint fails after bytes were sent, retry allowed -> done none 0
+    warm; submit method=GET; settle hold=CallEndpoint; endpoint broken; run CallEndpoint; endpoint;
+    settle
+"""
+
+
+def parse_table(text):
+    """Return the rows as tuples of failure, steps, outcome, code and executions."""
+    rows = []
+    for line in text.strip().splitlines():
+        if line.startswith(" "):
+            rows[-1][1] += line.strip() + " "
+            continue
+        name, _, result = line.partition(" -> ")
+        kind, code, executions = result.split()
+        rows.append([name, "", kind, code.replace("none", ""), int(executions)])
+    return rows
+
+
+TABLE = parse_table(ROWS)
 
 
 class Script:
@@ -319,12 +156,13 @@
 
     def run(self, steps):
         """Run steps that are separated by semicolons."""
-        for step in steps.split("; "):
+        for step in steps.strip().split("; "):
             word, *rest = step.split()
             options = dict(part.split("=", 1) for part in rest if "=" in part)
             arguments = [part for part in rest if "=" not in part]
             if "hold" in options:
-                options["hold"] = options["hold"].split(",")
+                held = options["hold"]
+                options["hold"] = ANSWERS if held == "answers" else held.split(",")
             getattr(self, f"_{word}")(*arguments, **options)
 
     def _submit(self, timeout="10", body="tray", repeat="", **options):
@@ -350,7 +188,9 @@
             self._world.run(item)
             self._world.settle()
 
-    def _store(self, **faults):
+    def _store(self, down="", **faults):
+        if down:
+            faults = {"Commit": "down", "ReadRows": "down"}
         self._world.store.faults = {getattr(effects, name): each for name, each in faults.items()}
 
     def _endpoint(self, fault=None):
@@ -381,10 +221,14 @@
         key = "request/arriola/k1"
         self._world.store.rows[key] = effects.Row(key, {"x": 1}, 7)
 
-    def _limits(self, **options):
-        strict = msgspec.convert(options, limits.RequestLimits, strict=False)
-        self._world.request_limits = strict
+    def _fill(self):
+        self._world.request_limits = limits.RequestLimits(max_in_flight=2)
         self._world.start_entry("e1")
+        for key in ("k2", "k3"):
+            self._world.submit(key=key)
+
+    def _warm(self):
+        self._world.warm_up()
 
 
 class FailurePointTest(unittest.TestCase):
