Let a process send messages to itself

Cause: an entry tells all entries of a job's new chunks, itself included, but the transport learned only the addresses of the peers. The message was dropped (wire_dropped_unknown_peer), and an entry that accepted a job for a cell of its own found the chunks only in the next scan of the table. CancelJob to itself was lost in the same way.

Change: make_transport tells the transport its own address.

--- a/crocusrudder/hosting/wiring.py
+++ b/crocusrudder/hosting/wiring.py
@@ -15,10 +15,16 @@
 def make_transport(
     document: settings.Settings, incarnation: ids.Incarnation, registry: metrics.Metrics
 ) -> transport.Transport:
-    """Return a transport that listens on the wire address of the settings."""
+    """Return a transport that listens on the wire address of the settings.
+
+    It knows its own address too: an entry tells all entries of new chunks, also itself.
+    """
     address = document.wire_address
-    sender = codec.Sender(ids.ProcessId(document.process), incarnation, address)
-    return transport.Transport(sender, address, registry.count)
+    process = ids.ProcessId(document.process)
+    sender = codec.Sender(process, incarnation, address)
+    link = transport.Transport(sender, address, registry.count)
+    link.learn_address(process, address)
+    return link
 
 
 def learn_peers(link: transport.Transport, peers: Iterable[settings.Peer]) -> None:
--- /dev/null
+++ b/tests/hosting/test_wiring.py
@@ -0,0 +1,51 @@
+"""Tests of the connections that entries and agents share."""
+
+import unittest
+
+import curio
+import msgspec
+
+from crocusrudder.conf import settings
+from crocusrudder.core import ids
+from crocusrudder.hosting import wiring
+from crocusrudder.observability import metrics
+from crocusrudder.wire import messages
+
+DOCUMENT = {
+    "process": "entry-1",
+    "region": "cantabrico",
+    "data_centre": "bilbao",
+    "wire_port": 27_901,
+    "http_port": 27_902,
+    "store": {"table_address": "127.0.0.1:27903", "object_address": "127.0.0.1:27903"},
+    "cells": [],
+}
+MESSAGE = messages.ChunkAssigned(ids.CellId("cell-1"), ids.JobId("job-1"))
+
+
+class TransportTests(unittest.TestCase):
+    def test_process_reaches_itself(self):
+        """Guards against chunks that wait for a scan when their entry owns the cell."""
+        document = msgspec.convert(DOCUMENT, settings.EntrySettings)
+        registry = metrics.Metrics()
+        incarnation = ids.Incarnation("i1")
+        link = wiring.make_transport(document, incarnation, registry)
+        heard = curio.Queue()
+
+        async def deliver(envelope, message):
+            await heard.put((envelope.sender, message))
+
+        async def exchange():
+            link.send(ids.ProcessId("entry-1"), MESSAGE, incarnation)
+            self.assertEqual(registry.counters, {})
+            async with curio.TaskGroup(wait=any) as services:
+                await services.spawn(link.receive_forever, deliver)
+                await services.spawn(link.retry_forever)
+                await services.spawn(heard.get)
+            return services.result
+
+        try:
+            received = curio.run(exchange)
+        finally:
+            link.close()
+        self.assertEqual(received, (ids.ProcessId("entry-1"), MESSAGE))
