--- /dev/null
+++ b/benchmarks/lab.py
@@ -0,0 +1,175 @@
+"""Real processes on loopback, and what the kernel says that they use."""
+
+import contextlib
+import json
+import pathlib
+import re
+import tempfile
+import time
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+import curio
+import msgspec
+
+from benchmarks import world
+from crocusrudder.platform import errors
+from tools.demo import deployment
+
+BASE_PORT = 27_000
+MAX_AGENTS = 56
+"""Leaves room for the platform and entries below 60 processes."""
+READY_SECONDS = 25.0
+_COUNTER = re.compile(r"^crocusrudder_(\w+?)(?:_total)? (\S+)$", re.MULTILINE)
+
+
+class LabError(Exception):
+    """A process does not become ready or refuses a call."""
+
+
+class Layout(deployment.Layout, frozen=True):
+    """One cell in one data centre."""
+
+    entry_count: int = 1
+    agent_count: int = MAX_AGENTS
+
+    @property
+    def entries(self) -> list[deployment.EntryPlace]:
+        """Return the entries."""
+        first = self.base_port + 10
+        return [
+            deployment.EntryPlace(
+                f"entry-{number}", world.DATA_CENTRE, first + 2 * number, first + 2 * number + 1
+            )
+            for number in range(self.entry_count)
+        ]
+
+    @property
+    def agents(self) -> list[deployment.AgentPlace]:
+        """Return the agents."""
+        first = self.base_port + 100
+        return [
+            deployment.AgentPlace(
+                f"agent-{number}",
+                f"worker-{number}",
+                world.DATA_CENTRE,
+                first + 3 * number,
+                first + 3 * number + 1,
+                first + 3 * number + 2,
+            )
+            for number in range(self.agent_count)
+        ]
+
+    def make_entry_settings(self, place: deployment.EntryPlace) -> dict:
+        """Return the settings of an entry, with the default leases."""
+        cells = [{"cell": f"cell-{world.DATA_CENTRE}", "data_centre": world.DATA_CENTRE}]
+        return {**super().make_entry_settings(place), "cells": cells}
+
+
+class Usage(msgspec.Struct, frozen=True):
+    """Totals of a process at one moment."""
+
+    at: float
+    cpu_seconds: float
+    resident_mb: float
+    counters: dict[str, float]
+
+
+class Lab(deployment.Deployment):
+    """A deployment whose entries and agents count their envelopes."""
+
+    async def wait(
+        self, what: str, condition: Callable[[], Awaitable[bool]], limit: float = READY_SECONDS
+    ) -> float:
+        """Wait until a condition holds and return the seconds that it took."""
+        start = time.monotonic()
+        while not await condition():
+            if time.monotonic() - start > limit:
+                raise LabError(f"{what}: not within {limit:.0f} s")
+            await curio.sleep(0.05)
+        return time.monotonic() - start
+
+    async def start_all(self) -> None:
+        """Start the platform and the entries, and submit the records."""
+        self.start_platform()
+        await self.wait("platform", lambda: self.is_healthy(self.layout.base_port, "/health"))
+        for place in self.layout.entries:
+            self.start_entry(place)
+        for place in self.layout.entries:
+            await self.wait(place.name, lambda port=place.http_port: self.is_healthy(port))
+        for number, record in enumerate(world.RECORDS):
+            await self.post_json("/v1/records", {"change": f"bench-{number}", "record": record})
+
+    async def post_json(self, target: str, content: dict) -> dict:
+        """Post JSON to the first entry."""
+        port = self.layout.entries[0].http_port
+        headers = (("content-type", "application/json"), ("author", "benchmark"))
+        answer = await self.call("POST", port, target, headers, json.dumps(content).encode())
+        if answer.status >= 300:
+            raise LabError(f"{target}: {answer.status} {answer.body!r}")
+        return json.loads(answer.body)
+
+    async def add_agents(self, places: list[deployment.AgentPlace]) -> None:
+        """Start agents and wait until they serve."""
+        for place in places:
+            self.start_agent(place)
+        for place in places:
+            await self.wait(place.name, lambda port=place.http_port: self.is_healthy(port))
+
+    async def announce(self, place: deployment.AgentPlace, count: int) -> None:
+        """Announce endpoints beside an agent, as endpoint processes do every 2 s."""
+        for number in range(count):
+            body = {
+                "service": "dispatch",
+                "schema_version": 2,
+                "host": "127.0.0.1",
+                "port": place.endpoint_port,
+            }
+            with contextlib.suppress(errors.PlatformError):
+                target = f"/v1/endpoints/{place.worker}-{number}"
+                await self.call("PUT", place.http_port, target, (), json.dumps(body).encode())
+
+    async def read_usage(self, name: str, port: int) -> Usage:
+        """Return the totals of a process."""
+        text = (await self.call("GET", port, "/v1/metrics")).body.decode()
+        counters = {found[1]: float(found[2]) for found in _COUNTER.finditer(text)}
+        pid = self.get_pid(name)
+        return Usage(time.monotonic(), read_cpu(pid), read_resident_mb(pid), counters)
+
+    def _start(self, name: str, arguments: list[str]) -> None:
+        if arguments[:2] == ["-m", "crocusrudder"]:
+            arguments = ["-m", "benchmarks.metered", *arguments[2:]]
+        super()._start(name, arguments)
+
+
+def read_cpu(pid: int) -> float:
+    """Return the processor seconds of all threads of a process.
+
+    The clock ticks of ``/proc/<pid>/stat`` are 10 ms, too coarse for 1% over some seconds.
+    """
+    threads = pathlib.Path(f"/proc/{pid}/task").glob("*/schedstat")
+    return sum(int(path.read_text().split()[0]) for path in threads) / 1e9
+
+
+def read_resident_mb(pid: int) -> float:
+    """Return the resident memory of a process."""
+    status = pathlib.Path(f"/proc/{pid}/status").read_text()
+    return int(re.search(r"VmRSS:\s+(\d+)", status)[1]) / 1024
+
+
+@contextlib.asynccontextmanager
+async def open_lab(entries: int = 1, task_lease_seconds: float = 300.0) -> AsyncIterator[Lab]:
+    """Run a deployment without agents; kill what is left at the end."""
+    layout = Layout(
+        BASE_PORT,
+        entry_count=entries,
+        task_lease_seconds=task_lease_seconds,
+    )
+    with tempfile.TemporaryDirectory() as folder:
+        lab = Lab(layout, pathlib.Path(folder))
+        try:
+            await lab.start_all()
+            yield lab
+        finally:
+            lab.kill_all()
