Report mechanisms whose code moved before the proofs run

Cause: one changed line stopped the whole run of tools/proofs after three minutes without a result. Change: all mechanisms are looked up before any test runs.

--- a/tools/proofs/__main__.py
+++ b/tools/proofs/__main__.py
@@ -33,14 +33,21 @@
     seen: str
 
 
+def find_missing() -> list[str]:
+    """Return the mechanisms whose code is not found exactly once."""
+    return [
+        f"{each.file}: not found once: {each.before!r}"
+        for each in mechanisms.MECHANISMS
+        if (ROOT / each.file).read_text(encoding="utf-8").count(each.before) != 1
+    ]
+
+
 def copy_without(mechanism: mechanisms.Mechanism, folder: pathlib.Path) -> None:
     """Copy the repository into a folder with the mechanism switched off."""
     for name in COPIED:
         shutil.copytree(ROOT / name, folder / name, ignore=shutil.ignore_patterns("__pycache__"))
     path = folder / mechanism.file
     text = path.read_text(encoding="utf-8")
-    if text.count(mechanism.before) != 1:
-        raise click.ClickException(f"{mechanism.file}: not found once: {mechanism.before!r}")
     path.write_text(text.replace(mechanism.before, mechanism.after), encoding="utf-8")
 
 
@@ -78,6 +85,9 @@
 @click.option("--processes", default=3, show_default=True)
 def main(points: tuple[str, ...], processes: int) -> None:
     """Switch each mechanism off in a copy and check that its tests notice."""
+    missing = find_missing()
+    if missing:
+        raise click.ClickException("\n".join(missing))
     chosen = [each for each in mechanisms.MECHANISMS if not points or each.point in points]
     with concurrent.futures.ThreadPoolExecutor(processes) as pool:
         verdicts = list(pool.map(examine, chosen))
--- a/tools/proofs/mechanisms.py
+++ b/tools/proofs/mechanisms.py
@@ -78,8 +78,9 @@
         "I2",
         "the agent starts each task epoch once",
         "crocusrudder/jobs/runner.py",
-        "if message.epoch <= self._book.get_epoch(message.task):",
-        "if False:",
+        "        key = (message.task, message.epoch)\n"
+        "        if message.epoch <= self._book.get_epoch(message.task):",
+        "        key = (message.task, message.epoch)\n        if False:",
         (JOBS + "StaleStartTest", JOB_HISTORIES),
     ),
     Mechanism(
