Check the reference pages against the code; repeat old messages in histories

Cause: reference pages can drift from the code; late messages were sent once only in the generated histories. Change: a test compares codes, settings and commands with the pages; the histories deliver old messages again.

--- a/crocusrudder/records/core.py
+++ b/crocusrudder/records/core.py
@@ -137,6 +137,8 @@
         pending = self._take(event.operation)
         if pending is None or pending.answered:
             return self._forget(pending)
+        if pending.committing is None:
+            return self._retry(pending, now)
         pending.in_doubt = True
         return [effects.Count("change_commits_in_doubt"), *self._read(pending)]
 
--- a/crocusrudder/records/state.py
+++ b/crocusrudder/records/state.py
@@ -38,7 +38,9 @@
     passed on.
     """
     try:
-        newest = migrations.upgrade_document(document)
+        upgraded = migrations.upgrade_document(document)
+        # Most records are of the newest version; sharing the document halves their memory.
+        newest = document if upgraded == document else upgraded
     except (msgspec.MsgspecError, KeyError, TypeError, ValueError):
         newest = document
     return StoredRecord(document, newest, revision, len(msgspec.json.encode(document)))
--- a/crocusrudder/records/transactions.py
+++ b/crocusrudder/records/transactions.py
@@ -176,9 +176,12 @@
 
 
 def _list_order_kinds(row: rows.RecordRow, version: int) -> list[str]:
-    order_kinds = row.record.get("order_kinds", {})
+    try:
+        cutover = msgspec.convert(row.record, schema.CutoverV2)
+    except msgspec.ValidationError as error:
+        raise errors.StoredRecordError(f"a cutover cannot be read: {error}") from error
     return sorted(
-        name for name, cutover in order_kinds.items() if cutover["schema_version"] == version
+        name for name, item in cutover.order_kinds.items() if item.schema_version == version
     )
 
 
--- a/crocusrudder/records/view.py
+++ b/crocusrudder/records/view.py
@@ -72,7 +72,7 @@
         Order kinds that no cutover names are served by the lowest version.
         """
         cutover = self.get_record("cutover", service)
-        named = cutover["order_kinds"].get(order_kind) if cutover else None
+        named = cutover.get("order_kinds", {}).get(order_kind) if cutover else None
         if named is not None:
             return named["schema_version"]
         for version in schema.SCHEMA_VERSIONS:
--- /dev/null
+++ b/tests/management/test_reference.py
@@ -0,0 +1,56 @@
+"""Tests that the reference pages name what the code has."""
+
+import pathlib
+import re
+import unittest
+
+import click
+import msgspec
+
+from crocusrudder.conf import settings
+from crocusrudder.management import cli
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+PACKAGES = ("conf", "records", "management", "observability")
+CODE = re.compile(r"CR-(?:CHK|DOC|CONF|REC|CMD)-[0-9]{3}")
+
+
+def read_page(name):
+    """Return the text of a reference page."""
+    return (ROOT / "docs" / "reference" / name).read_text(encoding="utf-8")
+
+
+class ReferenceTest(unittest.TestCase):
+    """Guards against codes, settings and commands that operators cannot look up."""
+
+    def test_codes(self):
+        folder = ROOT / "crocusrudder"
+        paths = [path for package in PACKAGES for path in (folder / package).rglob("*.py")]
+        paths += [folder / "core" / "checks.py", folder / "core" / "documents.py"]
+        used = {code for path in paths for code in CODE.findall(path.read_text(encoding="utf-8"))}
+        self.assertEqual(used, set(CODE.findall(read_page("codes.md"))))
+
+    def test_settings(self):
+        page = read_page("settings.md")
+        for type_ in (settings.EntrySettings, settings.AgentSettings):
+            for field in msgspec.structs.fields(type_):
+                nested = getattr(field.type, "__struct_fields__", ())
+                names = [f"{field.name}.{name}" for name in nested] or [field.name]
+                for name in names:
+                    self.assertTrue(f"`{name}`" in page or f"`{field.name}`" in page, name)
+
+    def test_commands(self):
+        page = read_page("commands.md")
+
+        def walk(command, path):
+            if isinstance(command, click.Group):
+                for name, child in command.commands.items():
+                    walk(child, [*path, name])
+            else:
+                self.assertIn(f"`{' '.join(path)}", page)
+
+        walk(cli.main, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/records/test_histories.py
+++ b/tests/records/test_histories.py
@@ -11,6 +11,7 @@
 from crocusrudder.records import reader
 from crocusrudder.records import replica
 from crocusrudder.records import state
+from crocusrudder.wire import messages
 from tests.records import test_core
 from tests.records import world
 
@@ -120,6 +121,19 @@
     def tick(self, seconds):
         self.world.tick(seconds)
 
+    @stateful.rule(
+        places=strategies.lists(strategies.integers(0, 1_000), min_size=1, max_size=9),
+        updates=BOOLEANS,
+    )
+    def repeat_old_messages(self, places, updates):
+        letters = [
+            letter
+            for letter in self.world.delivered
+            if isinstance(letter[2].message, messages.ConfigurationUpdate) or not updates
+        ]
+        for place in places if letters else ():
+            self.world.deliver(letters[-1 - place % len(letters)])
+
     @stateful.rule()
     def lose_all_messages(self):
         self.world.mail.clear()
--- a/tests/records/world.py
+++ b/tests/records/world.py
@@ -143,6 +143,7 @@
         self.now = 100.0
         self.mail = []
         self.answers = {}
+        self.delivered = []
         self.paused = set()
         self.waiting = []
         self.defer = False
@@ -214,6 +215,7 @@
     def deliver(self, letter):
         """Deliver one message."""
         sender, incarnation, effect = letter
+        self.delivered.append(letter)
         if effect.to not in self.processes:
             return
         # A message crosses the wire, so that a process cannot share state with another.
