Measure recovery on simulated time

Cause: recovery times were only seen in single runs. Change: benchmarks/recovery.py measures nine kinds of recovery over seeds, with the row writes and reads of the store.

--- /dev/null
+++ b/benchmarks/recovery.py
@@ -0,0 +1,265 @@
+"""Measure recovery: how long until work is taken up, endpoints are left, changes are in force.
+
+The real cores run on simulated time (``tests/support/system.py``) with links of 1 to 5 ms and a
+store of 2 to 10 ms; the task lease is 20 s there, 300 s by default in the settings.
+"""
+
+import pathlib
+import statistics
+from collections.abc import Callable
+
+import click
+import msgspec
+
+from crocusrudder.core import clocks
+from tests.support import scenario
+from tests.support import system
+
+ENTRIES = {
+    "e1": "bilbao",
+    "e2": "bilbao",
+    "e3": "santander",
+    "e4": "santander",
+}
+WORKERS = {
+    "w1": "bilbao",
+    "w2": "bilbao",
+    "w3": "bilbao",
+    "w4": "santander",
+    "w5": "santander",
+}
+LIMIT_SECONDS = 200.0
+CALM_SECONDS = 10.0
+
+
+class Figure(msgspec.Struct):
+    """Seconds and store operations of one kind of recovery over all seeds."""
+
+    name: str
+    seconds: list[float] = msgspec.field(default_factory=list)
+    row_writes: list[int] = msgspec.field(default_factory=list)
+    reads: list[int] = msgspec.field(default_factory=list)
+
+
+class Bench:
+    """A settled system with one job on every worker."""
+
+    def __init__(self, seed: int) -> None:
+        self._world = system.System(seed, ENTRIES, WORKERS)
+        self._prepare()
+
+    @property
+    def world(self) -> system.System:
+        """Return the system."""
+        return self._world
+
+    def find_owner(self, data_centre: str = "bilbao") -> str:
+        """Return the entry that owns the cell of a data centre."""
+        cell = f"cell-{data_centre}"
+        for name in ENTRIES:
+            process = self._world.processes[name]
+            if process.core and cell in process.core.ownership.owned(
+                process.local(self._world.now)
+            ):
+                return name
+        return ""
+
+    def find_runs(self, task_prefix: str) -> dict[str, tuple[str, int]]:
+        """Return worker and epoch of each task that runs now."""
+        return {
+            task: next(iter(runs))
+            for task, runs in self._world._active.items()
+            if runs and task.startswith(task_prefix)
+        }
+
+    def _prepare(self) -> None:
+        world = self._world
+        world.run_until(lambda: world.processes["e1"].core.ready, LIMIT_SECONDS)
+        for record in scenario.RECORDS:
+            world.submit_record("e1", record)
+        world.submit_record("e1", make_service(1))
+        for worker in WORKERS:
+            world.start_endpoint(worker)
+        world.run(1.0)
+        world.run_until(world.is_settled, LIMIT_SECONDS)
+        world.submit_job("e1", "rounds", "sheets", 20, "count out 2000 0.5")
+        world.run(CALM_SECONDS)
+
+
+def make_service(version: int, slots: int = 8) -> dict:
+    """Return a service record."""
+    size = scenario.SIZE if version == 2 else {"processors": 1, "memory_gb": 1}
+    return {
+        "kind": "service",
+        "schema_version": version,
+        "name": system.SERVICE,
+        "team": system.TEAM,
+        "size": size,
+        "slots": slots,
+    }
+
+
+def take_up_cell_of_dead_entry(bench: Bench) -> float:
+    """Kill the owner of a cell; wait until another one has heard from all of its workers."""
+    world = bench.world
+    world.kill(bench.find_owner())
+
+    def is_taken() -> bool:
+        owner = bench.find_owner()
+        if not owner:
+            return False
+        known = world.processes[owner].core.workers.list_workers("cell-bilbao")
+        return len(known) == 3
+
+    return world.run_until(is_taken, LIMIT_SECONDS)
+
+
+def adopt_runs_of_dead_agent(bench: Bench) -> float:
+    """Kill an agent and start another at once; wait until the owner has its inventory."""
+    world = bench.world
+    old = world.processes["agent-w1"].incarnation
+    world.kill("agent-w1")
+    world.start_agent("w1")
+
+    def is_adopted() -> bool:
+        owner = bench.find_owner()
+        known = world.processes[owner].core.workers.get_worker("w1") if owner else None
+        return known is not None and known.incarnation != old and known.inventoried
+
+    return world.run_until(is_adopted, LIMIT_SECONDS)
+
+
+def resume_tasks_of_replaced_worker(bench: Bench) -> float:
+    """Lose a worker and replace it at once; wait until all of its tasks run again."""
+    return _lose_worker(bench, is_replaced=True)
+
+
+def resume_tasks_of_lost_worker(bench: Bench) -> float:
+    """Lose a worker for good; wait until all of its tasks run again."""
+    return _lose_worker(bench, is_replaced=False)
+
+
+def _lose_worker(bench: Bench, is_replaced: bool) -> float:
+    world = bench.world
+    lost = {task for task, (worker, _) in bench.find_runs("rounds").items() if worker == "w1"}
+    world.lose_worker("w1")
+    if is_replaced:
+        world.replace_worker("w1")
+    return world.run_until(lambda: lost <= set(bench.find_runs("rounds")), LIMIT_SECONDS)
+
+
+def leave_endpoint(bench: Bench) -> float:
+    """Withdraw an endpoint; wait until no entry would choose it."""
+    world = bench.world
+    world.stop_endpoint(f"{system.SERVICE}-w1-1")
+
+    def is_gone() -> bool:
+        return all(
+            len(world.processes[name].core.directory.find_endpoints(system.SERVICE, 1)) == 4
+            for name in ENTRIES
+        )
+
+    return world.run_until(is_gone, LIMIT_SECONDS)
+
+
+def put_change_in_force(bench: Bench) -> float:
+    """Submit a record; wait until it is in force in every process."""
+    return _submit_and_wait(bench, ())
+
+
+def put_change_in_force_with_paused_process(bench: Bench) -> float:
+    """Submit a record while an agent is paused; wait until it is in force in all others."""
+    bench.world.pause("agent-w2")
+    return _submit_and_wait(bench, ("agent-w2",))
+
+
+def put_change_in_force_with_store_down_after_acceptance(bench: Bench) -> float:
+    """Stop the store as soon as a change is accepted; wait until it is in force everywhere."""
+    world = bench.world
+    operation = world.submit_record("e3", make_service(2))
+    world.run_until(lambda: operation in world.operator_answers, LIMIT_SECONDS)
+    world.faults.store_down.add("*")
+    return world.run_until(world.is_in_force, LIMIT_SECONDS)
+
+
+def _submit_and_wait(bench: Bench, without: tuple[str, ...]) -> float:
+    world = bench.world
+    operation = world.submit_record("e3", make_service(2))
+    world.run_until(lambda: operation in world.operator_answers, LIMIT_SECONDS)
+
+    def is_in_force() -> bool:
+        wanted = world.table.read(("config/head",))["config/head"].value["revision"]
+        return all(
+            process.core.replica.revision == wanted
+            for process in world.processes.values()
+            if process.name not in without
+        )
+
+    return world.run_until(is_in_force, LIMIT_SECONDS)
+
+
+def start_urgent_job_under_full_load(bench: Bench) -> float:
+    """Fill all workers with batch, then submit an urgent job; wait until it runs."""
+    world = bench.world
+    world.submit_job("e2", "filler", "sheets", 40, "count out 2000 0.5")
+    world.run(70.0)
+    world.submit_job("e2", "urgent", "urgent-sheets", 1, "count out 20 0.5")
+    return world.run_until(lambda: bool(bench.find_runs("urgent")), LIMIT_SECONDS)
+
+
+MEASURES: tuple[Callable[[Bench], float], ...] = (
+    take_up_cell_of_dead_entry,
+    adopt_runs_of_dead_agent,
+    resume_tasks_of_replaced_worker,
+    resume_tasks_of_lost_worker,
+    leave_endpoint,
+    put_change_in_force,
+    put_change_in_force_with_paused_process,
+    put_change_in_force_with_store_down_after_acceptance,
+    start_urgent_job_under_full_load,
+)
+
+
+def measure(action: Callable[[Bench], float], seeds: int) -> Figure:
+    """Run one measure for several seeds."""
+    figure = Figure(action.__name__.replace("_", " "))
+    for seed in range(seeds):
+        bench = Bench(seed)
+        before = msgspec.structs.replace(bench.world.table.stats)
+        figure.seconds.append(action(bench))
+        after = bench.world.table.stats
+        figure.row_writes.append(after.row_writes - before.row_writes)
+        figure.reads.append(after.reads - before.reads)
+    return figure
+
+
+def summarise(figure: Figure) -> dict[str, object]:
+    """Return a line of the table."""
+    return {
+        "measure": figure.name,
+        "median s": round(statistics.median(figure.seconds), 2),
+        "max s": round(max(figure.seconds), 2),
+        "median row writes": statistics.median(figure.row_writes),
+        "median reads": statistics.median(figure.reads),
+    }
+
+
+@click.command()
+@click.option("--seeds", default=10, show_default=True)
+@click.option("--json", "path", type=click.Path(path_type=pathlib.Path), help="Write JSON here.")
+def main(seeds: int, path: pathlib.Path | None) -> None:
+    """Print the recovery figures."""
+    lines = [summarise(measure(action, seeds)) for action in MEASURES]
+    wait = clocks.wait_for_task_lease(system.TASK_LEASE_SECONDS)
+    click.echo(f"{seeds} seeds; a lost worker's lease of {system.TASK_LEASE_SECONDS:.0f} s")
+    click.echo(f"is certainly over after {wait:.1f} s\n")
+    click.echo("| " + " | ".join(lines[0]) + " |")
+    click.echo("|" + "---|" * len(lines[0]))
+    for line in lines:
+        click.echo("| " + " | ".join(str(value) for value in line.values()) + " |")
+    if path is not None:
+        path.write_bytes(msgspec.json.encode(lines))
+
+
+if __name__ == "__main__":
+    main()
