--- a/crocusrudder/jobs/admission.py
+++ b/crocusrudder/jobs/admission.py
@@ -98,7 +98,7 @@
             raise errors.NotReadyError("no configuration yet", "repeat the call")
         row = yield from _find_job(submission.job)
         status = 201 if row is None else 200
-        for _ in range(flows.MAX_CONFLICTS):
+        for _ in range(flows.MAX_ROUNDS):
             if row is None:
                 row = yield from _create(self._plan(submission))
                 continue
@@ -135,7 +135,7 @@
     def _cancel(self, name: ids.JobId) -> flows.Flow:
         """Set the cancellation flag in the job's row and tell the owners."""
         row = yield from _find_job(name)
-        for _ in range(flows.MAX_CONFLICTS):
+        for _ in range(flows.MAX_ROUNDS):
             if row is None:
                 raise errors.UnknownJobError(f"no job {name}")
             job = model.load_job(row)
--- a/crocusrudder/jobs/flows.py
+++ b/crocusrudder/jobs/flows.py
@@ -17,8 +17,8 @@
 READ_ATTEMPTS = 20
 """Reads that resolve a lost answer before the operator is told that the outcome is unknown."""
 
-MAX_CONFLICTS = 10
-"""Conflicts after which a call is refused as not ready, so that it cannot go on for ever."""
+MAX_ROUNDS = 100
+"""Conflicts and lost answers after which a call is refused, so that it cannot go on for ever."""
 
 
 class Pause(msgspec.Struct, frozen=True):
