Keep runs in the runtime's memory while a start may be under way

Cause: generated histories found a run that started twice: the answer to its start was lost, the repeated start ran and ended, the runtime forgot it, and then the first start arrived. Change: a run whose start had a lost answer is forgotten only after the deadline of that start, after which the runtime refuses it. Conclusion: the history passes; a test of the runner guards it.

--- a/crocusrudder/jobs/runner.py
+++ b/crocusrudder/jobs/runner.py
@@ -301,8 +301,9 @@
         for key in message.runs:
             run = self._book.get(key)
             if run is not None and run.ended:
-                self._book.drop(key)
-                produced.append(self._call(runtime_calls.ForgetRun(*key), None, now))
+                self._book.drop(run)
+                if run.forget_at <= now:
+                    produced.append(self._call(runtime_calls.ForgetRun(*key), None, now))
         self._update_drained(now)
         return produced
 
@@ -384,7 +385,7 @@
         for run in self._book.list_live():
             if run.key not in listed:
                 self._handle_absence(run, issued_at, now)
-        self._book.acknowledged.intersection_update(listed)
+        self._book.keep_acknowledged(listed)
         for run in self._book:
             run.refused_unread = False
         self._ready = True
@@ -396,6 +397,8 @@
         run = self._book.get(key)
         ended = _STATES[info.state] in runs_module.ENDED_RUN_STATES
         if key in self._book.acknowledged:
+            if ended and now < self._book.acknowledged[key]:
+                return []
             call = runtime_calls.ForgetRun if ended else runtime_calls.StopRun
             return [self._call(call(*key), None, now)]
         if run is None or run.refused_unread:
--- a/crocusrudder/jobs/runs.py
+++ b/crocusrudder/jobs/runs.py
@@ -1,5 +1,6 @@
 """The runs of a worker as its agent knows them."""
 
+from collections.abc import Container
 from collections.abc import Iterator
 
 import msgspec
@@ -56,6 +57,15 @@
         """Return whether the runtime has not confirmed the run yet."""
         return not self.ended and self.confirmed_at is None
 
+    @property
+    def forget_at(self) -> float:
+        """Return the time from which the runtime may forget the run.
+
+        While a start may still be under way, only the runtime's memory of the run, or the deadline
+        of the start, keeps it from starting again.
+        """
+        return self.start.lease_deadline if self.start and self.uncertain else float("-inf")
+
     def update(self, **fields: object) -> bool:
         """Change fields of the status; return whether anything changed."""
         changed = msgspec.structs.replace(self.status, **fields)
@@ -70,15 +80,18 @@
     def __init__(self) -> None:
         self._runs: dict[RunKey, Run] = {}
         self._seen: dict[ids.TaskId, tuple[ids.TaskEpoch, float]] = {}
-        self._acknowledged: set[RunKey] = set()
+        self._acknowledged: dict[RunKey, float] = {}
 
     def __iter__(self) -> Iterator[Run]:
         """Return an iterator over a copy, so that runs may be dropped meanwhile."""
         return iter(list(self._runs.values()))
 
     @property
-    def acknowledged(self) -> set[RunKey]:
-        """Return the runs whose ends the owner has recorded but the runtime may still list."""
+    def acknowledged(self) -> dict[RunKey, float]:
+        """Return the runs whose ends the owner has recorded but the runtime may still list.
+
+        The value is the time from which the runtime may forget the run.
+        """
         return self._acknowledged
 
     def add(self, run: Run, forget_at: float) -> None:
@@ -90,10 +103,15 @@
         """Return a run, or None."""
         return self._runs.get(key)
 
-    def drop(self, key: RunKey) -> None:
+    def drop(self, run: Run) -> None:
         """Drop a run whose end was acknowledged."""
-        self._runs.pop(key, None)
-        self._acknowledged.add(key)
+        del self._runs[run.key]
+        self._acknowledged[run.key] = run.forget_at
+
+    def keep_acknowledged(self, listed: Container[RunKey]) -> None:
+        """Drop the acknowledged runs that the runtime no longer lists."""
+        kept = {key: at for key, at in self._acknowledged.items() if key in listed}
+        self._acknowledged = kept
 
     def list_live(self) -> list[Run]:
         """Return the runs that have not ended."""
--- a/tests/jobs/test_runner.py
+++ b/tests/jobs/test_runner.py
@@ -211,6 +211,17 @@
         calls = self.answer(runtime_calls.ListRuns, 56.0, info(STATES.SUCCEEDED))
         self.assertEqual(calls, [runtime_calls.ForgetRun("j.0", 1)])
 
+    def test_run_is_remembered_while_a_start_may_be_under_way(self):
+        """Guards against a late start that runs again because the runtime forgot the run."""
+        self.make_ready()
+        self.start()
+        self.lose(runtime_calls.StartRun, 50.0)
+        self.answer(runtime_calls.ListRuns, 50.0, info(STATES.FAILED))
+        self.assertEqual(self.receive(messages.TaskReportAck((("j.0", 1),)), 54.0), [])
+        for now, calls in ((55.0, []), (101.0, [runtime_calls.ForgetRun("j.0", 1)])):
+            self.tick(now)
+            self.assertEqual(self.answer(runtime_calls.ListRuns, now, info(STATES.FAILED)), calls)
+
     def test_commands(self):
         """Guards against commands of a former owner, and ends without their checkpoint."""
         cases = [
