Split the runner and the scheduler

Change: calls.py holds the runtime calls in flight, tracker.py follows the runtime's list, loader.py scans chunk rows.

--- /dev/null
+++ b/crocusrudder/jobs/loader.py
@@ -0,0 +1,69 @@
+"""Read the chunk rows of owned cells by scan."""
+
+from crocusrudder.core import components
+from crocusrudder.core import effects
+from crocusrudder.core import events
+from crocusrudder.core import ids
+from crocusrudder.jobs import held
+from crocusrudder.jobs import model
+
+SCAN_SECONDS = 30.0
+"""Interval at which chunk rows are read again, which repairs a lost ``ChunkAssigned``."""
+
+SCAN_RETRY_SECONDS = 1.0
+
+
+class CellLoader:
+    """Scan a cell when its ownership begins and from time to time, or for one new job."""
+
+    def __init__(self, operations: components.OperationIds) -> None:
+        self._operations = operations
+        self._scans: dict[ids.OperationId, tuple[held.HeldCell, bool]] = {}
+
+    def expects(self, operation: ids.OperationId) -> bool:
+        """Return whether an answer belongs to a scan."""
+        return operation in self._scans
+
+    def scan_due(self, cell: held.HeldCell, now: float) -> list[effects.Effect]:
+        """Scan the whole cell if it is time."""
+        if cell.scanning or now < cell.scan_at:
+            return []
+        cell.scanning = True
+        return self._scan(cell, model.make_cell_prefix(cell.cell), True)
+
+    def scan_job(self, cell: held.HeldCell, job: ids.JobId) -> list[effects.Effect]:
+        """Scan the chunks of one job."""
+        return self._scan(cell, model.make_job_prefix(cell.cell, job), False)
+
+    def drop_cell(self, cell: held.HeldCell) -> None:
+        """Ignore the answers to all scans of a cell."""
+        scans = self._scans.items()
+        self._scans = {key: scan for key, scan in scans if scan[0] is not cell}
+
+    def handle(self, event: events.Event, now: float) -> None:
+        """Take the answer to a scan: add new chunks and replace older ones."""
+        cell, full = self._scans.pop(event.operation)
+        cell.scanning = cell.scanning and not full
+        if not isinstance(event, events.RowsRead):
+            cell.scan_at = min(cell.scan_at, now + SCAN_RETRY_SECONDS)
+            if full:
+                cell.scan_at = now + SCAN_RETRY_SECONDS
+            return
+        if full:
+            cell.loaded = True
+            cell.scan_at = now + SCAN_SECONDS
+        for row in event.rows.values():
+            _merge(cell, row)
+
+    def _scan(self, cell: held.HeldCell, prefix: str, full: bool) -> list[effects.Effect]:
+        operation = self._operations.next()
+        self._scans[operation] = (cell, full)
+        return [effects.ScanRows(operation, prefix)]
+
+
+def _merge(cell: held.HeldCell, row: effects.Row) -> None:
+    chunk = cell.chunks.get(ids.ChunkKey(row.key))
+    if chunk is None:
+        cell.add(held.HeldChunk(model.load_chunk(row), row.version))
+    elif not chunk.in_flight and row.version > chunk.version:
+        chunk.set_row(model.load_chunk(row), row.version)
--- a/crocusrudder/jobs/runner.py
+++ b/crocusrudder/jobs/runner.py
@@ -5,18 +5,16 @@
 
 import msgspec
 
-from crocusrudder.core import components
 from crocusrudder.core import effects
 from crocusrudder.core import events
 from crocusrudder.core import ids
+from crocusrudder.jobs import calls
 from crocusrudder.jobs import capacity as capacity_module
 from crocusrudder.jobs import runs as runs_module
+from crocusrudder.jobs import tracker
 from crocusrudder.platform import runtime_calls
 from crocusrudder.wire import messages
 
-LIST_SECONDS = 1.0
-"""Interval at which the runtime's list is read, which is how ends are noticed."""
-
 REPORT_SECONDS = 2.0
 """Interval at which the report of an end is repeated until it is acknowledged."""
 
@@ -26,18 +24,6 @@
 DRAIN_SECONDS = 20.0
 """Grace time of a planned stop, in which runs are checkpointed and their ends recorded."""
 
-EPOCH_MEMORY_SECONDS = 600.0
-"""A start is refused once its lease has passed, so its epoch need not be known for longer."""
-
-_STATES = {
-    runtime_calls.RuntimeState.RUNNING: messages.RunState.RUNNING,
-    runtime_calls.RuntimeState.SUSPENDED: messages.RunState.SUSPENDED,
-    runtime_calls.RuntimeState.SUCCEEDED: messages.RunState.SUCCEEDED,
-    runtime_calls.RuntimeState.FAILED: messages.RunState.FAILED,
-    runtime_calls.RuntimeState.CHECKPOINTED: messages.RunState.CHECKPOINTED,
-    runtime_calls.RuntimeState.STOPPED: messages.RunState.STOPPED,
-}
-
 
 class Announcer(Protocol):
     """What the runner reads of ``membership.announcer.Announcer``."""
@@ -56,14 +42,6 @@
         ...
 
 
-class _Call(msgspec.Struct, frozen=True):
-    """A runtime call in flight."""
-
-    call: msgspec.Struct
-    run: runs_module.Run | None
-    issued_at: float
-
-
 class TaskRunner:
     """Admit, renew, stop and report the runs of one worker.
 
@@ -80,14 +58,11 @@
         self._announcer = announcer
         self._capacity = capacity
         self._worker = worker
-        self._operations = components.OperationIds("run")
+        self._calls = calls.RuntimeCalls("run")
         self._book = runs_module.RunBook()
-        self._calls: dict[ids.OperationId, _Call] = {}
-        self._changed: set[runs_module.RunKey] = set()
+        self._tracker = tracker.RunTracker(self._book, capacity)
         self._cell = ids.CellId("")
         self._ready = False
-        self._listing = False
-        self._listed_at = float("-inf")
         self._lease_deadline = float("-inf")
         self._drain_until: float | None = None
         self._drained = False
@@ -119,9 +94,7 @@
 
     def take_changed(self) -> tuple[messages.TaskStatus, ...]:
         """Return the runs that changed since the last call."""
-        runs = [self._book.get(key) for key in sorted(self._changed)]
-        self._changed.clear()
-        return tuple(run.status for run in runs if run is not None)
+        return self._tracker.take_changed()
 
     def handle(self, event: events.Event, now: float) -> list[effects.Effect]:
         """Take one event and return the effects to carry out."""
@@ -130,9 +103,7 @@
     def tick(self, now: float) -> list[effects.Effect]:
         """Read the runtime's list, repeat calls and reports that are due."""
         self._book.forget_epochs(now)
-        produced: list[effects.Effect] = []
-        if not self._listing and now - self._listed_at >= LIST_SECONDS:
-            produced += self._list_runs(now)
+        produced = self._calls.make_due_list(now)
         for run in self._book.list_live():
             produced += self._pursue(run, now)
         produced += self._report_ends(now)
@@ -147,7 +118,7 @@
             "lease_deadline": self._lease_deadline if self._ready else None,
             "reserved": msgspec.to_builtins(self.reserved),
             "runs": [msgspec.to_builtins(run.status) for run in self._book],
-            "calls": len(self._calls),
+            "calls": self._calls.count,
         }
 
     @functools.singledispatchmethod
@@ -166,7 +137,7 @@
 
     @_dispatch.register
     def _on_answer(self, event: events.RuntimeAnswered, now: float) -> list[effects.Effect]:
-        call = self._take_call(event.operation)
+        call = self._calls.take(event.operation)
         if call is None:
             return []
         if isinstance(event.answer, runtime_calls.RuntimeRefusal):
@@ -177,14 +148,14 @@
 
     @_dispatch.register
     def _on_unknown(self, event: events.RuntimeUnknown, now: float) -> list[effects.Effect]:
-        call = self._take_call(event.operation)
+        call = self._calls.take(event.operation)
         if call is None:
             return []
         if isinstance(call.call, runtime_calls.StartRun) and call.run is not None:
             call.run.uncertain = True
         if isinstance(call.call, runtime_calls.RenewRuns):
             return self._renew(call.call.lease_deadline, now)
-        return [] if self._listing else self._list_runs(now)
+        return self._calls.make_list(now)
 
     @functools.singledispatchmethod
     def _receive(
@@ -200,7 +171,7 @@
         if message.epoch <= self._book.get_epoch(message.task):
             known = self._book.get(key)
             if known is not None:
-                self._changed.add(key)
+                self._tracker.note_change(key)
                 known.reported_at = float("-inf")
             return [effects.Count("starts_repeated")]
         deadline = self._announcer.lease_deadline(message.heartbeat, message.lease_seconds)
@@ -208,14 +179,14 @@
         self._cell = message.cell
         status = messages.TaskStatus(message.task, message.epoch, messages.RunState.STARTING)
         run = runs_module.Run(status, message.size)
-        self._book.add(run, now + EPOCH_MEMORY_SECONDS)
+        self._book.add(run, now + tracker.EPOCH_MEMORY_SECONDS)
         if reason is not None:
             return self._refuse(run, reason.value, now)
         run.start = runtime_calls.StartRun(
             message.task, message.epoch, message.size, message.command, message.checkpoint, deadline
         )
-        self._changed.add(key)
-        return [effects.Count("starts_admitted"), self._call(run.start, run, now)]
+        self._tracker.note_change(key)
+        return [effects.Count("starts_admitted"), self._calls.make(run.start, run, now)]
 
     def _find_refusal(
         self,
@@ -277,8 +248,8 @@
         state = messages.RunState.STOPPED
         status = messages.TaskStatus(message.task, message.epoch, state, reason="not started")
         run = runs_module.Run(status, messages.Resources())
-        self._book.add(run, now + EPOCH_MEMORY_SECONDS)
-        self._changed.add(run.key)
+        self._book.add(run, now + tracker.EPOCH_MEMORY_SECONDS)
+        self._tracker.note_change(run.key)
         return self._report_ends(now)
 
     @_receive.register
@@ -291,7 +262,7 @@
         if run is None or run.ended or run.starting:
             return []
         call = runtime_calls.ThrottleRun(message.task, message.epoch, message.share)
-        return [self._call(call, run, now)]
+        return [self._calls.make(call, run, now)]
 
     @_receive.register
     def _on_report_ack(
@@ -303,7 +274,7 @@
             if run is not None and run.ended:
                 self._book.drop(run)
                 if run.forget_at <= now:
-                    produced.append(self._call(runtime_calls.ForgetRun(*key), None, now))
+                    produced.append(self._calls.make(runtime_calls.ForgetRun(*key), None, now))
         self._update_drained(now)
         return produced
 
@@ -323,7 +294,7 @@
     def _renew(self, deadline: float, now: float) -> list[effects.Effect]:
         if deadline < self._lease_deadline or not self._book.list_live():
             return []
-        return [self._call(runtime_calls.RenewRuns(deadline), None, now)]
+        return [self._calls.make(runtime_calls.RenewRuns(deadline), None, now)]
 
     def _pursue(self, run: runs_module.Run, now: float) -> list[effects.Effect]:
         """Make the runtime call that a live run needs next, unless one is in flight."""
@@ -332,18 +303,20 @@
         if run.starting:
             return self._repeat_start(run, now)
         if isinstance(run.command, messages.StopTask):
-            return [self._call(runtime_calls.StopRun(*run.key), run, now)]
+            return [self._calls.make(runtime_calls.StopRun(*run.key), run, now)]
         if run.command is not None or self.draining:
-            return [self._call(runtime_calls.CheckpointRun(*run.key), run, now)]
+            return [self._calls.make(runtime_calls.CheckpointRun(*run.key), run, now)]
         return []
 
     def _repeat_start(self, run: runs_module.Run, now: float) -> list[effects.Effect]:
         if run.start.lease_deadline > now:
-            return [self._call(run.start, run, now)]
+            return [self._calls.make(run.start, run, now)]
         # The runtime refuses a start after its deadline, so one still under way has no effect.
-        return [] if self._listing else self._list_runs(now)
+        return self._calls.make_list(now)
 
-    def _handle_refusal(self, call: _Call, reason: str, now: float) -> list[effects.Effect]:
+    def _handle_refusal(
+        self, call: calls.PendingCall, reason: str, now: float
+    ) -> list[effects.Effect]:
         run = call.run
         produced: list[effects.Effect] = [effects.Count("runtime_refusals")]
         if not isinstance(call.call, runtime_calls.StartRun) or run is None or not run.starting:
@@ -351,104 +324,36 @@
         if run.uncertain and call.call.lease_deadline > now:
             return produced
         if run.uncertain:
-            return produced + ([] if self._listing else self._list_runs(now))
+            return produced + self._calls.make_list(now)
         return produced + self._refuse(run, reason, now)
 
     def _refuse(self, run: runs_module.Run, reason: str, now: float) -> list[effects.Effect]:
         run.refused_unread = not self._ready
-        self._end(run, state=messages.RunState.REFUSED, reason=reason)
+        self._tracker.end(run, state=messages.RunState.REFUSED, reason=reason)
         return [effects.Count("starts_refused"), *self._report_ends(now)]
 
     def _apply_answer(
-        self, call: _Call, found: tuple[runtime_calls.RunInfo, ...], now: float
+        self, call: calls.PendingCall, found: tuple[runtime_calls.RunInfo, ...], now: float
     ) -> list[effects.Effect]:
         run = call.run
         if run is None or run.ended:
             return []
         for info in found:
             if (info.task, info.epoch) == run.key:
-                self._observe(run, info, now)
+                self._tracker.observe(run, info, now)
                 return self._report_ends(now) + self._pursue(run, now)
         if isinstance(call.call, runtime_calls.StopRun):
-            self._end(run, state=messages.RunState.STOPPED, reason="not there")
+            self._tracker.end(run, state=messages.RunState.STOPPED, reason="not there")
             return self._report_ends(now)
         return []
 
     def _apply_list(
         self, found: tuple[runtime_calls.RunInfo, ...], issued_at: float, now: float
     ) -> list[effects.Effect]:
-        self._listing = False
-        produced: list[effects.Effect] = []
-        listed = {(info.task, info.epoch): info for info in found}
-        for key, info in listed.items():
-            produced += self._apply_listed(key, info, now)
-        for run in self._book.list_live():
-            if run.key not in listed:
-                self._handle_absence(run, issued_at, now)
-        self._book.keep_acknowledged(listed)
-        for run in self._book:
-            run.refused_unread = False
+        produced = self._tracker.apply_list(found, issued_at, self._calls, now)
         self._ready = True
         return produced + self._report_ends(now)
 
-    def _apply_listed(
-        self, key: runs_module.RunKey, info: runtime_calls.RunInfo, now: float
-    ) -> list[effects.Effect]:
-        run = self._book.get(key)
-        ended = _STATES[info.state] in runs_module.ENDED_RUN_STATES
-        if key in self._book.acknowledged:
-            if ended and now < self._book.acknowledged[key]:
-                return []
-            call = runtime_calls.ForgetRun if ended else runtime_calls.StopRun
-            return [self._call(call(*key), None, now)]
-        if run is None or run.refused_unread:
-            return self._adopt(info, now)
-        if not run.ended:
-            self._observe(run, info, now)
-        return []
-
-    def _adopt(self, info: runtime_calls.RunInfo, now: float) -> list[effects.Effect]:
-        """Take over a run that an earlier agent started."""
-        run = runs_module.Run(
-            messages.TaskStatus(info.task, info.epoch, messages.RunState.STARTING), info.size
-        )
-        self._book.add(run, now + EPOCH_MEMORY_SECONDS)
-        self._capacity.adopt(run.key, info.size)
-        self._observe(run, info, now)
-        fields = {"task": info.task, "epoch": info.epoch, "state": info.state.value}
-        return [effects.LogChange("run_adopted", fields)]
-
-    def _handle_absence(self, run: runs_module.Run, issued_at: float, now: float) -> None:
-        """End a run that a list lacks, if the list was asked for after the run was certain."""
-        if run.starting:
-            lapsed = run.start.lease_deadline <= issued_at and not run.calls
-            if lapsed:
-                self._end(run, state=messages.RunState.REFUSED, reason="lease-lapsed")
-        elif run.confirmed_at < issued_at:
-            self._end(run, state=messages.RunState.STOPPED, reason="lost by the runtime")
-
-    def _observe(self, run: runs_module.Run, info: runtime_calls.RunInfo, now: float) -> None:
-        if run.confirmed_at is None:
-            run.confirmed_at = now
-        state = _STATES[info.state]
-        fields = {
-            "state": state,
-            "checkpoint": info.checkpoint or run.status.checkpoint,
-            "output": info.output,
-            "reason": info.reason,
-            "usage": info.usage,
-        }
-        if state in runs_module.ENDED_RUN_STATES:
-            self._end(run, **fields)
-        elif run.update(**fields):
-            self._changed.add(run.key)
-
-    def _end(self, run: runs_module.Run, **fields: object) -> None:
-        run.update(**fields)
-        run.reported_at = float("-inf")
-        self._capacity.release(run.key)
-        self._changed.add(run.key)
-
     def _report_ends(self, now: float) -> list[effects.Effect]:
         due = [run for run in self._book.list_ended() if now - run.reported_at >= REPORT_SECONDS]
         if not due or not self._ready or not self._announcer.owner or not self._cell:
@@ -461,28 +366,3 @@
     def _update_drained(self, now: float) -> None:
         if self._drain_until is not None:
             self._drained = not list(self._book) or now >= self._drain_until
-
-    def _list_runs(self, now: float) -> list[effects.Effect]:
-        self._listing = True
-        self._listed_at = now
-        return [self._call(runtime_calls.ListRuns(), None, now)]
-
-    def _call(
-        self, call: msgspec.Struct, run: runs_module.Run | None, now: float
-    ) -> effects.CallRuntime:
-        operation = self._operations.next()
-        self._calls[operation] = _Call(call, run, now)
-        if run is not None:
-            run.calls += 1
-            run.called_at = now
-        return effects.CallRuntime(operation, call)
-
-    def _take_call(self, operation: ids.OperationId) -> _Call | None:
-        call = self._calls.pop(operation, None)
-        if call is None:
-            return None
-        if isinstance(call.call, runtime_calls.ListRuns):
-            self._listing = False
-        if call.run is not None:
-            call.run.calls -= 1
-        return call
--- a/crocusrudder/jobs/scheduler.py
+++ b/crocusrudder/jobs/scheduler.py
@@ -10,6 +10,7 @@
 from crocusrudder.jobs import chunks
 from crocusrudder.jobs import held
 from crocusrudder.jobs import jobbook
+from crocusrudder.jobs import loader
 from crocusrudder.jobs import model
 from crocusrudder.jobs import reconciler
 from crocusrudder.jobs import runs
@@ -21,10 +22,6 @@
 PASS_SECONDS = 0.2
 """Interval at which a cell's changes are collected and committed."""
 
-SCAN_SECONDS = 30.0
-"""Interval at which chunk rows are read again, which repairs a lost ``ChunkAssigned``."""
-
-SCAN_RETRY_SECONDS = 1.0
 REACTION_SECONDS = 1.0
 
 RETENTION_SECONDS = 3600.0
@@ -56,7 +53,7 @@
         self._operations = components.OperationIds("job")
         self._cells: dict[ids.CellId, held.HeldCell] = {}
         self._last_epochs: dict[ids.CellId, ids.CellEpoch] = {}
-        self._scans: dict[ids.OperationId, tuple[held.HeldCell, bool]] = {}
+        self._loader = loader.CellLoader(self._operations)
         self._jobs = jobbook.JobBook(self._operations, ownership)
         self._reconciler = reconciler.Reconciler(workers, self._jobs)
         self._chooser = starts.StartChooser(workers, policy, self._jobs, self._reconciler)
@@ -76,8 +73,7 @@
         """Scan, read, decide and commit what is due."""
         produced = self._follow_ownership(now)
         for cell in self._cells.values():
-            if not cell.scanning and now >= cell.scan_at:
-                produced += self._scan(cell, model.make_cell_prefix(cell.cell), True)
+            produced += self._loader.scan_due(cell, now)
         produced += self._writer.tick(now)
         produced += self._jobs.tick(now)
         for cell in list(self._cells.values()):
@@ -150,8 +146,9 @@
     @_dispatch.register(events.StoreUnavailable)
     @_dispatch.register(events.RowsRead)
     def _on_answer(self, event: events.Event, now: float) -> list[effects.Effect]:
-        if event.operation in self._scans:
-            return self._take_scan(event, now)
+        if self._loader.expects(event.operation):
+            self._loader.handle(event, now)
+            return self._keep_jobs(now)
         for part in (self._writer, self._jobs):
             if part.expects(event.operation):
                 return part.handle(event, now)
@@ -192,7 +189,7 @@
         if cell is None:
             return []
         self._jobs.request(message.job, now)
-        return self._scan(cell, model.make_job_prefix(message.cell, message.job), False)
+        return self._loader.scan_job(cell, message.job)
 
     @_receive.register
     def _on_cancel(
@@ -243,7 +240,7 @@
     def _drop_cell(self, cell: held.HeldCell, now: float) -> list[effects.Effect]:
         del self._cells[cell.cell]
         self._writer.drop_cell(cell)
-        self._scans = {key: scan for key, scan in self._scans.items() if scan[0] is not cell}
+        self._loader.drop_cell(cell)
         for chunk in cell.chunks.values():
             for position, task in enumerate(chunk.latest.tasks):
                 if task.state is messages.TaskState.ASSIGNED:
@@ -252,35 +249,13 @@
                     self._policy.record_end(name, task.worker, state, now)
         return [effects.LogChange("cell_dropped", {"cell": cell.cell, "epoch": cell.epoch})]
 
-    def _scan(self, cell: held.HeldCell, prefix: str, full: bool) -> list[effects.Effect]:
-        operation = self._operations.next()
-        self._scans[operation] = (cell, full)
-        cell.scanning = cell.scanning or full
-        return [effects.ScanRows(operation, prefix)]
-
-    def _take_scan(self, event: events.Event, now: float) -> list[effects.Effect]:
-        cell, full = self._scans.pop(event.operation)
-        cell.scanning = cell.scanning and not full
-        if not isinstance(event, events.RowsRead):
-            cell.scan_at = min(cell.scan_at, now + SCAN_RETRY_SECONDS)
-            return []
-        if full:
-            cell.loaded = True
-            cell.scan_at = now + SCAN_SECONDS
-        for row in event.rows.values():
-            self._merge(cell, row)
-        jobs = [job for known in self._cells.values() for job in known.by_job]
+    def _keep_jobs(self, now: float) -> list[effects.Effect]:
+        """Hold the jobs that have chunks in owned cells, and read the new ones."""
+        jobs = [job for cell in self._cells.values() for job in cell.by_job]
         for job in self._jobs.keep(jobs, now):
             self._policy.remove_job(job)
         return self._jobs.tick(now)
 
-    def _merge(self, cell: held.HeldCell, row: effects.Row) -> None:
-        chunk = cell.chunks.get(ids.ChunkKey(row.key))
-        if chunk is None:
-            cell.add(held.HeldChunk(model.load_chunk(row), row.version))
-        elif not chunk.in_flight and row.version > chunk.version:
-            chunk.set_row(model.load_chunk(row), row.version)
-
     def _run_pass(self, cell: held.HeldCell, now: float) -> list[effects.Effect]:
         """Collect the changes of a cell and commit them."""
         produced = self._acknowledge_stale(cell)
