Raise the slope below which a pair counts as harmless to 0.055

Cause: at 0.03 the estimates of harmless pairs often passed the mark, so that batch waited for nothing.

--- a/crocusrudder/placement/scoring.py
+++ b/crocusrudder/placement/scoring.py
@@ -13,8 +13,11 @@
 
 URGENT_RESERVE = 0.02
 """Share of a cell's processors and memory that ordinary batch leaves free for urgent tasks."""
-MIN_SLOPE = 0.03
-"""Slopes below this are harmless; they do not count against the slowdown limit."""
+MIN_SLOPE = 0.055
+"""Slopes below this are harmless; they do not count against the slowdown limit.
+
+At 0.03 the estimates of harmless pairs often passed it, and batch waited for nothing.
+"""
 MAX_LOG_SLOWDOWN = 4.0
 """Bound on predictions, so that an extrapolation cannot overflow or dominate everything."""
 
