--- a/tools/experiment/driver.py
+++ b/tools/experiment/driver.py
@@ -99,9 +99,9 @@
         self._never_starts: collections.Counter[str] = collections.Counter()
 
     @property
-    def policy(self) -> object:
-        """Return the policy that is driven."""
-        return self._policy
+    def load(self) -> loads.Load:
+        """Return the load of the cell."""
+        return self._load
 
     def run(self) -> tuple[Result, list[numpy.ndarray]]:
         """Run the load and return the measures and the latencies per service."""
