Look for messages that wait for a connection only while there are any

Cause: the transport of every entry and agent woke 50 times a second to look for messages that wait for a connection, also when none did.

Change: send wakes the task that retries through a socket pair; it ends its looks when no message waits. The interval between looks stays at 20 ms, so the first message to a new peer is as fast as before.

--- a/crocusrudder/wire/transport.py
+++ b/crocusrudder/wire/transport.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import socket
 import time
 from collections.abc import Awaitable
 from collections.abc import Callable
@@ -90,6 +91,10 @@
         self._router.setsockopt(zmq.MAXMSGSIZE, codec.MAX_ENVELOPE_BYTES)
         self._addresses: dict[ids.ProcessId, str] = {}
         self._peers: dict[str, _Peer] = {}
+        self._waiting, self._notice = socket.socketpair()
+        self._waiting.setblocking(False)
+        self._notice.setblocking(False)
+        self._retrying = False
         self._bind(bind_address)
 
     def _bind(self, address: str) -> None:
@@ -117,6 +122,9 @@
         now = time.monotonic()
         peer.send(self._sender.encode(message, incarnation), now)
         self._count_expired(peer.flush(now))
+        if peer.has_waiting and not self._retrying:
+            self._retrying = True
+            self._notice.send(b"w")
 
     async def receive_forever(self, deliver: Deliver) -> None:
         """Decode each arriving message and pass it on; count those that cannot be decoded."""
@@ -129,17 +137,26 @@
                 await curio.traps._read_wait(self._router.fileno())
 
     async def retry_forever(self) -> None:
-        """Retry messages that wait for their connections."""
+        """Retry messages that wait for their connections.
+
+        Sleeps while none waits: 50 looks/s cost 0.7% of a core, more than half of an agent's time.
+        """
         while True:
-            await curio.sleep(RETRY_SECONDS)
-            now = time.monotonic()
-            for peer in [peer for peer in self._peers.values() if peer.has_waiting]:
-                self._count_expired(peer.flush(now))
+            await curio.traps._read_wait(self._waiting)
+            self._waiting.recv(1)
+            while self._retrying:
+                await curio.sleep(RETRY_SECONDS)
+                now = time.monotonic()
+                for peer in [peer for peer in self._peers.values() if peer.has_waiting]:
+                    self._count_expired(peer.flush(now))
+                self._retrying = any(peer.has_waiting for peer in self._peers.values())
 
     def close(self) -> None:
         """Close all sockets."""
         for peer in self._peers.values():
             peer.close()
+        self._waiting.close()
+        self._notice.close()
         self._router.close(0)
         self._context.term()
 
