Check the audit's states again; measure resumption by epoch

Cause: the audit log's states became strings with a merge, so the check of I2 compared them with enum members and noticed nothing; a benchmark that waited for a running task showed it.

--- a/benchmarks/recovery.py
+++ b/benchmarks/recovery.py
@@ -67,9 +67,9 @@
     def find_runs(self, task_prefix: str) -> dict[str, tuple[str, int]]:
         """Return worker and epoch of each task that runs now."""
         return {
-            task: next(iter(runs))
-            for task, runs in self._world._active.items()
-            if runs and task.startswith(task_prefix)
+            task: run
+            for task, run in self._world.list_active().items()
+            if task.startswith(task_prefix)
         }
 
     def _prepare(self) -> None:
@@ -141,11 +141,18 @@
 
 def _lose_worker(bench: Bench, is_replaced: bool) -> float:
     world = bench.world
-    lost = {task for task, (worker, _) in bench.find_runs("rounds").items() if worker == "w1"}
+    lost = {
+        task: epoch for task, (worker, epoch) in bench.find_runs("rounds").items() if worker == "w1"
+    }
     world.lose_worker("w1")
     if is_replaced:
         world.replace_worker("w1")
-    return world.run_until(lambda: lost <= set(bench.find_runs("rounds")), LIMIT_SECONDS)
+
+    def have_resumed() -> bool:
+        runs = bench.find_runs("rounds")
+        return all(task in runs and runs[task][1] > epoch for task, epoch in lost.items())
+
+    return world.run_until(have_resumed, LIMIT_SECONDS)
 
 
 def leave_endpoint(bench: Bench) -> float:
--- a/tests/support/system.py
+++ b/tests/support/system.py
@@ -35,6 +35,9 @@
 RUNTIME_STEP_SECONDS = 0.1
 
 
+ACTIVE_STATES = {state.value for state in runs.ACTIVE}
+
+
 class ViolationError(AssertionError):
     """One of the nine points does not hold."""
 
@@ -121,8 +124,6 @@
         for endpoint in self.endpoints.values():
             if endpoint.worker == worker:
                 endpoint.up = False
-        for task_runs in self._active.values():
-            task_runs -= {run for run in task_runs if run[0] == worker}
 
     def replace_worker(self, worker: str) -> None:
         """Replace a lost VM; its endpoints start again."""
@@ -210,6 +211,10 @@
         row = self.table.read((f"job/{job}",)).get(f"job/{job}")
         return row.value["state"] if row else ""
 
+    def list_active(self) -> dict[str, tuple[str, int]]:
+        """Return worker and epoch of each task that runs or is suspended."""
+        return {task: next(iter(found)) for task, found in self._active.items() if found}
+
     # Checks.
 
     def check_runs(self) -> None:
@@ -217,7 +222,7 @@
         for change in self.audit.runs[self._audited_runs :]:
             active = self._active[change.task]
             run = (change.worker, change.epoch)
-            if change.state in runs.ACTIVE and change.worker not in self.lost_workers:
+            if change.state in ACTIVE_STATES:
                 active.add(run)
             else:
                 active.discard(run)
