--- a/crocusrudder/management/changes.py
+++ b/crocusrudder/management/changes.py
@@ -42,8 +42,18 @@
 
 
 def look_up(entry: client.Client, change: str) -> dict[str, Any]:
-    """Return what became of a change; after "not-accepted" it can no longer be accepted."""
-    answer = entry.call("GET", f"/v1/changes/{change}")
-    if not isinstance(answer, dict):
-        raise errors.MalformedAnswerError("the answer is not an object")
-    return answer
+    """Return what became of a change; after "not-accepted" it can no longer be accepted.
+
+    Any entry can tell, so the next one is asked also if the answer of one is lost.
+    """
+    failure: errors.CommandError = errors.UnreachableError("no address")
+    for single in entry.split():
+        try:
+            answer = single.call("GET", f"/v1/changes/{change}")
+        except errors.CommandError as error:
+            failure = error
+            continue
+        if not isinstance(answer, dict):
+            raise errors.MalformedAnswerError("the answer is not an object")
+        return answer
+    raise failure
--- a/crocusrudder/management/client.py
+++ b/crocusrudder/management/client.py
@@ -42,6 +42,10 @@
         """Return the addresses in the order in which they are tried."""
         return self._addresses
 
+    def split(self) -> list["Client"]:
+        """Return a client for each single process."""
+        return [Client([address], self._answer_seconds) for address in self._addresses]
+
     def call(self, method: str, target: str, body: Any = None) -> Any:
         """Return the JSON body of a successful answer.
 
--- a/tests/management/test_commands.py
+++ b/tests/management/test_commands.py
@@ -4,6 +4,7 @@
 import http.server
 import json
 import pathlib
+import socket
 import tempfile
 import threading
 import unittest
@@ -155,6 +156,22 @@
         job = self.write("job.json", {"team": "t"})
         self.expect(7, "job", "submit", job, "--job", "j7", text="--job j7")
 
+    def test_another_entry_tells_what_became_of_a_change(self):
+        record = self.write("v2.json", test_core.V2)
+        with socket.create_server(("127.0.0.1", PORT + 1)) as broken:
+
+            def close_each_connection():
+                with contextlib.suppress(OSError):
+                    while True:
+                        broken.accept()[0].close()
+
+            threading.Thread(target=close_each_connection, daemon=True).start()
+            entries = f"127.0.0.1:{PORT + 1},{ADDRESS}"
+            arguments = ("record", "submit", record, "--change", "c1")
+            self.expect(4, *arguments, entry=entries, text="not-accepted")
+            self.expect(7, *arguments, entry=f"127.0.0.1:{PORT + 1}", text="change show c1")
+            broken.shutdown(socket.SHUT_RDWR)
+
     def test_unavailable(self):
         record = self.write("v2.json", test_core.V2)
         self.expect(6, "record", "submit", record, entry=NOWHERE, text="CR-CMD-001")
--- a/tests/records/test_replica.py
+++ b/tests/records/test_replica.py
@@ -123,19 +123,29 @@
                 self.assertEqual((fresh.revision, len(fresh.list_records("team"))), (count, count))
 
     def test_changes_during_the_scan_are_replayed(self):
-        place = world.World()
-        fill(place, 70)
-        place.defer = True
-        place.start("e2")
-        place.tick()
-        place.carry_out_call()
-        place.carry_out_call()
-        place.defer = False
-        removed = test_core.TEAM | {"name": "t3"}
-        test_core.change(place, "e1", test_core.RETIRE, "late", removed, 4)
-        place.run(1.5)
-        self.assertEqual(place.replica("e2").revision, 71)
-        self.assertIsNone(place.replica("e2").get_record("team", "t3"))
+        for answered in (1, 2):
+            with self.subTest(answered_reads=answered):
+                place = world.World()
+                fill(place, 70)
+                place.start("e2")
+                place.defer = True
+                place.tick()
+                for _ in range(answered):
+                    place.carry_out_call()
+                scan = place.calls.pop()
+                place.defer = False
+                removed = test_core.TEAM | {"name": "t3"}
+                test_core.change(place, "e1", test_core.RETIRE, "late", removed, 4)
+                place.mail.clear()
+                place.defer = True
+                place.calls.append(scan)
+                place.carry_out_call()
+                # The scan alone does not tell of which revision its records are.
+                self.assertEqual(place.replica("e2").revision, 0)
+                place.defer = False
+                place.run(1.5)
+                self.assertEqual(place.replica("e2").revision, 71)
+                self.assertIsNone(place.replica("e2").get_record("team", "t3"))
 
     def test_while_the_table_is_down(self):
         names = ("e1", "e2", "e3", "e4")
