--- a/crocusrudder/records/view.py
+++ b/crocusrudder/records/view.py
@@ -2,6 +2,8 @@
 
 from typing import Any
 
+import msgspec
+
 from crocusrudder.core import effects
 from crocusrudder.core import ids
 from crocusrudder.records import schema
@@ -69,12 +71,18 @@
     def resolve_schema_version(self, service: ids.ServiceName, order_kind: str) -> int | None:
         """Return the schema version that serves an order kind, None if there is no such service.
 
-        Order kinds that no cutover names are served by the lowest version.
+        Order kinds that no cutover names are served by the lowest version. A cutover that this
+        version of the program cannot read resolves to None, because a guess could send orders to a
+        version that they were not signed off for.
         """
-        cutover = self.get_record("cutover", service)
-        named = cutover.get("order_kinds", {}).get(order_kind) if cutover else None
-        if named is not None:
-            return named["schema_version"]
+        document = self.get_record("cutover", service)
+        if document is not None:
+            try:
+                cutover = msgspec.convert(document, schema.CutoverV2)
+            except msgspec.ValidationError:
+                return None
+            if order_kind in cutover.order_kinds:
+                return cutover.order_kinds[order_kind].schema_version
         for version in schema.SCHEMA_VERSIONS:
             if schema.RecordKey("service", service, version) in self._configuration.records:
                 return version
--- a/tests/records/test_core.py
+++ b/tests/records/test_core.py
@@ -1,6 +1,7 @@
 """Tests of changes to placement records, alone and in races, with faults of the table."""
 
 import itertools
+import random
 import unittest
 
 from crocusrudder.records import core
@@ -132,6 +133,22 @@
                 self.assertRegex(answer.body["code"], r"^CR-")
         self.assertEqual(place.table.rows, {})
 
+    def test_seeded_calls_never_crash_and_are_always_answered(self):
+        source = random.Random(20261204)
+        values = [None, True, -1, 2**70, "", "x", "a/b", [], {}, V1, V2, TEAM, "1", "\u2460"]
+        parts = ["v1", "records", "changes", "status", "service", "dispatch", "2", "", "team"]
+        place = world.World()
+        place.run(1)
+        for number in range(2_000):
+            method = source.choice(["GET", "POST", "PUT", "DELETE"])
+            path = "/".join(["v1", "records", *source.choices(parts, k=source.randint(0, 4))])
+            keys = ["change", "record", "author", "revision"]
+            body = {key: source.choice(values) for key in source.sample(keys, 3)}
+            body |= {"change": f"f{number}"} if number % 2 else {}
+            query = {key: source.choice(["", "1", "-1", "x", "\u2460"]) for key in keys}
+            answer = place.settle(place.ask("e1", method, path, body, **query))
+            self.assertIn(answer.status, (200, 400, 404, 409))
+
     def test_the_same_change_id_takes_effect_once(self):
         place = world.World()
         for entry in ("e1", "e2"):
--- a/tests/records/test_replica.py
+++ b/tests/records/test_replica.py
@@ -64,6 +64,22 @@
         agent.handle(events.Received("e1", "1", update), 1.0)
         self.assertEqual(agent.revision, 0)
 
+    def test_records_that_this_version_cannot_read_are_kept_and_break_nothing(self):
+        source = random.Random(20261204)
+        values = [None, 3, "x", [], {}, {"tray": 1}, {"tray": {}}]
+        fields = ["kind", "schema_version", "name", "size", "quota", "order_kinds", "service"]
+        agent = replica.AgentReplica(["e1"], random.Random(1))
+        for number in range(1, 1_001):
+            record = {field: source.choice(values) for field in source.sample(fields, 4)}
+            kind = source.choice(["service", "batch", "team", "cutover", "later"])
+            change = messages.ConfigurationChange(number, "c", kind, "dispatch", 2, record)
+            update = messages.ConfigurationUpdate(number - 1, number, False, (change,))
+            agent.handle(events.Received("e1", "1", update), 1.0)
+            self.assertEqual(agent.revision, number)
+            self.assertEqual(agent.get_record(kind, "dispatch", 2), record)
+            agent.resolve_schema_version("dispatch", "tray")
+            agent.list_records()
+
     def test_a_request_under_a_higher_revision_makes_the_agent_ask_its_sender(self):
         agent = replica.AgentReplica(["e1"], random.Random(1))
         request = messages.ForwardRequest(
