Keep changes accepted here until those before them are known

Two entries accepted six changes in turn and the table went down: the replicas stayed at revision 1 before, and reach revision 6 now without reading it.

--- a/crocusrudder/records/replica.py
+++ b/crocusrudder/records/replica.py
@@ -68,6 +68,7 @@
         operations = components.OperationIds(PREFIX)
         self._reader = reader.StoreReader(self._configuration, operations)
         self._origin = 0
+        self._accepted: dict[int, messages.ConfigurationChange] = {}
         self._next_ask = 0.0
         self._confirmations: set[ids.ProcessId] = set()
 
@@ -131,6 +132,7 @@
 
     def _finish(self, before: ids.Revision, now: float) -> list[effects.Effect]:
         """Update what follows from a new revision or a new confirmation."""
+        self._apply_accepted()
         confirmed = self._reader.confirmed
         if confirmed is not None and confirmed <= self.revision:
             self._ready = True
@@ -140,6 +142,19 @@
             produced += self._push(now)
         return produced
 
+    def _apply_accepted(self) -> None:
+        """Apply the changes accepted here as soon as those before them are known.
+
+        The table may have gone down before this entry could read the changes of others.
+        """
+        while self.revision + 1 in self._accepted:
+            self._configuration.apply((self._accepted[self.revision + 1],))
+        self._accepted = {
+            revision: change
+            for revision, change in self._accepted.items()
+            if revision > self.revision
+        }
+
     def _push(self, now: float) -> list[effects.Effect]:
         if not self._ready:
             return []
@@ -178,8 +193,8 @@
     @_handle.register
     def _(self, event: ChangeAccepted, now: float) -> list[effects.Effect]:
         self._origin = max(self._origin, event.change.revision)
-        if not self._configuration.apply((event.change,)):
-            self._reader.hasten(now)
+        self._accepted[event.change.revision] = event.change
+        self._reader.hasten(now)
         return []
 
     @_handle.register
--- a/tests/records/test_replica.py
+++ b/tests/records/test_replica.py
@@ -216,6 +216,20 @@
         place.run(0.2)
         self.assertEqual(set(place.revisions().values()), {1})
 
+    def test_two_entries_accept_in_turn_before_the_table_goes_down(self):
+        place = world.World(("e1", "e2", "e3"), ("a1",))
+        place.run(1)
+        for number in range(6):
+            record = test_core.TEAM | {"name": f"t{number}"}
+            entry = ("e1", "e2")[number % 2]
+            self.assertEqual(
+                test_core.change(place, entry, test_core.SUBMIT, f"c{number}", record)[0], 200
+            )
+        place.table.up = False
+        place.mail.reverse()
+        place.run(0.2)
+        self.assertEqual(set(place.revisions().values()), {6})
+
     def test_lost_pushes_are_repeated(self):
         place = world.World(("e1", "e2", "e3"), ("a1", "a2"))
         place.run(1)
