Give standing requests ten minutes, hints by reason, and stops in interleavings

A standing request without Request-Timeout had segments of 9 s. The hint of a refusal told callers to repeat requests that can never succeed. The interleavings now include standing requests and planned stops.

--- a/crocusrudder/entry/http.py
+++ b/crocusrudder/entry/http.py
@@ -36,6 +36,13 @@
     outcomes.Reason.KEY_REUSED: 422,
     outcomes.Reason.NO_SUCH_SERVICE: 404,
 }
+_HINTS = {
+    outcomes.Reason.KEY_MISSING: "add an Idempotency-Key header",
+    outcomes.Reason.KEY_REUSED: "use a new Idempotency-Key for another request",
+    outcomes.Reason.NO_SUCH_SERVICE: "check the service and the order kind",
+}
+_RETRY_HINT = "repeat it after the seconds in Retry-After"
+_UNKNOWN_HINT = "repeat it with the same Idempotency-Key and Request-Repeat: true"
 _OWN_HEADERS = {"connection", "host", "content-length", "transfer-encoding", "expect"}
 
 Post = Callable[[events.Event], Awaitable[None]]
@@ -166,7 +173,7 @@
         tuple(header for header in request.headers if header[0] not in _OWN_HEADERS),
         request.body,
         ids.IdempotencyKey(key),
-        _read_timeout(request),
+        _read_timeout(request, MAX_TIMEOUT_SECONDS if is_standing else DEFAULT_TIMEOUT_SECONDS),
         is_standing,
         request.get_header("request-repeat") == "true",
     )
@@ -180,22 +187,26 @@
         if outcome.replayed:
             marks.append((REPLAYED_HEADER, "true"))
         return http_messages.Response(response.status, (*response.headers, *marks), response.body)
-    code = outcome.reason.value
     if isinstance(outcome, outcomes.OutcomeUnknown):
-        marks = (OUTCOME_HEADER, "outcome-unknown"), (CODE_HEADER, code)
-        return _make_refusal(504, code, "the request may have run", marks)
+        marks = ((OUTCOME_HEADER, "outcome-unknown"),)
+        text = "the request may have run"
+        return _make_refusal(504, outcome.reason, text, _UNKNOWN_HINT, marks)
     status = _NOT_RUN_STATUSES.get(outcome.reason, 503)
-    marks = (OUTCOME_HEADER, "not-run"), (CODE_HEADER, code)
-    retry = ("retry-after", str(outcome.retry_after_seconds))
-    return _make_refusal(status, code, "the request did not run", (*marks, retry))
+    hint = _HINTS.get(outcome.reason, _RETRY_HINT)
+    marks = ((OUTCOME_HEADER, "not-run"), ("retry-after", str(outcome.retry_after_seconds)))
+    return _make_refusal(status, outcome.reason, "the request did not run", hint, marks)
 
 
 def _make_refusal(
-    status: int, code: str, text: str, headers: tuple[tuple[str, str], ...]
+    status: int,
+    reason: outcomes.Reason,
+    text: str,
+    hint: str,
+    headers: tuple[tuple[str, str], ...],
 ) -> http_messages.Response:
-    hint = "repeat it with the same Idempotency-Key and Request-Repeat: true"
-    content = {"code": code, "message": text, "hint": hint, "problems": []}
-    return http_messages.make_json_response(status, content, headers)
+    content = {"code": reason.value, "message": text, "hint": hint, "problems": []}
+    marked = (*headers, (CODE_HEADER, reason.value))
+    return http_messages.make_json_response(status, content, marked)
 
 
 def _make_endpoint_target(target: str) -> str:
@@ -205,8 +216,8 @@
     return f"/{'/'.join(segments[3:])}{mark}{query}"
 
 
-def _read_timeout(request: http_messages.Request) -> float:
-    text = request.get_header("request-timeout", str(DEFAULT_TIMEOUT_SECONDS))
+def _read_timeout(request: http_messages.Request, default_seconds: float) -> float:
+    text = request.get_header("request-timeout", str(default_seconds))
     try:
         seconds = float(text)
     except ValueError:
--- a/tests/entry/test_http.py
+++ b/tests/entry/test_http.py
@@ -12,6 +12,7 @@
 from crocusrudder.hosting import http_messages
 from crocusrudder.requests import outcomes
 from crocusrudder.wire import messages
+from tests.requests import fakes
 
 HEADERS = {"team": "arriola", "idempotency-key": "k1", "request-timeout": "2.5", "host": "x"}
 DONE = outcomes.Done(messages.Response(201, (("x-tray", "7"),), b"whole"), True)
@@ -176,6 +177,34 @@
         self.assertEqual(curio.run(run), 0)
         self.assertEqual(seen[1], events.CallerLeft(seen[0].request))
 
+    def test_carries_a_request_to_the_endpoint_and_back(self):
+        world = fakes.World()
+        world.submissions["r"] = outcomes.Arrival(
+            "arriola", "dispatch", "trays", "POST", "/trays/7?a=1", (), b"{}", "k1", 2.5
+        )
+
+        def answer(entry_http, event):
+            world.submissions[event.request] = event.arrival
+            world.handle(world.processes["e1"], event)
+            world.settle()
+            outcome = world.answers[event.request]
+            entry_http.answer_caller(effects.AnswerCaller(event.request, outcome))
+
+        requests = [make_request(x_submission="r"), make_request(x_submission="r")]
+        responses, _ = serve(requests, answer)
+        expected = fakes.make_body("/trays/7?a=1", b"{}")
+        self.assertEqual([each.body for each in responses], [expected, expected])
+        replayed = [dict(each.headers).get("crocusrudder-replayed") for each in responses]
+        self.assertEqual((replayed, world.executions["k1"]), ([None, "true"], 1))
+
+    def test_a_standing_request_has_ten_minutes_by_default(self):
+        # Standing request, time that the core is given.
+        for offset, seconds in (("17", 600.0), (None, 10.0)):
+            request = make_request("GET", standing_request=offset, request_timeout=None)
+            _, (event,) = serve([request], answer_with(DONE))
+            self.assertEqual(event.arrival.timeout_seconds, seconds)
+            self.assertEqual(event.arrival.standing, offset is not None)
+
 
 class OperatorTest(unittest.TestCase):
     """Guards against operators' calls that reach the core changed or are not answered."""
--- a/tests/requests/test_interleavings.py
+++ b/tests/requests/test_interleavings.py
@@ -59,6 +59,17 @@
         request = self._world.submit(entry, method="GET", timeout=2.0)
         self._open[request] = self._world.processes[entry]
 
+    @stateful.rule(entry=ENTRIES)
+    def submit_standing(self, entry):
+        request = self._world.submit(entry, method="GET", standing="17", timeout=5.0)
+        self._open[request] = self._world.processes[entry]
+
+    @stateful.rule(name=strategies.one_of(ENTRIES, AGENTS), heard=strategies.booleans())
+    def stop(self, name, heard):
+        self._world.stop(name)
+        if heard and not self._world.processes[name].is_entry:
+            self._world.announce(name)
+
     @stateful.precondition(lambda self: self._world.pending)
     @stateful.rule(index=INDEXES)
     def run_one(self, index):
