--- a/crocusrudder/placement/policy.py
+++ b/crocusrudder/placement/policy.py
@@ -9,7 +9,9 @@
 
 from crocusrudder.core import ids
 from crocusrudder.placement import blame
+from crocusrudder.placement import candidates
 from crocusrudder.placement import demand
+from crocusrudder.placement import errors
 from crocusrudder.placement import interference
 from crocusrudder.placement import model
 from crocusrudder.placement import reactions
@@ -23,12 +25,8 @@
 """Tasks of an untested class beside a service; more teach nothing and may harm."""
 LEVELS_SECONDS = 30.0
 """Age after which the predicted slowdowns of a worker that reports nothing are computed anew."""
-AVOID_SECONDS = 300.0
-"""How long a task stays away from a worker that it was moved off."""
 PREEMPT_AFTER_SECONDS = 60.0
 """Batch that has run for less is not preempted, so that it makes progress."""
-CLAIM_SECONDS = 6.0
-"""How long a worker is kept for the urgent task that preempts there; a checkpoint takes 2 s."""
 USAGE_SECONDS = 15.0
 """Age at which a live run's usage is taken for its class; waiting for its end learns too late."""
 TIE_BREAK = 1e-6
@@ -52,6 +50,15 @@
     reaction: reactions.ReactionSettings = reactions.ReactionSettings()
     use_interference: bool = True
 
+    def __post_init__(self) -> None:
+        """Raise ``SettingsError`` for settings that contradict each other."""
+        if 0.0 < self.slowdown_limit < 1.0:
+            raise errors.SettingsError("slowdown_limit is below 1", "1 is undisturbed, 0 no limit")
+        if self.reaction.restore_slowdown >= self.reaction.trigger_slowdown:
+            raise errors.SettingsError(
+                "restore_slowdown is not below trigger_slowdown", "throttles would flap"
+            )
+
 
 class PlacementPolicy:
     """Decide placements and reactions for the workers of an owner's cells.
@@ -76,8 +83,9 @@
         self._planner = reactions.ReactionPlanner(self._pairs, self._settings.reaction)
         self._workers: dict[ids.WorkerId, tracking.WorkerState] = {}
         self._held_since: dict[ids.JobId, float] = {}
-        self._avoid: dict[ids.TaskId, tuple[ids.WorkerId, float]] = {}
-        self._claims: dict[ids.TaskId, tuple[model.Preemption, float]] = {}
+        self._claims = candidates.UrgentClaims()
+        self._moved = candidates.MovedTasks()
+        self._candidates = candidates.CandidateFilter(self._blame, self._claims, self._moved)
         self._trials: dict[tuple[ids.ServiceName, str], tuple[ids.WorkerId, float]] = {}
 
     def choose_worker(
@@ -86,10 +94,10 @@
         """Return the worker to start the task on, or None if it should wait for now."""
         if not self._blame.may_start(task.job, now):
             return None
-        candidates = self._list_candidates(task, workers, now)
-        if not candidates:
+        found = self._list_candidates(task, workers, now)
+        if not found:
             return None
-        return self._choose_by_score(task, candidates, now)
+        return self._choose_by_score(task, found, now)
 
     def record_start(self, task: model.PlacementTask, worker: ids.WorkerId, now: float) -> None:
         """Record a start when it is decided, or a run that was adopted at a takeover.
@@ -101,7 +109,7 @@
         worker_state.take_token(now)
         self._blame.record_start(task.task, task.job, worker, now)
         self._held_since.pop(task.job, None)
-        self._claims.pop(task.task, None)
+        self._claims.drop(task.task)
         self._record_placement(worker, worker_state, now)
         for service in self._pairs.services_on(worker):
             if not self._pairs.is_tested(service, task.job_class):
@@ -147,21 +155,21 @@
             run.record_usage(usage)
         self._record_outcome(run, worker, state, now, reason)
         if run.move_asked_at is not None:
-            self._avoid[task] = (worker, now)
+            self._moved.add(task, worker, now)
         self._record_placement(worker, worker_state, now)
 
     def propose_reactions(
         self, workers: Sequence[model.WorkerView], now: float
     ) -> list[model.Reaction]:
         """Return the reactions due now; call about once a second and carry out all of them."""
-        self._forget_claims(now)
+        self._claims.forget_old(now)
+        self._moved.forget_old(now)
         self._record_usage(workers, now)
-        self._forget_old(now)
 
         def find_target(task: model.PlacementTask, source: ids.WorkerId) -> bool:
             others = [view for view in workers if view.worker != source]
-            candidates = self._list_candidates(task, others, now)
-            return any(self._is_target(task, view.worker, now) for view, _ in candidates)
+            fitting = self._list_candidates(task, others, now)
+            return any(self._is_target(task, view.worker, now) for view, _ in fitting)
 
         found = self._planner.propose(workers, self._workers, find_target, now)
         for reaction in found:
@@ -176,11 +184,11 @@
 
         The same answer is repeated while they end, and their worker is kept from ordinary batch.
         """
-        self._forget_claims(now)
-        claimed = self._claims.get(task.task)
+        self._claims.forget_old(now)
+        claimed = self._claims.find(task.task)
         if claimed is not None:
-            return claimed[0]
-        taken = {claim.worker for claim, _ in self._claims.values()}
+            return claimed
+        taken = self._claims.workers
         best: model.Preemption | None = None
         for view in workers:
             if view.draining or view.worker in taken:
@@ -193,7 +201,7 @@
             if chosen and (best is None or len(chosen) < len(best.runs)):
                 best = model.Preemption(view.worker, chosen)
         if best is not None:
-            self._claims[task.task] = (best, now)
+            self._claims.add(task.task, best, now)
         return best
 
     def estimate_size(
@@ -214,16 +222,7 @@
         self, size: messages.Resources, capacities: Iterable[messages.Resources]
     ) -> str | None:
         """Return why a job of this size fits no worker, or None if it fits at least one."""
-        known = list(capacities)
-        frees = [scoring.compute_free(capacity, messages.Resources(), ()) for capacity in known]
-        if not known or any(free.fits(size) for free in frees):
-            return None
-        largest = [max(column) for column in zip(*frees, strict=True)]
-        return (
-            f"asks for {size.millicores} millicores, {size.memory_mb} MB and {size.accelerators} "
-            f"accelerators; no worker has these together, the largest amounts on any worker are "
-            f"{largest[0]} millicores, {largest[1]} MB and {largest[2]} accelerators"
-        )
+        return scoring.explain_oversize(size, list(capacities))
 
     def is_quarantined(self, worker: ids.WorkerId, now: float) -> bool:
         """Return whether the worker gets no tasks because tasks fail there."""
@@ -236,6 +235,7 @@
     def remove_worker(self, worker: ids.WorkerId) -> None:
         """Forget a worker that left the cell."""
         self._workers.pop(worker, None)
+        self._trials = {pair: kept for pair, kept in self._trials.items() if kept[0] != worker}
         self._pairs.remove_worker(worker)
         self._planner.remove_worker(worker)
         self._blame.remove_worker(worker)
@@ -267,82 +267,20 @@
 
     def _list_candidates(
         self, task: model.PlacementTask, workers: Sequence[model.WorkerView], now: float
-    ) -> list[tuple[model.WorkerView, scoring.Free]]:
-        """Return the workers that may take the task now, with what is free there."""
-        usable = [
-            view
-            for view in workers
-            if not view.draining and not self._blame.is_quarantined(view.worker)
-        ]
-        probed = [
-            view
-            for view in workers
-            if not view.draining and self._blame.is_probe_due(view.worker, now)
-        ]
-        candidates = self._list_fitting(task, usable, now)
-        if not task.urgent:
-            candidates += self._list_fitting(task, probed, now)
-        places = [view.worker for view in usable]
-        return self._prefer_fresh(task.job, candidates, places)
-
-    def _list_fitting(
-        self, task: model.PlacementTask, workers: Sequence[model.WorkerView], now: float
-    ) -> list[tuple[model.WorkerView, scoring.Free]]:
+    ) -> list[candidates.Candidate]:
         states = [self._state(view.worker) for view in workers]
-        frees = [known.compute_free(view) for known, view in zip(states, workers, strict=True)]
-        capacities = [view.capacity for view in workers]
-        reserve = None if task.urgent else scoring.UrgentReserve(capacities, frees)
-        avoided, _ = self._avoid.get(task.task, (None, 0.0))
-        claimed = {claim.worker for claim, _ in self._claims.values()}
-        candidates = []
-        for index, (view, known, free) in enumerate(zip(workers, states, frees, strict=True)):
-            if view.worker == avoided or not free.fits(task.size):
-                continue
-            if reserve is not None and not reserve.allows(index, free, task.size):
-                continue
-            if view.worker in claimed and not task.urgent:
-                continue
-            if known.has_token(now) and self._blame.may_start_on(view.worker, now):
-                candidates.append((view, free))
-        return candidates
-
-    def _prefer_fresh(
-        self,
-        job: ids.JobId,
-        candidates: list[tuple[model.WorkerView, scoring.Free]],
-        places: Sequence[ids.WorkerId],
-    ) -> list[tuple[model.WorkerView, scoring.Free]]:
-        """Prefer workers that the job has not failed on, and spread a job without a success.
-
-        Such a job waits rather than repeats a failure while one of ``places`` is untried.
-        """
-        untried = [
-            candidate
-            for candidate in candidates
-            if not self._blame.failed_there(job, candidate[0].worker)
-        ]
-        fresh = [
-            candidate
-            for candidate in untried
-            if not self._blame.runs_there(job, candidate[0].worker)
-        ]
-        if fresh or untried:
-            return fresh or untried
-        must_wait = self._blame.is_unproven(job) and not all(
-            self._blame.failed_there(job, worker) for worker in places
-        )
-        return [] if must_wait else candidates
+        return self._candidates.select(task, workers, states, now)
 
     def _choose_by_score(
         self,
         task: model.PlacementTask,
-        candidates: list[tuple[model.WorkerView, scoring.Free]],
+        found: list[candidates.Candidate],
         now: float,
     ) -> ids.WorkerId | None:
         patient = not task.urgent and self._is_patient(task.job, now)
         best: ids.WorkerId | None = None
         best_score = float("inf")
-        for view, free in candidates:
+        for view, free in found:
             utilisation = scoring.compute_utilisation(view.capacity, free, task.size)
             score = self._settings.balance * utilisation + TIE_BREAK * self._random.random()
             if self._settings.use_interference:
@@ -456,13 +394,3 @@
             and run.move_asked_at is None
             and now - run.started >= PREEMPT_AFTER_SECONDS
         ]
-
-    def _forget_claims(self, now: float) -> None:
-        old = [task for task, (_, at) in self._claims.items() if now - at >= CLAIM_SECONDS]
-        for task in old:
-            del self._claims[task]
-
-    def _forget_old(self, now: float) -> None:
-        old = [task for task, (_, at) in self._avoid.items() if now - at >= AVOID_SECONDS]
-        for task in old:
-            del self._avoid[task]
--- a/crocusrudder/placement/scoring.py
+++ b/crocusrudder/placement/scoring.py
@@ -54,6 +54,21 @@
     return Free(millicores, memory_mb, accelerators)
 
 
+def explain_oversize(
+    size: messages.Resources, capacities: Sequence[messages.Resources]
+) -> str | None:
+    """Return why the size fits none of the capacities, or None if it fits one or none is known."""
+    frees = [compute_free(capacity, messages.Resources(), ()) for capacity in capacities]
+    if not frees or any(free.fits(size) for free in frees):
+        return None
+    largest = [max(column) for column in zip(*frees, strict=True)]
+    return (
+        f"asks for {size.millicores} millicores, {size.memory_mb} MB and {size.accelerators} "
+        f"accelerators; no worker has these together, the largest amounts on any worker are "
+        f"{largest[0]} millicores, {largest[1]} MB and {largest[2]} accelerators"
+    )
+
+
 def compute_utilisation(
     capacity: messages.Resources, free: Free, size: messages.Resources
 ) -> float:
--- a/tests/placement/test_policy.py
+++ b/tests/placement/test_policy.py
@@ -2,7 +2,10 @@
 
 import unittest
 
+from crocusrudder.placement import candidates
+from crocusrudder.placement import errors
 from crocusrudder.placement import policy
+from crocusrudder.placement import reactions
 from crocusrudder.placement import scoring
 from crocusrudder.wire import messages
 from tests.placement import fakes
@@ -120,6 +123,15 @@
         self.assertIsNotNone(found[62.0])
 
 
+class SettingsTest(unittest.TestCase):
+    def test_contradictory_settings_are_refused(self) -> None:
+        """Guards against settings under which nothing starts or throttles flap."""
+        flapping = reactions.ReactionSettings(trigger_slowdown=1.2, restore_slowdown=1.3)
+        for settings in ({"slowdown_limit": 0.5}, {"reaction": flapping}):
+            with self.subTest(settings), self.assertRaises(errors.SettingsError):
+                policy.PolicySettings(**settings)
+
+
 class UrgentTest(unittest.TestCase):
     def test_reserve_is_left_to_urgent_tasks(self) -> None:
         """Guards against ordinary batch that fills the last worker."""
@@ -168,6 +180,12 @@
                 if found is not None:
                     self.assertEqual(len(found.runs), 1)
                     self.assertEqual(known.propose_preemption(asked, [view], age + 1.0), found)
+                    later = age + candidates.CLAIM_SECONDS - 0.1
+                    view.end(fakes.make_task(found.runs[0][0], millicores=8000))
+                    known.record_end(found.runs[0][0], "worker-0", fakes.CHECKPOINTED, later)
+                    batch = fakes.make_task("k.0", millicores=1000)
+                    self.assertIsNone(known.choose_worker(batch, [view], later))
+                    self.assertEqual(known.choose_worker(asked, [view], later), "worker-0")
 
 
 class SizeTest(unittest.TestCase):
