Confirm by a stop, not by an inventory, that a start is not under way

Cause: generated histories found a task in two places: the late inventory of a replaced agent lacked a run that its successor had started, and the owner took it as proof. Change: a run started under the current cell epoch is given up before its lease has passed only on a report. If the worker's agent is not the one to which the start was sent, the owner asks it to stop the run; it answers also when it does not know the run, and refuses its start from then on.

--- a/crocusrudder/jobs/reconciler.py
+++ b/crocusrudder/jobs/reconciler.py
@@ -152,8 +152,8 @@
     ) -> bool:
         """Return whether the current run has certainly ended without a report, or never began.
 
-        An inventory proves that only if no start can be under way: this owner sent none under the
-        current cell epoch, or sent it to an earlier incarnation of the agent.
+        Without the wait for the lease, only an inventory under the current cell epoch proves that,
+        and only for a run that was assigned under an earlier one: agents refuse its start since.
         """
         task = chunk.row.tasks[position]
         if now > self._workers.lost_after(cell.cell, task.worker):
@@ -162,9 +162,7 @@
         if view is None or not view.inventoried or key in view.runs:
             return False
         sent = chunk.sent.get(position)
-        if sent is None or sent.epoch != task.epoch:
-            return not cell.resumed
-        return sent.incarnation != view.incarnation
+        return not cell.resumed and (sent is None or sent.epoch != task.epoch)
 
     def _note_progress(
         self,
@@ -194,13 +192,18 @@
         view: Any,
         now: float,
     ) -> list[effects.Effect]:
-        """Send the start again, or make sure that one sent under an earlier holding is refused."""
+        """Send the start again, or ask another agent than it was sent to to stop the run.
+
+        The agent answers such a stop with a report also if it does not know the run, and refuses
+        its start from then on. An inventory is no answer: it may come from a replaced agent, late.
+        """
         if not view.inventoried or view.is_silent(now):
             # A start to a silent worker would only put off the time when its lease has passed.
             return []
         task = chunk.row.tasks[position]
         sent = chunk.sent.get(position)
-        if sent is None or sent.epoch != task.epoch:
+        current = sent is not None and sent.epoch == task.epoch
+        if not current or sent.incarnation != view.incarnation:
             key = (chunk.row.get_task_id(position), task.epoch)
             return self.command(cell, view, messages.StopTask, key, now)
         if now - sent.sent_at < RESEND_SECONDS:
--- a/tests/jobs/fakes.py
+++ b/tests/jobs/fakes.py
@@ -74,9 +74,9 @@
         welcome = effects.Send(event.sender, messages.Welcome(CELL, self._owned), event.incarnation)
         if isinstance(message, messages.Hello) or message.cell_epoch != self._owned:
             return [welcome]
-        if event.incarnation in self._replaced:
-            return []
         view = self._views.get(message.worker)
+        if event.incarnation in self._replaced and not view.is_silent(now):
+            return []
         if view is None or view.incarnation != event.incarnation:
             if not message.full:
                 return [welcome]
--- a/tests/jobs/test_faults.py
+++ b/tests/jobs/test_faults.py
@@ -200,6 +200,24 @@
 
 
 class WorkerTest(unittest.TestCase):
+    def test_late_inventory_of_a_former_agent(self):
+        """Guards against a restart because a replaced agent's inventory lacks the run."""
+        world = make()
+        world.replace_entry("e1")
+        world.hold = lambda m: getattr(m, "worker", "") == "w1" and getattr(m, "full", False)
+        world.run_until(lambda: world.held, 30)
+        held, world.held = world.held, []
+        world.hold = lambda message: False
+        world.replace_agent("w1")
+        world.run(2)
+        world.submit("j")
+        world.run_until(is_running(world, "j.0", 1))
+        steer(world, "w1")
+        world.held = held
+        world.release()
+        world.run(10)
+        self.assertEqual(world.list_starts(), [("j.0", 1)])
+
     def test_replaced_agent_adopts_runs(self):
         """Guards against runs that a new agent does not know."""
         world = make("sleep 20")
