Make the test of a late inventory run on the replaced worker

Cause: the task ran on the other worker, so the test passed with the mechanism switched off. Change: the policy is steered to the worker first. Conclusion: with inventories of another incarnation taken as proof the test now fails.

--- a/tests/jobs/test_faults.py
+++ b/tests/jobs/test_faults.py
@@ -34,7 +34,7 @@
 def steer(world, avoid):
     """Make every policy avoid a worker, so that a restart would run elsewhere."""
     for entry in world.entries.values():
-        entry.policy.failures[avoid] = 3
+        entry.policy.failures = {avoid: 3}
 
 
 def is_running(world, task, epoch):
@@ -210,6 +210,7 @@
         world.hold = lambda message: False
         world.replace_agent("w1")
         world.run(2)
+        steer(world, "w2")
         world.submit("j")
         world.run_until(is_running(world, "j.0", 1))
         steer(world, "w1")
