--- a/crocusrudder/wire/messages.py
+++ b/crocusrudder/wire/messages.py
@@ -103,6 +103,8 @@
     worker: ids.WorkerId
     cell_epoch: ids.CellEpoch
     """Highest cell epoch that the agent has acknowledged."""
+    endpoints: tuple[EndpointStatus, ...] = ()
+    """Endpoints of the worker, so that requests reach them while the cell has no owner."""
 
 
 class Heartbeat(Message, frozen=True):
@@ -125,6 +127,8 @@
     tasks: tuple[TaskStatus, ...] = ()
     latencies: tuple[tuple[ids.ServiceName, float], ...] = ()
     """Latest p99 latency in milliseconds of each service on the worker."""
+    has_endpoints: bool = False
+    """Whether ``endpoints`` is the complete list; otherwise it is unchanged and left out."""
 
 
 class TaskReport(Message, frozen=True):
@@ -319,6 +323,8 @@
     revision: ids.Revision
     snapshot: bool
     changes: tuple[ConfigurationChange, ...]
+    verified: bool = True
+    """Whether the sender's configuration was confirmed by the store or a majority of entries."""
 
 
 class CellDigest(msgspec.Struct, frozen=True, array_like=True):
@@ -346,6 +352,7 @@
     incarnation: ids.Incarnation
     address: str
     data_centre: ids.DataCentre
+    cell: ids.CellId = ids.CellId("")
 
 
 class EntryDigest(Message, frozen=True):
