Compare runs with reports once a second, count failures per chunk

Cause: each pass of 200 ms looked at all tasks of a cell. Change: a chunk is checked at once when a report or a new row calls for it and otherwise every second; failures and successes are counted when a row changes.

--- a/crocusrudder/jobs/held.py
+++ b/crocusrudder/jobs/held.py
@@ -56,6 +56,9 @@
         self.proposed: model.ChunkRow | None = None
         self.in_flight = False
         """Whether a commit of this row is under way or its effect is unknown."""
+        self.due = True
+        """Whether a report or a new row calls for a check of the runs before the next interval."""
+        self.checked_at = float("-inf")
         self.sent: dict[int, SentStart] = {}
         self.adopted = False
         """Whether the policy knows the tasks that were assigned when the row was loaded."""
@@ -73,6 +76,9 @@
         self.pending = self._find(states.PENDING)
         self.assigned = self._find(states.ASSIGNED)
         self.ended = not self.pending and not self.assigned
+        self.failures = sum(task.attempts for task in row.tasks)
+        self.succeeded = any(task.state is states.SUCCEEDED for task in row.tasks)
+        self.due = True
 
     @property
     def latest(self) -> model.ChunkRow:
--- a/crocusrudder/jobs/scheduler.py
+++ b/crocusrudder/jobs/scheduler.py
@@ -22,6 +22,9 @@
 PASS_SECONDS = 0.2
 """Interval at which a cell's changes are collected and committed."""
 
+CHECK_SECONDS = 1.0
+"""Interval at which the runs of a chunk are compared with what agents report."""
+
 REACTION_SECONDS = 1.0
 
 RETENTION_SECONDS = 3600.0
@@ -211,6 +214,9 @@
             if status.state in runs.ENDED_RUN_STATES:
                 report = held.EndReport(status, event.sender, event.incarnation)
                 cell.ends[(status.task, status.epoch)] = report
+                found = cell.find_task(status.task)
+                if found is not None:
+                    found[0].due = True
         return self._acknowledge_stale(cell) if cell.loaded else []
 
     def _acknowledge_stale(self, cell: held.HeldCell) -> list[effects.Effect]:
@@ -262,12 +268,14 @@
         proposals: starts.Proposals = {}
         tokens = cell.row_writes.count_available(now) if now >= cell.commit_at else 0
         for chunk in list(cell.chunks.values()):
-            if chunk.in_flight or chunk.ended:
+            if chunk.in_flight or chunk.ended or not _is_due(chunk, now):
                 continue
             self._adopt(chunk, now)
             row, sent = self._reconciler.propose(cell, chunk, now)
             produced += sent
-            if row != chunk.row and len(proposals) < tokens:
+            chunk.checked_at = now
+            chunk.due = row != chunk.row and len(proposals) >= tokens
+            if row != chunk.row and not chunk.due:
                 proposals[chunk.key] = row
         if now >= cell.commit_at:
             spare_rows = tokens - len(proposals)
@@ -378,6 +386,10 @@
         return [effects.LogChange("run_moved", fields)]
 
 
+def _is_due(chunk: held.HeldChunk, now: float) -> bool:
+    return chunk.due or now - chunk.checked_at >= CHECK_SECONDS
+
+
 def _is_stale(cell: held.HeldCell, key: held.RunKey) -> bool:
     """Return whether a report is about a run whose end is recorded or superseded."""
     found = cell.find_task(key[0])
--- a/crocusrudder/jobs/starts.py
+++ b/crocusrudder/jobs/starts.py
@@ -2,6 +2,8 @@
 
 import collections
 import itertools
+from collections.abc import Collection
+from collections.abc import Iterable
 from collections.abc import Iterator
 from typing import Any
 
@@ -166,7 +168,7 @@
 
 
 def _list_pending(
-    held_chunks: Iterator[held.HeldChunk],
+    held_chunks: Iterable[held.HeldChunk],
 ) -> Iterator[tuple[held.HeldChunk, int]]:
     for chunk in held_chunks:
         if not chunk.in_flight:
@@ -174,13 +176,19 @@
                 yield chunk, position
 
 
-def _count_allowed(job: held.HeldJob, held_chunks: Any) -> int | None:
+def _count_allowed(job: held.HeldJob, held_chunks: Collection[held.HeldChunk]) -> int | None:
     """Return how many tasks may start now; None if the job has shown that it can run."""
-    tasks = [task for chunk in held_chunks for task in chunk.latest.tasks]
-    failures = sum(task.attempts for task in tasks)
-    succeeded = any(task.state is messages.TaskState.SUCCEEDED for task in tasks)
+    failures = sum(chunk.failures for chunk in held_chunks)
+    succeeded = any(chunk.succeeded for chunk in held_chunks)
     urgent = job.row.specification.urgent
     if succeeded or (job.proven and not failures) or (urgent and not failures):
         return None
-    outstanding = sum(task.state is messages.TaskState.ASSIGNED for task in tasks)
+    outstanding = sum(map(_count_outstanding, held_chunks))
     return max(0, max(1, PROBATION_STARTS - failures) - outstanding)
+
+
+def _count_outstanding(chunk: held.HeldChunk) -> int:
+    if not chunk.in_flight:
+        return len(chunk.assigned)
+    assigned = messages.TaskState.ASSIGNED
+    return sum(task.state is assigned for task in chunk.latest.tasks)
--- a/crocusrudder/jobs/writer.py
+++ b/crocusrudder/jobs/writer.py
@@ -246,6 +246,7 @@
     def _undo(self, cell: held.HeldCell, chunk: held.HeldChunk, row: model.ChunkRow | None) -> None:
         chunk.in_flight = False
         chunk.proposed = None
+        chunk.due = True
         self._observer.chunk_undone(cell, chunk, row)
 
 
