Tell the shapes of a cell's workers to the entries that admit jobs

Cause: admission refuses a job larger than every worker by the shapes in the digests, which nobody filled in, so such jobs waited for ever. Change: a digest names the distinct capacities of a cell's workers once the owner has held the cell for 30 s; before that they are unknown and refuse nothing.

--- a/crocusrudder/membership/directory.py
+++ b/crocusrudder/membership/directory.py
@@ -200,6 +200,7 @@
             pending_tasks=self._count_pending(cell),
             lowest_revision=min((view.revision for view in views), default=revision),
             behind=tuple(behind[:BEHIND_LIMIT]),
+            shapes=self._workers.list_shapes(cell, self._now),
         )
 
     def _list_endpoints(self, cell: ids.CellId) -> Iterable[messages.EndpointAt]:
--- a/crocusrudder/membership/workers.py
+++ b/crocusrudder/membership/workers.py
@@ -61,6 +61,12 @@
         return now - self.heard_at > SILENT_SECONDS
 
 
+SHAPES_DELAY_SECONDS = 30.0
+"""Several times the interval at which agents look for a new owner."""
+
+SHAPES_LIMIT = 8
+
+
 class _CellView:
     """Workers of one owned cell under one epoch."""
 
@@ -99,6 +105,18 @@
         view = self._cells.get(cell)
         return list(view.workers.values()) if view else []
 
+    def list_shapes(self, cell: ids.CellId, now: float) -> tuple[messages.Resources, ...]:
+        """Return the distinct capacities of a cell's workers, or nothing if they are not all known.
+
+        Jobs are refused by them, so a new owner gives them only once its workers have had the time
+        to report.
+        """
+        view = self._cells.get(cell)
+        if view is None or now - view.owned_since < SHAPES_DELAY_SECONDS:
+            return ()
+        shapes = tuple({worker.capacity for worker in view.workers.values()})
+        return shapes if len(shapes) <= SHAPES_LIMIT else ()
+
     def get_worker(self, worker: ids.WorkerId) -> WorkerView | None:
         """Return the view of a worker, or None if it has not reported under the current epoch."""
         for view in self._cells.values():
--- a/tests/jobs/fakes.py
+++ b/tests/jobs/fakes.py
@@ -27,6 +27,9 @@
     def owned(self, now):
         return {CELL: self.epoch} if now < self.valid_until else {}
 
+    def held(self, now):
+        return self.owned(now)
+
     def epoch_check(self, cell):
         return effects.RowCheck(EPOCH_KEY, self.version)
 
