--- a/tests/jobs/test_faults.py
+++ b/tests/jobs/test_faults.py
@@ -34,7 +34,7 @@
 def steer(world, avoid):
     """Make every policy avoid a worker, so that a restart would run elsewhere."""
     for entry in world.entries.values():
-        entry.policy.failures[avoid] = 3
+        entry.policy.failures = {avoid: 3}
 
 
 def is_running(world, task, epoch):
@@ -200,6 +200,25 @@
 
 
 class WorkerTest(unittest.TestCase):
+    def test_late_inventory_of_a_former_agent(self):
+        """Guards against a restart because a replaced agent's inventory lacks the run."""
+        world = make()
+        world.replace_entry("e1")
+        world.hold = lambda m: getattr(m, "worker", "") == "w1" and getattr(m, "full", False)
+        world.run_until(lambda: world.held, 30)
+        held, world.held = world.held, []
+        world.hold = lambda message: False
+        world.replace_agent("w1")
+        world.run(2)
+        steer(world, "w2")
+        world.submit("j")
+        world.run_until(is_running(world, "j.0", 1))
+        steer(world, "w1")
+        world.held = held
+        world.release()
+        world.run(10)
+        self.assertEqual(world.list_starts(), [("j.0", 1)])
+
     def test_replaced_agent_adopts_runs(self):
         """Guards against runs that a new agent does not know."""
         world = make("sleep 20")
