Send full digests for a change of endpoints, not for each full heartbeat

Cause: WorkerTable raised its generation for every heartbeat that carries a list of endpoints, also when the list was the same. Agents send such a heartbeat every 60 s, and each made the owner send a full digest to every other entry at once.

Change: the generation grows when the endpoints or the draining state differ, and when an agent is admitted.

The new test fails without the change.

--- a/crocusrudder/membership/workers.py
+++ b/crocusrudder/membership/workers.py
@@ -239,6 +239,8 @@
             revision=message.revision,
         )
         view.workers[message.worker] = admitted
+        # The endpoints of a replaced agent are gone even if the new one has none.
+        self._generation += 1
         self._update(admitted, message, now)
         fields = {"worker": message.worker, "incarnation": event.incarnation}
         return [self._acknowledge(admitted, now), effects.LogChange("worker_admitted", fields)]
@@ -260,8 +262,9 @@
             known.inventoried = True
             known.runs = {}
         _merge_runs(known.runs, message.tasks)
-        if message.has_endpoints or message.draining != known.draining:
-            known.endpoints = message.endpoints if message.has_endpoints else known.endpoints
+        endpoints = message.endpoints if message.has_endpoints else known.endpoints
+        if endpoints != known.endpoints or message.draining != known.draining:
+            known.endpoints = endpoints
             known.draining = message.draining
             self._generation += 1
 
--- a/tests/membership/test_ownership.py
+++ b/tests/membership/test_ownership.py
@@ -235,6 +235,14 @@
             )
             self.assertEqual(len(found), 4, name)
 
+    def test_full_heartbeats_without_a_change_send_no_extra_digests(self):
+        """Guards against a full digest to every entry for each full heartbeat."""
+        self.world.run(10)
+        before = {name: self.world.processes[name].core.workers.generation for name in ENTRIES}
+        self.world.run(3 * announcer.FULL_SECONDS)
+        after = {name: self.world.processes[name].core.workers.generation for name in ENTRIES}
+        self.assertEqual(before, after)
+
     def test_endpoints_stay_known_while_a_cell_changes_its_owner(self):
         self.world.run(10)
         killed = self.find_owner()
