--- /dev/null
+++ b/tests/endtoend/__init__.py
@@ -0,0 +1,1 @@
+"""Tests with real processes, kills, freezes and outages."""
