Move chunks of cells that have lost their workers to other cells

Cause: a job's chunks are bound to a cell, so the jobs of a data centre that fails waited until it returned.

--- a/crocusrudder/entry/core.py
+++ b/crocusrudder/entry/core.py
@@ -10,6 +10,7 @@
 from crocusrudder.core import ids
 from crocusrudder.hosting import inspection
 from crocusrudder.jobs import admission
+from crocusrudder.jobs import relocation
 from crocusrudder.jobs import scheduler
 from crocusrudder.membership import cells
 from crocusrudder.membership import directory
@@ -71,6 +72,9 @@
                 self._replica, self._directory, randomness, incarnation, process
             ),
             "job": self._scheduler,
+            "move": relocation.ChunkRelocator(
+                self._ownership, self._workers, self._directory, randomness, process
+            ),
         }
         super().__init__(process, incarnation, parts, OPERATOR_PATHS)
 
