Add the late refusal of one of two requests to the failure points

Cause: the table of failure points had no row for a refusal that arrives after another submission of the key has run.

--- a/tests/requests/test_failure_points.py
+++ b/tests/requests/test_failure_points.py
@@ -81,6 +81,9 @@
 two requests with the key at once -> done none 1
     submit; settle hold=ForwardRequest; submit entry=e2 repeat=1; settle hold=ForwardRequest;
     settle
+two requests with the key at once, refusal of the first arrives late -> done none 1
+    submit; settle hold=ForwardRequest; submit entry=e2 repeat=1; settle hold=ForwardRequest;
+    run ForwardRequest; settle hold=RequestAnswer; settle
 the agent is draining -> not-run CR-REQ-004 0
     stop a1; submit; settle
 the agent is starting -> not-run CR-REQ-009 0
