Let the HTTP tests run in two checkouts at once

Two runs of the tests at the same time failed with an address in use. The tests now take the first free port of 29610 to 29659, and the server also reports a failed listen, which two simultaneous binds can cause.

--- a/crocusrudder/hosting/http_server.py
+++ b/crocusrudder/hosting/http_server.py
@@ -93,10 +93,10 @@
         listener.setsockopt(curio.socket.SOL_SOCKET, curio.socket.SO_REUSEADDR, 1)
         try:
             listener.bind(self._address)
+            listener.listen(BACKLOG)
         except OSError as error:
             await listener.close()
-            raise errors.ServerStartError(f"cannot bind {self._address}: {error}") from error
-        listener.listen(BACKLOG)
+            raise errors.ServerStartError(f"cannot listen on {self._address}: {error}") from error
         self._listener = listener
         self._accepting = await curio.spawn(self._accept_forever, daemon=True)
 
--- a/tests/hosting/test_http_server.py
+++ b/tests/hosting/test_http_server.py
@@ -17,7 +17,8 @@
 from crocusrudder.hosting import http_server
 
 HOST = "127.0.0.1"
-PORT = 29610
+PORTS = range(29610, 29660)
+"""Several, because the tests may run in two checkouts at the same time."""
 CLOSING = b"Host: x\r\nConnection: close\r\n"
 GET = b"GET /b HTTP/1.1\r\n" + CLOSING + b"\r\n"
 POST = b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc"
@@ -31,11 +32,30 @@
     return http_messages.Response(200, (), request.target.encode() + b" " + request.body)
 
 
+class Running:
+    """The server under test."""
+
+    port = PORTS[0]
+
+
+async def start_server(handler, limits):
+    """Start a server on the first free port."""
+    for port in PORTS:
+        server = http_server.Server(HOST, port, handler, limits=limits)
+        try:
+            await server.start()
+        except errors.ServerStartError:
+            continue
+        Running.port = port
+        return server
+    raise AssertionError("no free port")
+
+
 async def connect():
     """Return a connection to the server under test."""
     client = curio.socket.socket(curio.socket.AF_INET, curio.socket.SOCK_STREAM)
     try:
-        await client.connect((HOST, PORT))
+        await client.connect((HOST, Running.port))
     except OSError:
         await client.close()
         raise
@@ -69,10 +89,7 @@
     """Run a scenario against a server, stop the server and return the scenario's result."""
 
     async def run():
-        server = http_server.Server(
-            HOST, PORT, handler, limits=http_connection.ServerLimits(**limits)
-        )
-        await server.start()
+        server = await start_server(handler, http_connection.ServerLimits(**limits))
         result = await scenario(server)
         if not server.stopping:
             async with curio.timeout_after(30):
@@ -146,7 +163,7 @@
     def test_an_address_in_use_is_reported(self):
         async def scenario(server):
             with self.assertRaises(errors.ServerStartError):
-                await http_server.Server(HOST, PORT, echo).start()
+                await http_server.Server(HOST, Running.port, echo).start()
 
         run_server(scenario)
 
