Make tests of jobs fail for mechanisms that they passed without

Cause: with conflicts not reloaded, starts not addressed to an incarnation, or acknowledgements of live runs obeyed, all tests passed.

--- a/tests/jobs/test_runner.py
+++ b/tests/jobs/test_runner.py
@@ -222,6 +222,12 @@
             self.tick(now)
             self.assertEqual(self.answer(runtime_calls.ListRuns, now, info(STATES.FAILED)), calls)
 
+    def test_acknowledgement_of_a_live_run(self):
+        """Guards against a run that is forgotten while it goes on."""
+        self.make_running()
+        self.assertEqual(self.receive(messages.TaskReportAck((("j.0", 1),)), 51.0), [])
+        self.assertEqual(self.get_state(), RUN_STATES.RUNNING)
+
     def test_commands(self):
         """Guards against commands of a former owner, and ends without their checkpoint."""
         cases = [
