--- a/crocusrudder/placement/blame.py
+++ b/crocusrudder/placement/blame.py
@@ -78,7 +78,8 @@
         self.successes = 0
         self.running: dict[ids.TaskId, tuple[ids.WorkerId, float]] = {}
         self.failed_on: collections.Counter[ids.WorkerId] = collections.Counter()
-        self.failed_late = False
+        self.longest_failure = 0.0
+        """Age in seconds of the oldest run at its failure."""
         self.outgrown = 0
         self.failures_in_row = 0
         self.not_before = float("-inf")
@@ -116,7 +117,12 @@
             job_state.starts -= 1
 
     def record_outgrown(
-        self, task: ids.TaskId, job: ids.JobId, worker: ids.WorkerId, size: messages.Resources
+        self,
+        task: ids.TaskId,
+        job: ids.JobId,
+        worker: ids.WorkerId,
+        size: messages.Resources,
+        now: float,
     ) -> None:
         """Record a run that was stopped at its memory reservation; no fault of the worker."""
         self._worker(worker).young.pop(task, None)
@@ -124,7 +130,7 @@
         state.running.pop(task, None)
         state.outgrown += 1
         state.last_reason = f"memory exceeded the reservation of {size.memory_mb} MB"
-        self._decide_verdict(job, state)
+        self._decide_verdict(job, state, now)
 
     def record_success(
         self, task: ids.TaskId, job: ids.JobId, worker: ids.WorkerId, now: float
@@ -157,7 +163,7 @@
         worker_state.posterior.update(worker_weight, 0.0)
         _, started = job_state.running.pop(task, (worker, now))
         worker_state.failed_in_row.append((started, job))
-        job_state.failed_late |= now - started >= PROOF_SECONDS
+        job_state.longest_failure = max(job_state.longest_failure, now - started)
         job_state.posterior.update(job_weight, 0.0)
         job_state.failed_on[worker] += 1
         job_state.failures_in_row += 1
@@ -166,7 +172,7 @@
         delay = min(BACKOFF_SECONDS * 2.0**exponent, BACKOFF_MAX_SECONDS)
         job_state.not_before = now + delay
         self._decide_quarantine(worker_state, task, now)
-        self._decide_verdict(job, job_state)
+        self._decide_verdict(job, job_state, now)
 
     def may_start_on(self, worker: ids.WorkerId, now: float) -> bool:
         """Return whether the worker may take one more start."""
@@ -303,9 +309,8 @@
     def _is_proven(self, state: _Job, now: float) -> bool:
         if state.successes:
             return True
-        if state.failed_late:
-            return False
-        return any(now - started >= PROOF_SECONDS for _, started in state.running.values())
+        needed = max(PROOF_SECONDS, state.longest_failure)
+        return any(now - started >= needed for _, started in state.running.values())
 
     @staticmethod
     def _prove_start(state: _Worker, started: float) -> None:
@@ -357,8 +362,8 @@
         if exhausted or state.posterior.mean >= QUARANTINE_MEAN:
             state.quarantined_since = now
 
-    def _decide_verdict(self, job: ids.JobId, state: _Job) -> None:
-        if state.successes or state.verdict is not None:
+    def _decide_verdict(self, job: ids.JobId, state: _Job, now: float) -> None:
+        if self._is_proven(state, now) or state.verdict is not None:
             return
         working = self._list_working(state)
         confirmed = [worker for worker in working if self._workers[worker].successes]
--- a/crocusrudder/placement/policy.py
+++ b/crocusrudder/placement/policy.py
@@ -363,7 +363,7 @@
             self._blame.record_success(task.task, task.job, worker, now)
         elif state is messages.RunState.FAILED and outgrown:
             self._sizes.record_outgrown(task.task, task.size)
-            self._blame.record_outgrown(task.task, task.job, worker, task.size)
+            self._blame.record_outgrown(task.task, task.job, worker, task.size, now)
         elif state is messages.RunState.FAILED:
             self._blame.record_failure(task.task, task.job, worker, now, reason)
         else:
--- a/tests/placement/test_blame.py
+++ b/tests/placement/test_blame.py
@@ -157,6 +157,25 @@
             model.record_failure(f"j.{number}", "j", worker, 31.0, "")
         self.assertIsNone(model.find_verdict("j"))
 
+    def test_job_with_a_run_that_outlived_the_failures_is_not_given_up(self) -> None:
+        """Guards against stopping a healthy job of which three tasks failed by chance."""
+        for outcome in ("success", "failure"):
+            with self.subTest(outcome):
+                model = blame.BlameModel()
+                for number in range(4):
+                    model.record_start(f"o.{number}", "o", f"w{number}", 0.0)
+                    model.record_success(f"o.{number}", "o", f"w{number}", 20.0)
+                model.record_start("j.0", "j", "w0", 30.0)
+                for number in range(1, 4):
+                    model.record_start(f"j.{number}", "j", f"w{number}", 60.0)
+                    model.record_failure(f"j.{number}", "j", f"w{number}", 70.0 + number, "")
+                self.assertIsNone(model.find_verdict("j"))
+                if outcome == "success":
+                    model.record_success("j.0", "j", "w0", 90.0)
+                else:
+                    model.record_failure("j.0", "j", "w0", 90.0, "")
+                self.assertEqual(model.find_verdict("j") is None, outcome == "success")
+
     def test_outgrown_memory_ends_in_a_verdict_after_six_starts(self) -> None:
         """Guards against a job whose reservation grows for ever."""
         model = blame.BlameModel()
@@ -166,7 +185,7 @@
             if model.may_start("j", 10.0 * number):
                 starts += 1
                 model.record_start("j.0", "j", f"w{number}", 10.0 * number)
-                model.record_outgrown("j.0", "j", f"w{number}", size)
+                model.record_outgrown("j.0", "j", f"w{number}", size, 10.0 * number + 3.0)
         self.assertEqual(starts, 6)
         self.assertIn("2000 MB", model.find_verdict("j").reason)
 
