Count only own cells when an entry looks for a surplus

Cause: release_surplus compared all owned cells, also those taken over from another data centre, with the share of the own data centre.

Change: only cells of the own data centre count.

A cell taken over stays with its new owner after the data centre returns; handing it back is not done.

--- a/crocusrudder/membership/cells.py
+++ b/crocusrudder/membership/cells.py
@@ -213,7 +213,10 @@
         }
 
     def release_surplus(self, now: float) -> list[effects.Effect]:
-        """Release one cell if this process owns more than its share of the data centre."""
+        """Release one cell if this process owns more than its share of the data centre.
+
+        Cells of other data centres do not count: nobody here could take an own cell in their place.
+        """
         owned = self._owned_here(now)
         here = sum(cell.config.data_centre == self._data_centre for cell in self._cells.values())
         share = -(-here // (1 + self._count_alive(now)))
@@ -223,7 +226,8 @@
         return [effects.Count("cells_released")]
 
     def _owned_here(self, now: float) -> list[_Cell]:
-        return [self._cells[name] for name in self.owned(now)]
+        owned = [self._cells[name] for name in self.owned(now)]
+        return [cell for cell in owned if cell.config.data_centre == self._data_centre]
 
     def _tick_owned(self, cell: _Cell, now: float) -> list[effects.Effect]:
         cell.releasing = cell.releasing or self._stopping
