--- a/benchmarks/figures.py
+++ b/benchmarks/figures.py
@@ -1,8 +1,10 @@
 """Sizes of the design, slopes of measurements, tables and JSON."""
 
+import concurrent.futures
 import json
 import pathlib
 import statistics
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
@@ -32,6 +34,9 @@
 PACKET_HEADER_BYTES = 60
 """TCP and IP headers of one packet."""
 
+MAX_POOL = 4
+"""The machine has other work too."""
+
 Row = Mapping[str, Any]
 
 
@@ -77,6 +82,12 @@
     return f"{value:.2f}" if abs(value) >= 0.1 else f"{value:.4f}"
 
 
+def run_all(function: Callable[..., Any], arguments: Sequence[tuple]) -> list[Any]:
+    """Call a function with each tuple of arguments, in a few processes at a time."""
+    with concurrent.futures.ProcessPoolExecutor(MAX_POOL) as pool:
+        return list(pool.map(function, *zip(*arguments, strict=True)))
+
+
 def write_json(path: pathlib.Path | None, content: object) -> None:
     """Write the results if a path is given."""
     if path is not None:
--- a/benchmarks/lab.py
+++ b/benchmarks/lab.py
@@ -2,8 +2,11 @@
 
 import contextlib
 import json
+import os
 import pathlib
 import re
+import subprocess
+import sys
 import tempfile
 import time
 from collections.abc import AsyncIterator
@@ -140,7 +143,19 @@
     def _start(self, name: str, arguments: list[str]) -> None:
         if arguments[:2] == ["-m", "crocusrudder"]:
             arguments = ["-m", "benchmarks.metered", *arguments[2:]]
-        super()._start(name, arguments)
+        environment = {**os.environ, **self.make_environment(name)}
+        with (self._folder / f"{name}.log").open("ab") as log:
+            self._processes[name] = subprocess.Popen(
+                [sys.executable, *arguments],
+                stdout=log,
+                stderr=log,
+                stdin=subprocess.DEVNULL,
+                env=environment,
+            )
+
+    def make_environment(self, name: str) -> dict[str, str]:
+        """Return what ``benchmarks.metered`` reads from its environment."""
+        return {"BENCH_PROFILE": str(self._folder / f"{name}.prof")}
 
 
 def read_cpu(pid: int) -> float:
@@ -159,7 +174,9 @@
 
 
 @contextlib.asynccontextmanager
-async def open_lab(entries: int = 1, task_lease_seconds: float = 300.0) -> AsyncIterator[Lab]:
+async def open_lab(
+    entries: int = 1, task_lease_seconds: float = 300.0, kind: type[Lab] = Lab
+) -> AsyncIterator[Lab]:
     """Run a deployment without agents; kill what is left at the end."""
     layout = Layout(
         BASE_PORT,
@@ -167,7 +184,7 @@
         task_lease_seconds=task_lease_seconds,
     )
     with tempfile.TemporaryDirectory() as folder:
-        lab = Lab(layout, pathlib.Path(folder))
+        lab = kind(layout, pathlib.Path(folder))
         try:
             await lab.start_all()
             yield lab
--- a/benchmarks/metered.py
+++ b/benchmarks/metered.py
@@ -1,11 +1,19 @@
 """Run an entry or an agent that counts its envelopes: ``python -m benchmarks.metered agent ...``.
 
 The counters ``wire_sent``, ``wire_sent_bytes``, ``wire_received`` and ``wire_received_bytes``
-appear in ``GET /v1/metrics``.
+appear in ``GET /v1/metrics``. SIGUSR1 starts the profiler; SIGUSR2 stops it and writes to the path
+in ``BENCH_PROFILE``. With ``BENCH_LOOKS_PER_SECOND`` the transport looks for waiting messages at a
+fixed rate, as an earlier version did 50 times a second.
 """
 
+import cProfile
+import os
+import signal
+import time
 from collections.abc import Callable
 
+import curio
+
 from crocusrudder.management import cli
 from crocusrudder.wire import codec
 from crocusrudder.wire import transport
@@ -37,6 +45,35 @@
     transport.Transport._deliver = receive_counted
 
 
+def make_polling(interval: float) -> Callable:
+    """Return the retry loop of the earlier version, as a baseline."""
+
+    async def retry_forever(link) -> None:
+        while True:
+            await curio.sleep(interval)
+            now = time.monotonic()
+            for peer in [peer for peer in link._peers.values() if peer.has_waiting]:
+                link._count_expired(peer.flush(now))
+
+    return retry_forever
+
+
+def take_signals(path: str) -> None:
+    """Profile between two signals."""
+    profiler = cProfile.Profile()
+
+    def stop(*_) -> None:
+        profiler.disable()
+        profiler.dump_stats(path)
+
+    signal.signal(signal.SIGUSR1, lambda *_: profiler.enable())
+    signal.signal(signal.SIGUSR2, stop)
+
+
 if __name__ == "__main__":
     count_envelopes()
+    take_signals(os.environ.get("BENCH_PROFILE", os.devnull))
+    looks = float(os.environ.get("BENCH_LOOKS_PER_SECOND", 0))
+    if looks:
+        transport.Transport.retry_forever = make_polling(1 / looks)
     cli.main()
--- a/benchmarks/starts.py
+++ b/benchmarks/starts.py
@@ -60,7 +60,7 @@
 @figures.json_option
 def main(json_path) -> None:
     """Measure starts at several loads and shapes of jobs."""
-    rows = [measure(rate, tasks) for tasks in SHAPES for rate in LOADS]
+    rows = figures.run_all(measure, [(rate, tasks) for tasks in SHAPES for rate in LOADS])
     figures.print_table(f"Task starts in one cell of {WORKERS} workers", rows)
     figures.write_json(json_path, rows)
 
