--- a/crocusrudder/placement/blame.py
+++ b/crocusrudder/placement/blame.py
@@ -182,6 +182,8 @@
         self._mature(state, now)
         if state.quarantined_since is not None:
             return self.is_probe_due(worker, now)
+        if len(state.young) + len(state.failed_in_row) < WORKER_UNPROVEN_STARTS:
+            return True
         return self._count_failed_in_row(state) + len(state.young) < WORKER_UNPROVEN_STARTS
 
     def may_start(self, job: ids.JobId, now: float) -> bool:
@@ -322,9 +324,11 @@
 
     def _mature(self, state: _Worker, now: float) -> None:
         """Treat runs that outlived the first seconds as proof that the worker starts tasks."""
-        old = [task for task, (_, at) in state.young.items() if now - at >= YOUNG_SECONDS]
-        for task in old:
-            _, started = state.young.pop(task)
+        while state.young:
+            task, (_, started) = next(iter(state.young.items()))
+            if now - started < YOUNG_SECONDS:
+                return
+            del state.young[task]
             if state.quarantined_since is None:
                 self._prove_start(state, started)
 
--- a/crocusrudder/placement/policy.py
+++ b/crocusrudder/placement/policy.py
@@ -263,7 +263,10 @@
         }
 
     def _state(self, worker: ids.WorkerId) -> tracking.WorkerState:
-        return self._workers.setdefault(worker, tracking.WorkerState())
+        known = self._workers.get(worker)
+        if known is None:
+            known = self._workers[worker] = tracking.WorkerState()
+        return known
 
     def _list_candidates(
         self, task: model.PlacementTask, workers: Sequence[model.WorkerView], now: float
