--- a/benchmarks/world.py
+++ b/benchmarks/world.py
@@ -23,6 +23,7 @@
 TASK_LEASE_SECONDS = 300.0
 ANNOUNCE_SECONDS = 2.0
 TASK_SIZE = {"millicores": 300, "memory_mb": 500}
+DRAWN_COMMAND = "sleep 6"
 
 RECORDS = (
     {"kind": "team", "schema_version": 2, "name": system.TEAM, "quota": TASK_SIZE},
@@ -136,7 +137,7 @@
         self.cells = cells
         self.meters: dict[str, Meter] = collections.defaultdict(Meter)
         self.run_seconds: tuple[float, float] | None = None
-        """Range from which the run time of each task is drawn, in place of its command."""
+        """Range from which the run time of each task with ``DRAWN_COMMAND`` is drawn."""
         self.cell_of = {
             f"{cell}-{number}": cell
             for cell, (_, count) in cells.items()
@@ -217,7 +218,8 @@
         receiver.received_bytes += size
 
     def _call_runtime(self, process: simulation.Process, effect: effects.CallRuntime) -> None:
-        if self.run_seconds and isinstance(effect.call, runtime_calls.StartRun):
+        is_start = isinstance(effect.call, runtime_calls.StartRun)
+        if self.run_seconds and is_start and effect.call.command == DRAWN_COMMAND:
             command = f"sleep {self.random.uniform(*self.run_seconds):.2f}"
             call = msgspec.structs.replace(effect.call, command=command)
             effect = msgspec.structs.replace(effect, call=call)
