--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: install format lint test demo benchmarks fuzz clean
+.PHONY: install format lint test demo proofs fuzz benchmarks experiment clean
 
 install: $(STAMP)
 
@@ -27,7 +27,21 @@
 demo: install
 	$(BIN)/python -m tools.demo
 
-BENCHMARKS := starts digests configuration failures outages owners urgent requests wakeups profiles
+proofs: install
+	$(BIN)/python -m tools.proofs
+
+# Extra seeds for the scenarios and the mixtures of faults; CI runs the seeds in the files.
+SEEDS ?= 20
+
+fuzz: install
+	CROCUSRUDDER_SEEDS=$(SEEDS) $(BIN)/python -m unittest tests.scenarios.test_scenarios \
+		tests.membership.test_ownership
+
+experiment: install
+	$(BIN)/python -m tools.experiment --load arriola --scale today --seeds 3
+	$(BIN)/python -m tools.experiment --load servicio --scale today --seeds 3
+
+BENCHMARKS := recovery starts digests configuration failures outages owners urgent requests wakeups profiles
 
 benchmarks: install
 	$(BIN)/python -m benchmarks.daemons
--- a/tests/endtoend/test_faults.py
+++ b/tests/endtoend/test_faults.py
@@ -15,7 +15,6 @@
 from tools.demo import deployment
 from tools.demo import story
 
-BASE_PORT = 26_100
 FREEZE_SECONDS = 9.0
 """Longer than the cell lease of 6 s and the task lease of 5 s."""
 
@@ -60,7 +59,7 @@
 
     def test_nothing_is_lost_or_doubled(self):
         with tempfile.TemporaryDirectory() as folder:
-            running = deployment.Deployment(deployment.Layout(BASE_PORT), pathlib.Path(folder))
+            running = deployment.Deployment(deployment.find_layout(), pathlib.Path(folder))
             told = FaultStory(running)
             printed = io.StringIO()
             try:
--- a/tools/demo/__main__.py
+++ b/tools/demo/__main__.py
@@ -12,14 +12,15 @@
 
 
 @click.command()
-@click.option("--base-port", default=28_100, show_default=True, help="First of 100 ports.")
+@click.option("--base-port", type=int, help="First of 100 ports; by default, free ones.")
 @click.option("--keep", type=click.Path(path_type=pathlib.Path), help="Keep logs in this folder.")
-def main(base_port: int, keep: pathlib.Path | None) -> None:
+def main(base_port: int | None, keep: pathlib.Path | None) -> None:
     """Run a small deployment, break parts of it, and check that nothing is lost or doubled."""
     with tempfile.TemporaryDirectory() as temporary:
         folder = keep or pathlib.Path(temporary)
         folder.mkdir(parents=True, exist_ok=True)
-        running = deployment.Deployment(deployment.Layout(base_port), folder)
+        layout = deployment.Layout(base_port) if base_port else deployment.find_layout()
+        running = deployment.Deployment(layout, folder)
         told = story.Story(running)
         try:
             curio.run(told.run)
--- a/tools/demo/deployment.py
+++ b/tools/demo/deployment.py
@@ -1,8 +1,10 @@
 """Start, kill, freeze and stop the processes of a small deployment on loopback."""
 
+import itertools
 import json
 import pathlib
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -18,9 +20,10 @@
 DATA_CENTRES = ("bilbao", "santander")
 SERVICE = "dispatch"
 CALL_TIMEOUT_SECONDS = 8.0
-START_LIMIT_SECONDS = 20.0
+FIRST_BASE_PORT = 24_000
+LAST_BASE_PORT = 28_900
+PORTS = 100
 STOP_LIMIT_SECONDS = 30.0
-KILL_EXIT_CODE = -signal.SIGKILL
 
 
 class DeploymentError(Exception):
@@ -96,6 +99,15 @@
             for index, (name, data_centre) in enumerate(names)
         ]
 
+    def list_ports(self) -> list[int]:
+        """Return all ports that the deployment listens on."""
+        entries = [(place.wire_port, place.http_port) for place in self.entries]
+        agents = [
+            (place.wire_port, place.http_port, place.endpoint_port, place.endpoint_port + 40)
+            for place in self.agents
+        ]
+        return [self.base_port, *itertools.chain.from_iterable([*entries, *agents])]
+
     def make_peers(self, own_name: str = "") -> list[dict]:
         """Return all entries but one, as settings list them."""
         return [
@@ -152,6 +164,24 @@
         }
 
 
+def find_layout(first_port: int = FIRST_BASE_PORT) -> Layout:
+    """Return a layout on ports of which none is in use, as by an earlier run that was killed."""
+    for base_port in range(first_port, LAST_BASE_PORT, PORTS):
+        layout = Layout(base_port)
+        if all(map(_is_free, layout.list_ports())):
+            return layout
+    raise DeploymentError("no free range of ports")
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind((HOST, port))
+        except OSError:
+            return False
+    return True
+
+
 class Deployment:
     """The running processes; each writes its log to a file in ``folder``."""
 
