Send endpoints only on change or request; refuse newer versions to their sender

A message of a newer major version was only counted, although the design says that its sender is told. The host left a socket open. Change: digests name the generation of the sender's endpoints, and a receiver that lacks it asks; Refused is sent and logged once for each peer; the socket is closed. An entry that missed a change learns of it with the next digest, within 5 s.

--- a/crocusrudder/hosting/composition.py
+++ b/crocusrudder/hosting/composition.py
@@ -31,6 +31,7 @@
         self._incarnation = incarnation
         self._parts = dict(parts)
         self._operator_paths = dict(operator_paths)
+        self._refusals: set[tuple[ids.ProcessId, str]] = set()
 
     def handle(self, event: events.Event, now: float) -> list[effects.Effect]:
         """Take one event and return the effects to carry out."""
@@ -41,8 +42,8 @@
             part = self._parts.get(components.get_prefix(operation))
             return part.handle(event, now) if part else []
         produced = [effect for part in self._parts.values() for effect in part.handle(event, now)]
-        if isinstance(event, events.Received) and isinstance(event.message, messages.DumpRequest):
-            produced.append(self._answer_dump(event, now))
+        if isinstance(event, events.Received):
+            produced += self._receive(event, now)
         return produced
 
     def tick(self, now: float) -> list[effects.Effect]:
@@ -57,6 +58,19 @@
         """Return the state dump of the process."""
         return dump.assemble(self._process, self._incarnation, self._parts, counters, now)
 
+    def _receive(self, event: events.Received, now: float) -> list[effects.Effect]:
+        if isinstance(event.message, messages.DumpRequest):
+            return [self._answer_dump(event, now)]
+        if not isinstance(event.message, messages.Refused):
+            return []
+        refusal = (event.sender, event.message.code)
+        counted = effects.Count("refused_by_peers")
+        if refusal in self._refusals:
+            return [counted]
+        self._refusals.add(refusal)
+        fields = {"peer": event.sender, "code": event.message.code, "text": event.message.text}
+        return [counted, effects.LogChange("refused_by_peer", fields)]
+
     def _ask_operator_part(self, event: events.OperatorAsked, now: float) -> list[effects.Effect]:
         path = event.path[1:] if event.path[:1] == (API_VERSION,) else event.path
         name = self._operator_paths.get(path[0] if path else "")
--- a/crocusrudder/hosting/host.py
+++ b/crocusrudder/hosting/host.py
@@ -1,5 +1,6 @@
 """Run a process core: feed it events one by one and carry out its effects."""
 
+import contextlib
 import signal
 import socket
 import time
@@ -131,6 +132,7 @@
         writer.setblocking(False)
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda *_: writer.send(b"s"))
-        async with curio.io.Socket(reader) as notifications:
-            while await notifications.recv(1):
-                await self._queue.put(events.StopRequested())
+        with contextlib.closing(writer):
+            async with curio.io.Socket(reader) as notifications:
+                while await notifications.recv(1):
+                    await self._queue.put(events.StopRequested())
--- a/crocusrudder/membership/directory.py
+++ b/crocusrudder/membership/directory.py
@@ -17,8 +17,7 @@
 
 DIGEST_SECONDS = 5.0
 REMOTE_DIGEST_SECONDS = 30.0
-FULL_DIGEST_SECONDS = 30.0
-"""Interval at which endpoints are repeated even if unchanged, which repairs lost digests."""
+NO_GENERATION = -1
 ALIVE_SECONDS = 15.0
 BEHIND_LIMIT = 8
 
@@ -42,6 +41,8 @@
     incarnation: ids.Incarnation
     alive_since: float
     heard_at: float
+    generation: int
+    """Generation of the latest endpoints that were received from it."""
     stopping: bool = False
 
 
@@ -80,7 +81,6 @@
         self._sent_generation = -1
         self._sent_revisions: list[ids.Revision] = []
         self._sent_at: dict[ids.ProcessId, float] = {}
-        self._full_sent_at: dict[ids.ProcessId, float] = {}
         self._sequence = itertools.count(1)
         self._stopping = False
         self._now = 0.0
@@ -164,13 +164,9 @@
         interval = DIGEST_SECONDS if peer.same_region else REMOTE_DIGEST_SECONDS
         return now - self._sent_at.get(peer.process, float("-inf")) >= interval
 
-    def _send_digest(self, peer: Peer, changed: bool, now: float) -> effects.Effect:
+    def _send_digest(self, peer: Peer, full: bool, now: float) -> effects.Effect:
         self._sent_at[peer.process] = now
-        last_full = self._full_sent_at.get(peer.process, float("-inf"))
-        full = changed or now - last_full >= FULL_DIGEST_SECONDS
         owned = self._ownership.held(now)
-        if full:
-            self._full_sent_at[peer.process] = now
         digest = messages.EntryDigest(
             data_centre=self._data_centre,
             revision=self._get_revision(),
@@ -181,6 +177,7 @@
             endpoints=tuple(itertools.chain.from_iterable(map(self._list_endpoints, owned)))
             if full
             else (),
+            generation=self._sent_generation,
         )
         return effects.Send(peer.process, digest)
 
@@ -251,6 +248,8 @@
     def _on_received(self, event: events.Received, now: float) -> list[effects.Effect]:
         if isinstance(event.message, messages.Hello):
             return self._note_unowned(event, event.message, now)
+        if isinstance(event.message, messages.EndpointsRequest):
+            return self._answer_endpoints_request(event, now)
         if not isinstance(event.message, messages.EntryDigest):
             return []
         digest = event.message
@@ -260,14 +259,23 @@
             return [effects.Count("digests_out_of_order")]
         for summary in digest.cells:
             self._note_cell(event.sender, summary, digest, now)
-        learned: list[effects.Effect] = [
+        produced: list[effects.Effect] = [
             effects.LearnAddress(found.agent, found.address) for found in digest.endpoints
         ]
+        if self._lacks_endpoints(event.sender, digest):
+            produced.append(effects.Send(event.sender, messages.EndpointsRequest()))
         peer = self._peers.get(event.sender)
         if returned and peer is not None:
             # A new entry knows no endpoints until it has heard from the owners of all cells.
-            learned.append(self._send_digest(peer, True, now))
-        return learned
+            produced.append(self._send_digest(peer, True, now))
+        return produced
+
+    def _lacks_endpoints(self, sender: ids.ProcessId, digest: messages.EntryDigest) -> bool:
+        return bool(digest.cells) and self._entries[sender].generation != digest.generation
+
+    def _answer_endpoints_request(self, event: events.Received, now: float) -> list[effects.Effect]:
+        peer = self._peers.get(event.sender)
+        return [] if peer is None else [self._send_digest(peer, True, now)]
 
     def _note_unowned(
         self, event: events.Received, message: messages.Hello, now: float
@@ -293,6 +301,9 @@
         if same and digest.sequence <= known.sequence:
             return False
         alive = same and self._is_alive(known, now)
+        generation = known.generation if same else NO_GENERATION
+        if digest.full_cells:
+            generation = digest.generation
         self._entries[event.sender] = EntryView(
             process=event.sender,
             data_centre=digest.data_centre,
@@ -301,6 +312,7 @@
             incarnation=event.incarnation,
             alive_since=known.alive_since if alive else now,
             heard_at=now,
+            generation=generation,
             stopping=digest.stopping,
         )
         return True
--- a/crocusrudder/wire/codec.py
+++ b/crocusrudder/wire/codec.py
@@ -66,7 +66,11 @@
         raise errors.MessageTooLargeError(f"{len(data)} bytes")
     envelope = _decode_envelope(data)
     if envelope.major > messages.PROTOCOL_MAJOR:
-        raise errors.NewerVersionError(f"major version {envelope.major}")
+        raise errors.NewerVersionError(
+            f"major version {envelope.major}, understood is {messages.PROTOCOL_MAJOR}",
+            envelope.sender,
+            envelope.sender_address,
+        )
     if envelope.destination_incarnation not in ("", incarnation):
         raise errors.WrongIncarnationError(envelope.destination_incarnation)
     try:
--- a/crocusrudder/wire/messages.py
+++ b/crocusrudder/wire/messages.py
@@ -359,7 +359,8 @@
     """Tell the other entries about the sender and its cells.
 
     ``endpoints`` holds the endpoints of the cells in ``full_cells`` completely; an endpoint that
-    is missing there has gone.
+    is missing there has gone. ``generation`` grows when the endpoints of the sender change; a
+    receiver that has the endpoints of another generation asks for them.
     """
 
     data_centre: ids.DataCentre
@@ -369,6 +370,11 @@
     cells: tuple[CellDigest, ...]
     full_cells: tuple[ids.CellId, ...] = ()
     endpoints: tuple[EndpointAt, ...] = ()
+    generation: int = 0
+
+
+class EndpointsRequest(Message, frozen=True):
+    """Ask an entry for a digest with the endpoints of all of its cells."""
 
 
 class ChunkAssigned(Message, frozen=True):
--- a/crocusrudder/wire/transport.py
+++ b/crocusrudder/wire/transport.py
@@ -30,6 +30,8 @@
 HEARTBEAT_TIMEOUT_MS = 15_000
 MAX_SOCKETS = 4_096
 
+ANY_INCARNATION = codec.ANY_INCARNATION
+
 Deliver = Callable[[messages.Envelope, messages.Message], Awaitable[None]]
 CountDrop = Callable[[str], None]
 
@@ -180,6 +182,10 @@
             envelope, message = codec.decode(data, self._sender.incarnation)
         except errors.WrongIncarnationError:
             self._count("wire_refused_incarnation")
+        except errors.NewerVersionError as error:
+            self._count(f"wire_refused_{error.code}")
+            self.learn_address(error.sender, error.address)
+            self.send(error.sender, messages.Refused(error.code, error.message), ANY_INCARNATION)
         except errors.WireError as error:
             self._count(f"wire_refused_{error.code}")
         else:
--- a/tests/hosting/test_host.py
+++ b/tests/hosting/test_host.py
@@ -3,6 +3,7 @@
 import unittest
 
 import curio
+import msgspec
 
 from crocusrudder.core import effects
 from crocusrudder.core import events
@@ -59,6 +60,27 @@
     return host.Host(PingCore(other), link, {effects.ReadRows: read_nothing}, {}), link
 
 
+class VersionTest(unittest.TestCase):
+    """Guards against processes of different major versions that fail without telling anyone."""
+
+    def test_a_newer_message_is_refused_to_its_sender(self):
+        first, first_link = make_host("a", "b")
+        second, second_link = make_host("b", "a")
+        newer = msgspec.msgpack.decode(first_link._sender.encode(PING))
+        newer[0] = messages.PROTOCOL_MAJOR + 1
+
+        async def exchange():
+            async with curio.TaskGroup(wait=any) as group:
+                await group.spawn(first.run())
+                await group.spawn(second_link.retry_forever())
+                await second_link._deliver(msgspec.msgpack.encode(newer), second.deliver)
+
+        curio.run(exchange)
+        first_link.close()
+        second_link.close()
+        self.assertEqual(first.core.heard[0].code, "CR-WIRE-002")
+
+
 class HostTest(unittest.TestCase):
     """Guards against messages that are not delivered and answers that do not reach the core."""
 
--- a/tests/membership/test_ownership.py
+++ b/tests/membership/test_ownership.py
@@ -286,6 +286,21 @@
 
         self.assertLess(self.world.run_until(is_gone, 10), 2)
 
+    def test_an_entry_that_missed_a_change_of_endpoints_asks_for_them(self):
+        self.world.run(10)
+        owner = self.find_owner()
+        others = [name for name in ENTRIES if name != owner]
+        self.world.faults.cut = {frozenset((owner, name)) for name in others}
+        self.world.processes["w0"].core.sources.draining = True
+        self.world.run(4)
+        self.world.faults.cut = set()
+
+        def is_gone():
+            parts = [self.world.processes[name].core.directory for name in others]
+            return all(len(part.find_endpoints("dispatch", 1)) == 3 for part in parts)
+
+        self.world.run_until(is_gone, directory.DIGEST_SECONDS + 1)
+
     def test_a_replaced_agent_is_admitted_with_a_new_inventory(self):
         old = self.world.processes["w0"].incarnation
         self.world.kill("w0")
