Split the tracking of cells off their ownership

Change: membership/tracking.py holds what is known of one cell, with its state changes; purposes are an Enum. Behaviour is unchanged. Conclusion: the module has one job again.

--- a/crocusrudder/entry/core.py
+++ b/crocusrudder/entry/core.py
@@ -14,6 +14,7 @@
 from crocusrudder.jobs import scheduler
 from crocusrudder.membership import cells
 from crocusrudder.membership import directory
+from crocusrudder.membership import tracking
 from crocusrudder.membership import workers
 from crocusrudder.placement import policy
 from crocusrudder.records import core as changes
@@ -127,7 +128,7 @@
             document.wire_address,
             ids.DataCentre(document.data_centre),
             [
-                cells.CellConfig(ids.CellId(cell.cell), ids.DataCentre(cell.data_centre))
+                tracking.CellConfig(ids.CellId(cell.cell), ids.DataCentre(cell.data_centre))
                 for cell in document.cells
             ],
             lambda now: self._directory.count_alive(now, cells.HANDOVER_SECONDS),
--- a/crocusrudder/membership/cells.py
+++ b/crocusrudder/membership/cells.py
@@ -10,22 +10,22 @@
 again it raises the epoch itself, so that commands which it sent before the lapse are refused.
 """
 
-import enum
 import functools
 from collections.abc import Callable
 from collections.abc import Iterable
 from typing import Any
 
-import msgspec
-
 from crocusrudder.core import clocks
 from crocusrudder.core import components
 from crocusrudder.core import effects
 from crocusrudder.core import events
 from crocusrudder.core import ids
 from crocusrudder.membership import errors
+from crocusrudder.membership import tracking
 from crocusrudder.wire import messages
 
+Purpose = tracking.Purpose
+
 CELL_LEASE_SECONDS = 6.0
 RENEW_SECONDS = 2.0
 RETRY_SECONDS = 0.5
@@ -40,63 +40,6 @@
 """How long another entry must be alive before a surplus cell is released to it."""
 
 
-class CellConfig(msgspec.Struct, frozen=True):
-    """A cell as the settings of the region list it."""
-
-    cell: ids.CellId
-    data_centre: ids.DataCentre
-
-
-class CellState(enum.Enum):
-    """What this process knows and does about a cell."""
-
-    WATCHING = "watching"
-    CLAIMING = "claiming"
-    RESOLVING_CLAIM = "resolving-claim"
-    OWNED = "owned"
-
-
-class _Cell:
-    """Observed rows and own lease of one cell."""
-
-    def __init__(self, config: CellConfig) -> None:
-        self.config = config
-        self.state = CellState.WATCHING
-        self.lease: effects.Row | None = None
-        self.seen = False
-        self.changed_at = 0.0
-        self.checked_at = float("-inf")
-        self.epoch = ids.CellEpoch(0)
-        """Epoch under which this process holds the cell."""
-        self.claimed_epoch = ids.CellEpoch(0)
-        """Epoch of the latest claim, which may not be confirmed."""
-        self.epoch_version = 0
-        self.holding = False
-        self.was_valid = False
-        """Whether this process has owned the cell under ``epoch``."""
-        self.counter = 0
-        self.valid_until = float("-inf")
-        self.sent_at = float("-inf")
-        self.busy = False
-        self.releasing = False
-        """A release was sent or is due. It may take effect at any time, so ownership has ended."""
-        self.release_sent = False
-        self.announced_epoch = ids.CellEpoch(0)
-
-    @property
-    def lease_version(self) -> int:
-        """Return the version of the lease row; 0 if it does not exist."""
-        return self.lease.version if self.lease else 0
-
-
-def _lease_key(cell: ids.CellId) -> str:
-    return f"cell/{cell}/lease"
-
-
-def _epoch_key(cell: ids.CellId) -> str:
-    return f"cell/{cell}/epoch"
-
-
 class CellOwnership:
     """Claim, renew, release and watch the cells of the region.
 
@@ -110,7 +53,7 @@
         incarnation: ids.Incarnation,
         address: str,
         data_centre: ids.DataCentre,
-        cells: Iterable[CellConfig],
+        cells: Iterable[tracking.CellConfig],
         count_alive: Callable[[float], int] = lambda now: 0,
         lease_seconds: float = CELL_LEASE_SECONDS,
     ) -> None:
@@ -120,9 +63,9 @@
         self._data_centre = data_centre
         self._count_alive = count_alive
         self._lease_seconds = lease_seconds
-        self._cells = {config.cell: _Cell(config) for config in cells}
+        self._cells = {config.cell: tracking.TrackedCell(config) for config in cells}
         self._operations = components.OperationIds("cell")
-        self._pending: dict[ids.OperationId, tuple[str, ids.CellId]] = {}
+        self._pending: dict[ids.OperationId, tuple[Purpose, ids.CellId]] = {}
         self._stopping = False
 
     @property
@@ -133,14 +76,16 @@
     @property
     def released(self) -> bool:
         """Return whether no cell is owned or being claimed."""
-        return all(cell.state is CellState.WATCHING for cell in self._cells.values())
+        return all(cell.state is tracking.CellState.WATCHING for cell in self._cells.values())
 
     def owned(self, now: float) -> dict[ids.CellId, ids.CellEpoch]:
         """Return the cells that this process owns at this moment, with their epochs."""
         return {
             name: cell.epoch
             for name, cell in self._cells.items()
-            if cell.state is CellState.OWNED and now < cell.valid_until and not cell.releasing
+            if cell.state is tracking.CellState.OWNED
+            and now < cell.valid_until
+            and not cell.releasing
         }
 
     def held(self, now: float) -> dict[ids.CellId, ids.CellEpoch]:
@@ -159,7 +104,7 @@
         known = self._cells[cell]
         if not known.holding:
             raise errors.NotOwnerError(f"cell {cell}")
-        return effects.RowCheck(_epoch_key(cell), known.epoch_version)
+        return effects.RowCheck(known.epoch_key, known.epoch_version)
 
     def get_owner(self, cell: ids.CellId) -> tuple[ids.ProcessId, str] | None:
         """Return the process and address of the owner last seen in the table."""
@@ -192,10 +137,10 @@
         for cell in self._cells.values():
             if cell.busy:
                 continue
-            if cell.state is CellState.OWNED:
+            if cell.state is tracking.CellState.OWNED:
                 produced += self._tick_owned(cell, now)
-            elif cell.state is CellState.RESOLVING_CLAIM:
-                produced += self._read(cell, "resolve", now)
+            elif cell.state is tracking.CellState.RESOLVING_CLAIM:
+                produced += self._read(cell, Purpose.RESOLVE, now)
             else:
                 produced += self._tick_watched(cell, now)
         return produced
@@ -207,7 +152,7 @@
                 "state": cell.state.value,
                 "epoch": self.get_epoch(name),
                 "owner": cell.lease.value["owner"] if cell.lease else None,
-                "valid_until": cell.valid_until if cell.state is CellState.OWNED else None,
+                "valid_until": cell.valid_until if cell.state is tracking.CellState.OWNED else None,
             }
             for name, cell in self._cells.items()
         }
@@ -225,11 +170,11 @@
         owned[-1].releasing = True
         return [effects.Count("cells_released")]
 
-    def _owned_here(self, now: float) -> list[_Cell]:
+    def _owned_here(self, now: float) -> list[tracking.TrackedCell]:
         owned = [self._cells[name] for name in self.owned(now)]
         return [cell for cell in owned if cell.config.data_centre == self._data_centre]
 
-    def _tick_owned(self, cell: _Cell, now: float) -> list[effects.Effect]:
+    def _tick_owned(self, cell: tracking.TrackedCell, now: float) -> list[effects.Effect]:
         cell.releasing = cell.releasing or self._stopping
         lapsed = now >= cell.valid_until
         due = RETRY_SECONDS if lapsed else RENEW_SECONDS
@@ -239,32 +184,32 @@
             return []
         if lapsed and cell.was_valid and not cell.releasing:
             cell.sent_at = now
-            return self._read(cell, "reclaim", now)
+            return self._read(cell, Purpose.RECLAIM, now)
         cell.release_sent = cell.releasing
         return self._renew(cell, now)
 
-    def _renew(self, cell: _Cell, now: float) -> list[effects.Effect]:
+    def _renew(self, cell: tracking.TrackedCell, now: float) -> list[effects.Effect]:
         cell.sent_at = now
         cell.counter += 1
         value = self._lease_value(cell, cell.releasing)
-        write = effects.RowWrite(_lease_key(cell.config.cell), value, cell.lease_version)
-        return [self._commit(cell, "renew", (write,))]
+        write = effects.RowWrite(cell.lease_key, value, cell.lease_version)
+        return [self._commit(cell, Purpose.RENEW, (write,))]
 
-    def _tick_watched(self, cell: _Cell, now: float) -> list[effects.Effect]:
+    def _tick_watched(self, cell: tracking.TrackedCell, now: float) -> list[effects.Effect]:
         if self._stopping:
             return []
         if cell.seen and self._may_claim(cell, now):
-            return self._read(cell, "claim", now)
+            return self._read(cell, Purpose.CLAIM, now)
         local = cell.config.data_centre == self._data_centre
         interval = CHECK_SECONDS if local else REMOTE_CHECK_SECONDS
         if now - cell.checked_at < interval:
             return []
-        return self._read(cell, "check", now)
+        return self._read(cell, Purpose.CHECK, now)
 
-    def _may_claim(self, cell: _Cell, now: float) -> bool:
+    def _may_claim(self, cell: tracking.TrackedCell, now: float) -> bool:
         if now - cell.sent_at < RETRY_SECONDS:
             return False
-        held = sum(other.state is not CellState.WATCHING for other in self._cells.values())
+        held = sum(other.state is not tracking.CellState.WATCHING for other in self._cells.values())
         delay = OWNED_CELL_DELAY_SECONDS * held
         if cell.config.data_centre != self._data_centre:
             delay += REMOTE_TAKEOVER_SECONDS
@@ -272,7 +217,7 @@
             delay += clocks.wait_for_remote(self._lease_seconds) + TAKEOVER_MARGIN_SECONDS
         return now - cell.changed_at >= delay
 
-    def _lease_value(self, cell: _Cell, released: bool) -> dict[str, Any]:
+    def _lease_value(self, cell: tracking.TrackedCell, released: bool) -> dict[str, Any]:
         return {
             "owner": self._process,
             "incarnation": self._incarnation,
@@ -283,38 +228,31 @@
         }
 
     def _commit(
-        self, cell: _Cell, purpose: str, writes: tuple[effects.RowWrite, ...]
+        self, cell: tracking.TrackedCell, purpose: Purpose, writes: tuple[effects.RowWrite, ...]
     ) -> effects.Commit:
         cell.busy = True
         operation = self._operations.next()
         self._pending[operation] = (purpose, cell.config.cell)
         return effects.Commit(operation, writes)
 
-    def _read(self, cell: _Cell, purpose: str, now: float) -> list[effects.Effect]:
+    def _read(
+        self, cell: tracking.TrackedCell, purpose: Purpose, now: float
+    ) -> list[effects.Effect]:
         cell.busy = True
         cell.checked_at = now
         operation = self._operations.next()
         self._pending[operation] = (purpose, cell.config.cell)
-        name = cell.config.cell
-        keys = (_lease_key(name),) if purpose == "check" else (_lease_key(name), _epoch_key(name))
+        keys = (cell.lease_key,) if purpose is Purpose.CHECK else (cell.lease_key, cell.epoch_key)
         return [effects.ReadRows(operation, keys)]
 
-    def _finish(self, operation: ids.OperationId) -> tuple[str, _Cell] | None:
-        purpose, name = self._pending.pop(operation, ("", None))
+    def _finish(self, operation: ids.OperationId) -> tuple[Purpose, tracking.TrackedCell] | None:
+        purpose, name = self._pending.pop(operation, (None, None))
         if name is None:
             return None
         cell = self._cells[name]
         cell.busy = False
         return purpose, cell
 
-    def _observe_lease(self, cell: _Cell, row: effects.Row | None, now: float) -> None:
-        version = row.version if row else 0
-        if cell.seen and version == cell.lease_version:
-            return
-        cell.lease = row
-        cell.seen = True
-        cell.changed_at = now
-
     @functools.singledispatchmethod
     def _dispatch(self, event: events.Event, now: float) -> list[effects.Effect]:
         return []
@@ -344,22 +282,21 @@
         if finished is None:
             return []
         purpose, cell = finished
-        self._observe_lease(cell, event.rows.get(_lease_key(cell.config.cell)), now)
-        epoch_row = event.rows.get(_epoch_key(cell.config.cell))
-        if purpose == "claim" and self._may_claim(cell, now):
+        cell.observe_lease(event.rows.get(cell.lease_key), now)
+        epoch_row = event.rows.get(cell.epoch_key)
+        if purpose is Purpose.CLAIM and self._may_claim(cell, now):
             return self._claim(cell, epoch_row, now)
-        if purpose == "reclaim":
+        if purpose is Purpose.RECLAIM:
             return self._reclaim(cell, epoch_row, now)
-        if purpose == "resolve":
+        if purpose is Purpose.RESOLVE:
             return self._resolve(cell, epoch_row, now)
         return []
 
     def _claim(
-        self, cell: _Cell, epoch_row: effects.Row | None, now: float
+        self, cell: tracking.TrackedCell, epoch_row: effects.Row | None, now: float
     ) -> list[effects.Effect]:
-        name = cell.config.cell
         previous = epoch_row.value["epoch"] if epoch_row else 0
-        cell.state = CellState.CLAIMING
+        cell.state = tracking.CellState.CLAIMING
         cell.claimed_epoch = ids.CellEpoch(previous + 1)
         cell.counter = 0
         cell.sent_at = now
@@ -369,17 +306,17 @@
             "epoch": cell.claimed_epoch,
         }
         writes = (
-            effects.RowWrite(_epoch_key(name), owner, epoch_row.version if epoch_row else 0),
+            effects.RowWrite(cell.epoch_key, owner, epoch_row.version if epoch_row else 0),
             effects.RowWrite(
-                _lease_key(name),
+                cell.lease_key,
                 self._lease_value(cell, False) | {"epoch": cell.claimed_epoch},
                 cell.lease_version,
             ),
         )
-        return [self._commit(cell, "claim", writes)]
+        return [self._commit(cell, Purpose.CLAIM, writes)]
 
     def _reclaim(
-        self, cell: _Cell, epoch_row: effects.Row | None, now: float
+        self, cell: tracking.TrackedCell, epoch_row: effects.Row | None, now: float
     ) -> list[effects.Effect]:
         """Claim a held cell anew after a lapse, unless another process has taken it."""
         if not self._is_mine(epoch_row, cell.epoch) or cell.lease is None:
@@ -394,32 +331,24 @@
         )
 
     def _resolve(
-        self, cell: _Cell, epoch_row: effects.Row | None, now: float
+        self, cell: tracking.TrackedCell, epoch_row: effects.Row | None, now: float
     ) -> list[effects.Effect]:
         """Decide by the rows whether a claim or renewal with a lost answer took effect."""
         released = cell.lease is None or cell.lease.value["released"]
         if not released and cell.holding and self._is_mine(epoch_row, cell.epoch):
             # A claim after a lapse has not taken effect.
-            cell.state = CellState.OWNED
+            cell.state = tracking.CellState.OWNED
             return []
         if released or not self._is_mine(epoch_row, cell.claimed_epoch):
             return self._lose(cell)
-        self._take_epoch(cell, epoch_row.version)
+        cell.take_epoch(epoch_row.version)
         # The time at which the write took effect is not known, so only a further renewal that is
         # confirmed extends the validity.
-        cell.state = CellState.OWNED
+        cell.state = tracking.CellState.OWNED
         return []
 
-    def _take_epoch(self, cell: _Cell, epoch_version: int) -> None:
-        if cell.epoch != cell.claimed_epoch:
-            cell.was_valid = False
-            cell.valid_until = float("-inf")
-        cell.epoch = cell.claimed_epoch
-        cell.epoch_version = epoch_version
-        cell.holding = True
-
-    def _gain(self, cell: _Cell) -> list[effects.Effect]:
-        cell.state = CellState.OWNED
+    def _gain(self, cell: tracking.TrackedCell) -> list[effects.Effect]:
+        cell.state = tracking.CellState.OWNED
         cell.was_valid = True
         cell.valid_until = cell.sent_at + self._lease_seconds
         if cell.announced_epoch == cell.epoch:
@@ -428,13 +357,9 @@
         fields = {"cell": cell.config.cell, "epoch": cell.epoch}
         return [effects.Count("cells_claimed"), effects.LogChange("cell_owned", fields)]
 
-    def _lose(self, cell: _Cell) -> list[effects.Effect]:
+    def _lose(self, cell: tracking.TrackedCell) -> list[effects.Effect]:
         was_announced = cell.holding
-        cell.state = CellState.WATCHING
-        cell.holding = False
-        cell.valid_until = float("-inf")
-        cell.releasing = False
-        cell.release_sent = False
+        cell.drop()
         if not was_announced:
             return [effects.Count("cell_claims_lost")]
         fields = {"cell": cell.config.cell, "epoch": cell.epoch}
@@ -446,14 +371,13 @@
         if finished is None:
             return []
         purpose, cell = finished
-        name = cell.config.cell
-        released = purpose == "renew" and cell.releasing
+        released = purpose is Purpose.RENEW and cell.releasing
         value = self._lease_value(cell, released)
-        version = event.versions[_lease_key(name)]
-        if purpose == "claim":
-            self._take_epoch(cell, event.versions[_epoch_key(name)])
+        version = event.versions[cell.lease_key]
+        if purpose is Purpose.CLAIM:
+            cell.take_epoch(event.versions[cell.epoch_key])
             value = self._lease_value(cell, released)
-        self._observe_lease(cell, effects.Row(_lease_key(name), value, version), now)
+        cell.observe_lease(effects.Row(cell.lease_key, value, version), now)
         if released:
             return self._lose(cell)
         return self._gain(cell)
@@ -464,11 +388,11 @@
         if finished is None:
             return []
         _, cell = finished
-        row = event.rows.get(_lease_key(cell.config.cell))
-        self._observe_lease(cell, row, now)
+        row = event.rows.get(cell.lease_key)
+        cell.observe_lease(row, now)
         if row is not None and row.value["incarnation"] == self._incarnation:
             # An earlier write of this process took effect after its answer was given up.
-            cell.state = CellState.RESOLVING_CLAIM
+            cell.state = tracking.CellState.RESOLVING_CLAIM
             return []
         return self._lose(cell)
 
@@ -478,10 +402,10 @@
         if finished is None:
             return []
         _, cell = finished
-        if cell.state is CellState.CLAIMING:
-            cell.state = CellState.RESOLVING_CLAIM
+        if cell.state is tracking.CellState.CLAIMING:
+            cell.state = tracking.CellState.RESOLVING_CLAIM
             return []
-        return self._read(cell, "resolve", now)
+        return self._read(cell, Purpose.RESOLVE, now)
 
     @_dispatch.register
     def _on_unavailable(self, event: events.StoreUnavailable, now: float) -> list[effects.Effect]:
@@ -489,8 +413,8 @@
         if finished is None:
             return []
         _, cell = finished
-        if cell.state is CellState.CLAIMING:
-            cell.state = CellState.OWNED if cell.holding else CellState.WATCHING
+        if cell.state is tracking.CellState.CLAIMING:
+            cell.state = tracking.CellState.OWNED if cell.holding else tracking.CellState.WATCHING
         # After a store outage every lease looks old; the owners get the time to renew first.
         cell.changed_at = now
         return []
--- a/tests/membership/test_ownership.py
+++ b/tests/membership/test_ownership.py
@@ -10,12 +10,13 @@
 from crocusrudder.membership import announcer
 from crocusrudder.membership import cells
 from crocusrudder.membership import directory
+from crocusrudder.membership import tracking
 from crocusrudder.membership import workers
 from crocusrudder.wire import messages
 from tests.support import simulation
 
 DATA_CENTRE = ids.DataCentre("bilbao")
-CELLS = tuple(cells.CellConfig(ids.CellId(name), DATA_CENTRE) for name in ("c1", "c2"))
+CELLS = tuple(tracking.CellConfig(ids.CellId(name), DATA_CENTRE) for name in ("c1", "c2"))
 ENTRIES = tuple(map(ids.ProcessId, ("e1", "e2", "e3")))
 TASK_LEASE_SECONDS = 20.0
 SEEDS = int(os.environ.get("CROCUSRUDDER_SEEDS", "6"))
@@ -326,7 +327,7 @@
             ids.ProcessId("e1"), ids.Incarnation("i"), "127.0.0.1:1", DATA_CENTRE, CELLS
         )
         cell = self.ownership._cells[CELLS[0].cell]
-        cell.state, cell.holding = cells.CellState.OWNED, True
+        cell.state, cell.holding = tracking.CellState.OWNED, True
         cell.epoch, cell.valid_until = ids.CellEpoch(1), float("inf")
         self.table = workers.WorkerTable(self.ownership, TASK_LEASE_SECONDS)
 
--- a/tools/proofs/mechanisms.py
+++ b/tools/proofs/mechanisms.py
@@ -70,8 +70,10 @@
         "I2",
         "an owner acts only while its own renewal is recent",
         "crocusrudder/membership/cells.py",
-        "if cell.state is CellState.OWNED and now < cell.valid_until and not cell.releasing",
-        "if cell.state is CellState.OWNED",
+        "            if cell.state is tracking.CellState.OWNED\n"
+        "            and now < cell.valid_until\n"
+        "            and not cell.releasing",
+        "            if cell.state is tracking.CellState.OWNED",
         (OWNERSHIP + "RandomFaultsTest",),
     ),
     Mechanism(
