Move the waiting for a core's answers to hosting

Cause: the agent imported the HTTP of the entry to serve its own loopback calls, and had to refuse callers' paths by hand. Change: hosting/core_bridge.py waits for the answers of any core; the entry's HTTP adds callers.

--- a/crocusrudder/agent/daemon.py
+++ b/crocusrudder/agent/daemon.py
@@ -6,11 +6,10 @@
 import curio
 
 from crocusrudder.agent import core
-from crocusrudder.agent import errors
 from crocusrudder.conf import settings
 from crocusrudder.core import effects
 from crocusrudder.core import ids
-from crocusrudder.entry import http
+from crocusrudder.hosting import core_bridge
 from crocusrudder.hosting import host
 from crocusrudder.hosting import http_messages
 from crocusrudder.hosting import http_server
@@ -33,7 +32,7 @@
         self._core = core.AgentCore(document, self._incarnation, random.Random())
         self._link = wiring.make_transport(document, self._incarnation, self._metrics)
         wiring.learn_peers(self._link, document.entries)
-        self._http = http.EntryHttp(lambda event: self._host.post(event))
+        self._http = core_bridge.CoreBridge(lambda event: self._host.post(event))
         self._inspection = inspection.Inspection(self._core, self._metrics)
         self._host = self._make_host()
 
@@ -79,13 +78,7 @@
 
     async def _handle_http(self, request: http_messages.Request) -> http_messages.Response:
         inspected = self._inspection.answer(request)
-        if inspected is not None:
-            return inspected
-        if request.path[:2] == http.SERVICE_PATH:
-            error = errors.NoSuchCallError("an agent does not serve callers")
-            body = {**error.to_dict(), "problems": []}
-            return http_messages.make_json_response(error.status, body)
-        return await self._http.handle_request(request)
+        return inspected or await self._http.serve_operator(request)
 
 
 def run(document: settings.AgentSettings) -> None:
--- a/crocusrudder/entry/http.py
+++ b/crocusrudder/entry/http.py
@@ -1,19 +1,14 @@
 """HTTP of an entry: turn requests into events of the core and its answers into responses."""
 
-import collections
-import socket
 import uuid
-from collections.abc import Awaitable
-from collections.abc import Callable
 
 import curio
-import curio.io
-import msgspec
 
 from crocusrudder.core import effects
 from crocusrudder.core import events
 from crocusrudder.core import ids
 from crocusrudder.entry import errors
+from crocusrudder.hosting import core_bridge
 from crocusrudder.hosting import http_messages
 from crocusrudder.requests import outcomes
 from crocusrudder.requests import standing
@@ -23,7 +18,6 @@
 MAX_TIMEOUT_SECONDS = 600.0
 CORE_GRACE_SECONDS = 10.0
 """Time beyond a request's own in which the core must have answered it."""
-OPERATOR_TIMEOUT_SECONDS = 60.0
 MAX_KEY_CHARACTERS = 200
 MAX_TEAM_CHARACTERS = 64
 
@@ -45,49 +39,16 @@
 _UNKNOWN_HINT = "repeat it with the same Idempotency-Key and Request-Repeat: true"
 _OWN_HEADERS = {"connection", "host", "content-length", "transfer-encoding", "expect"}
 
-Post = Callable[[events.Event], Awaitable[None]]
 
+class EntryHttp(core_bridge.CoreBridge):
+    """Serve callers and operators.
 
-class EntryHttp:
-    """Wait for the core's answer to each request.
-
-    ``post`` queues an event for the core. ``answer_caller`` and ``answer_operator`` are the plain
-    functions that carry out the core's effects; ``deliver_forever`` wakes the requests they answer.
+    ``answer_caller`` is the plain function that carries out the core's effect.
     """
 
-    def __init__(self, post: Post) -> None:
-        self._post = post
-        self._waiting: dict[str, curio.Event] = {}
-        self._answers: dict[str, effects.Effect] = {}
-        self._answered: collections.deque[str] = collections.deque()
-        self._reader, self._writer = socket.socketpair()
-        self._writer.setblocking(False)
-
-    @property
-    def waiting(self) -> int:
-        """Return the number of requests that wait for the core."""
-        return len(self._waiting)
-
     def answer_caller(self, effect: effects.AnswerCaller) -> None:
         """Take the answer to a caller."""
-        self._take(effect.request, effect)
-
-    def answer_operator(self, effect: effects.AnswerOperator) -> None:
-        """Take the answer to an operator."""
-        self._take(effect.operation, effect)
-
-    async def deliver_forever(self) -> None:
-        """Wake the requests whose answers were taken."""
-        async with curio.io.Socket(self._reader) as notifications:
-            while await notifications.recv(64):
-                while self._answered:
-                    waiting = self._waiting.get(self._answered.popleft())
-                    if waiting is not None:
-                        await waiting.set()
-
-    def close(self) -> None:
-        """Close what wakes the requests; call it when no request waits any more."""
-        self._writer.close()
+        self.take(effect.request, effect)
 
     async def handle_request(self, request: http_messages.Request) -> http_messages.Response:
         """Answer one HTTP request.
@@ -96,7 +57,7 @@
         """
         if request.path[:2] == SERVICE_PATH:
             return await self._serve_caller(request)
-        return await self._serve_operator(request)
+        return await self.serve_operator(request)
 
     async def _serve_caller(self, request: http_messages.Request) -> http_messages.Response:
         arrival = make_arrival(request)
@@ -104,7 +65,7 @@
         event = events.CallerArrived(identity, arrival)
         patience = arrival.timeout_seconds + CORE_GRACE_SECONDS
         try:
-            answer = await self._ask(identity, event, patience)
+            answer = await self.ask(identity, event, patience)
         except curio.TaskTimeout:
             answer = None
         except curio.CancelledError:
@@ -115,36 +76,6 @@
             return make_caller_response(outcomes.OutcomeUnknown(outcomes.Reason.ANSWER_LOST))
         return make_caller_response(answer.outcome)
 
-    async def _serve_operator(self, request: http_messages.Request) -> http_messages.Response:
-        operation = ids.OperationId(f"operator:{uuid.uuid4().hex}")
-        body = _decode_json(request.body)
-        event = events.OperatorAsked(operation, request.method, request.path, request.query, body)
-        try:
-            answer = await self._ask(operation, event, OPERATOR_TIMEOUT_SECONDS)
-        except curio.TaskTimeout:
-            raise errors.CoreSilentError("the entry did not answer in time") from None
-        return http_messages.make_json_response(answer.status, answer.body)
-
-    async def _ask(self, identity: str, event: events.Event, patience: float) -> effects.Effect:
-        waiting = self._waiting[identity] = curio.Event()
-        try:
-            await self._post(event)
-            async with curio.timeout_after(patience):
-                await waiting.wait()
-            return self._answers[identity]
-        finally:
-            del self._waiting[identity]
-            self._answers.pop(identity, None)
-
-    def _take(self, identity: str, effect: effects.Effect) -> None:
-        if identity not in self._waiting or identity in self._answers:
-            return
-        self._answers[identity] = effect
-        notify = not self._answered
-        self._answered.append(identity)
-        if notify:
-            self._writer.send(b"a")
-
 
 def make_arrival(request: http_messages.Request) -> outcomes.Arrival:
     """Return what a caller asks for.
@@ -225,12 +156,3 @@
     if not 0 < seconds <= MAX_TIMEOUT_SECONDS:
         raise errors.BadRequestError(f"Request-Timeout is not in 0 to {MAX_TIMEOUT_SECONDS:.0f}")
     return seconds
-
-
-def _decode_json(body: bytes) -> object:
-    if not body:
-        return None
-    try:
-        return msgspec.json.decode(body)
-    except (msgspec.DecodeError, RecursionError) as error:
-        raise errors.BadRequestError(f"the body is not JSON: {error}") from error
--- a/crocusrudder/hosting/errors.py
+++ b/crocusrudder/hosting/errors.py
@@ -64,3 +64,16 @@
     """Report an address that the server cannot listen on."""
 
     code = "CR-HTTP-008"
+
+
+class MalformedBodyError(HttpError):
+    """The body of a call is not JSON."""
+
+    code = "CR-HTTP-009"
+
+
+class CoreSilentError(HttpError):
+    """A call has no answer from the core in time; it may have taken effect."""
+
+    code = "CR-HTTP-010"
+    status = 504
