--- a/crocusrudder/membership/directory.py
+++ b/crocusrudder/membership/directory.py
@@ -301,7 +301,8 @@
         if same and digest.sequence <= known.sequence:
             return False
         alive = same and self._is_alive(known, now)
-        generation = known.generation if same else NO_GENERATION
+        # Endpoints may have been forgotten while the sender was silent.
+        generation = known.generation if alive else NO_GENERATION
         if digest.full_cells:
             generation = digest.generation
         self._entries[event.sender] = EntryView(
--- a/tests/membership/test_ownership.py
+++ b/tests/membership/test_ownership.py
@@ -8,6 +8,7 @@
 from crocusrudder.core import events
 from crocusrudder.core import ids
 from crocusrudder.membership import announcer
+from crocusrudder.membership import catalogue
 from crocusrudder.membership import cells
 from crocusrudder.membership import directory
 from crocusrudder.membership import tracking
@@ -302,6 +303,21 @@
 
         self.world.run_until(is_gone, directory.DIGEST_SECONDS + 1)
 
+    def test_an_entry_that_was_cut_off_for_long_asks_for_the_endpoints(self):
+        """An entry forgets the endpoints of silent owners, whose generation stays the same."""
+        self.world.run(10)
+        cut = next(name for name in ENTRIES if name != self.find_owner())
+        agents = [f"w{number}" for number in range(4)]
+        others = [name for name in (*ENTRIES, *agents) if name != cut]
+        self.world.faults.cut = {frozenset((cut, name)) for name in others}
+        self.world.run(2 * catalogue.FORGET_SECONDS)
+        self.world.faults.cut = set()
+        directory_of_cut = self.world.processes[cut].core.directory
+        self.world.run_until(
+            lambda: len(directory_of_cut.find_endpoints("dispatch", 1)) == 4,
+            directory.DIGEST_SECONDS + 1,
+        )
+
     def test_a_replaced_agent_is_admitted_with_a_new_inventory(self):
         old = self.world.processes["w0"].incarnation
         self.world.kill("w0")
