--- a/crocusrudder/agent/core.py
+++ b/crocusrudder/agent/core.py
@@ -79,7 +79,9 @@
         self._announcer = announcer.Announcer(
             worker, ids.CellId(document.cell), entries, _Sources(self)
         )
-        self._runner = runner.TaskRunner(self._announcer, self._book, worker)
+        self._runner = runner.TaskRunner(
+            self._announcer, self._book, worker, document.drain_seconds
+        )
         self._gate = gate.RequestGate(self._replica, lambda: self.ready)
         parts = {
             "config": self._replica,
--- a/crocusrudder/entry/core.py
+++ b/crocusrudder/entry/core.py
@@ -10,6 +10,7 @@
 from crocusrudder.core import ids
 from crocusrudder.hosting import inspection
 from crocusrudder.jobs import admission
+from crocusrudder.jobs import held
 from crocusrudder.jobs import relocation
 from crocusrudder.jobs import scheduler
 from crocusrudder.membership import cells
@@ -48,8 +49,8 @@
         self._stopping = False
         self._ownership = self._make_ownership(document, incarnation)
         self._workers = workers.WorkerTable(self._ownership, document.leases.task_lease_seconds)
-        held = _HeldCells(self._ownership)
-        self._replica = replica.Replica.from_settings(document, held, randomness)
+        held_cells = _HeldCells(self._ownership)
+        self._replica = replica.Replica.from_settings(document, held_cells, randomness)
         self._directory = self._make_directory(document)
         self._requests = coordinator.RequestCoordinator(
             self._replica,
@@ -60,7 +61,11 @@
             ids.DataCentre(document.data_centre),
         )
         self._scheduler = scheduler.JobScheduler(
-            self._ownership, self._workers, policy.PlacementPolicy(randomness), incarnation
+            self._ownership,
+            self._workers,
+            policy.PlacementPolicy(randomness),
+            incarnation,
+            held.make_limits(document.store.write_budget_per_second, len(document.cells)),
         )
         parts = {
             "cell": self._ownership,
--- a/crocusrudder/entry/daemon.py
+++ b/crocusrudder/entry/daemon.py
@@ -31,7 +31,10 @@
         self._core = core.EntryCore(document, self._incarnation, random.Random())
         self._link = wiring.make_transport(document, self._incarnation, self._metrics)
         wiring.learn_peers(self._link, document.peers)
-        self._http = http.EntryHttp(lambda event: self._host.post(event))
+        timeouts = http.CallerTimeouts(
+            document.requests.default_timeout_seconds, document.requests.max_timeout_seconds
+        )
+        self._http = http.EntryHttp(lambda event: self._host.post(event), timeouts)
         self._inspection = inspection.Inspection(self._core, self._metrics)
         self._host = self._make_host()
 
--- a/crocusrudder/entry/http.py
+++ b/crocusrudder/entry/http.py
@@ -3,6 +3,7 @@
 import uuid
 
 import curio
+import msgspec
 
 from crocusrudder.core import effects
 from crocusrudder.core import events
@@ -40,12 +41,27 @@
 _OWN_HEADERS = {"connection", "host", "content-length", "transfer-encoding", "expect"}
 
 
+class CallerTimeouts(msgspec.Struct, frozen=True):
+    """Time that callers' requests get, in seconds."""
+
+    default: float = DEFAULT_TIMEOUT_SECONDS
+    """Without a ``Request-Timeout``, except for standing requests, which get ``maximum``."""
+    maximum: float = MAX_TIMEOUT_SECONDS
+
+
+DEFAULT_TIMEOUTS = CallerTimeouts()
+
+
 class EntryHttp(core_bridge.CoreBridge):
     """Serve callers and operators.
 
     ``answer_caller`` is the plain function that carries out the core's effect.
     """
 
+    def __init__(self, post: core_bridge.Post, timeouts: CallerTimeouts = DEFAULT_TIMEOUTS) -> None:
+        super().__init__(post)
+        self._timeouts = timeouts
+
     def answer_caller(self, effect: effects.AnswerCaller) -> None:
         """Take the answer to a caller."""
         self.take(effect.request, effect)
@@ -60,7 +76,7 @@
         return await self.serve_operator(request)
 
     async def _serve_caller(self, request: http_messages.Request) -> http_messages.Response:
-        arrival = make_arrival(request)
+        arrival = make_arrival(request, self._timeouts)
         identity = ids.RequestId(uuid.uuid4().hex)
         event = events.CallerArrived(identity, arrival)
         patience = arrival.timeout_seconds + CORE_GRACE_SECONDS
@@ -77,7 +93,9 @@
         return make_caller_response(answer.outcome)
 
 
-def make_arrival(request: http_messages.Request) -> outcomes.Arrival:
+def make_arrival(
+    request: http_messages.Request, timeouts: CallerTimeouts = DEFAULT_TIMEOUTS
+) -> outcomes.Arrival:
     """Return what a caller asks for.
 
     Raises ``BadRequestError`` if a part of it is missing or malformed.
@@ -104,7 +122,7 @@
         tuple(header for header in request.headers if header[0] not in _OWN_HEADERS),
         request.body,
         ids.IdempotencyKey(key),
-        _read_timeout(request, MAX_TIMEOUT_SECONDS if is_standing else DEFAULT_TIMEOUT_SECONDS),
+        _read_timeout(request, timeouts, is_standing),
         is_standing,
         request.get_header("request-repeat") == "true",
     )
@@ -147,12 +165,15 @@
     return f"/{'/'.join(segments[3:])}{mark}{query}"
 
 
-def _read_timeout(request: http_messages.Request, default_seconds: float) -> float:
-    text = request.get_header("request-timeout", str(default_seconds))
+def _read_timeout(
+    request: http_messages.Request, timeouts: CallerTimeouts, is_standing: bool
+) -> float:
+    default = timeouts.maximum if is_standing else timeouts.default
+    text = request.get_header("request-timeout", str(default))
     try:
         seconds = float(text)
     except ValueError:
         raise errors.BadRequestError("the Request-Timeout header is not a number") from None
-    if not 0 < seconds <= MAX_TIMEOUT_SECONDS:
-        raise errors.BadRequestError(f"Request-Timeout is not in 0 to {MAX_TIMEOUT_SECONDS:.0f}")
+    if not 0 < seconds <= timeouts.maximum:
+        raise errors.BadRequestError(f"Request-Timeout is not in 0 to {timeouts.maximum:g}")
     return seconds
--- a/crocusrudder/jobs/held.py
+++ b/crocusrudder/jobs/held.py
@@ -28,6 +28,16 @@
 
 DEFAULT_LIMITS = Limits()
 
+CHUNK_SHARE = 160 / 300
+"""Share of the store's row writes that chunk rows may take."""
+
+
+def make_limits(write_budget: float, cells: int) -> Limits:
+    """Return the limits of a cell where the whole system may write so many rows a second."""
+    share = write_budget * CHUNK_SHARE / max(1, cells)
+    burst = max(share, DEFAULT_LIMITS.row_writes[1])
+    return msgspec.structs.replace(DEFAULT_LIMITS, row_writes=(share, burst))
+
 
 class SentStart(msgspec.Struct, frozen=True):
     """The latest ``StartTask`` that this owner sent for a task."""
--- a/crocusrudder/jobs/runner.py
+++ b/crocusrudder/jobs/runner.py
@@ -55,6 +55,7 @@
         announcer: Announcer,
         capacity: capacity_module.CapacityBook,
         worker: ids.WorkerId,
+        drain_seconds: float = DRAIN_SECONDS,
     ) -> None:
         self._announcer = announcer
         self._capacity = capacity
@@ -65,6 +66,7 @@
         self._cell = ids.CellId("")
         self._ready = False
         self._lease_deadline = float("-inf")
+        self._drain_seconds = drain_seconds
         self._drain_until: float | None = None
         self._drained = False
 
@@ -133,7 +135,7 @@
     @_dispatch.register
     def _on_stop(self, event: events.StopRequested, now: float) -> list[effects.Effect]:
         if self._drain_until is None:
-            self._drain_until = now + DRAIN_SECONDS
+            self._drain_until = now + self._drain_seconds
         return self.tick(now)
 
     @_dispatch.register
--- a/tests/entry/test_http.py
+++ b/tests/entry/test_http.py
@@ -139,6 +139,15 @@
                 code = "CR-HTTP-009" if "body" in changes else "CR-ENT-001"
                 self.assertEqual((error.status, error.code, seen), (400, code, []))
 
+    def test_applies_the_times_of_the_settings(self):
+        timeouts = http.CallerTimeouts(2.0, 5.0)
+        table = [({"request_timeout": None}, 2.0), ({"request_timeout": "5"}, 5.0)]
+        for changes, expected in table:
+            arrival = http.make_arrival(make_request(**changes), timeouts)
+            self.assertEqual(arrival.timeout_seconds, expected)
+        with self.assertRaises(errors.HttpError):
+            http.make_arrival(make_request(request_timeout="5.1"), timeouts)
+
     def test_gives_each_caller_its_own_answer(self):
         waiting = []
 
