--- a/Makefile
+++ b/Makefile
@@ -30,12 +30,16 @@
 proofs: install
 	$(BIN)/python -m tools.proofs
 
-# Extra seeds for the scenarios and the mixtures of faults; CI runs the seeds in the files.
+# Extra seeds for the scenarios and the mixtures of faults, and more, random histories. CI runs the
+# seeds in the files and derandomised histories.
 SEEDS ?= 20
+EXAMPLES ?= 1000
 
 fuzz: install
 	CROCUSRUDDER_SEEDS=$(SEEDS) $(BIN)/python -m unittest tests.scenarios.test_scenarios \
 		tests.membership.test_ownership
+	CROCUSRUDDER_EXAMPLES=$(EXAMPLES) $(BIN)/python -m unittest tests.jobs.test_histories \
+		tests.records.test_histories tests.requests.test_interleavings
 
 experiment: install
 	$(BIN)/python -m tools.experiment --load arriola --scale today --seeds 3
--- a/tests/jobs/test_histories.py
+++ b/tests/jobs/test_histories.py
@@ -11,6 +11,7 @@
 from crocusrudder.placement import model as placement_model
 from crocusrudder.wire import messages
 from tests.jobs import world as world_module
+from tests.support import histories
 
 ENTRIES = strategies.sampled_from(["e1", "e2"])
 WORKERS = strategies.sampled_from(["w1", "w2"])
@@ -156,9 +157,9 @@
 
 
 JobHistories.TestCase.settings = hypothesis.settings(
-    max_examples=80,
+    max_examples=histories.count_examples(80),
     stateful_step_count=50,
-    derandomize=True,
+    derandomize=histories.IS_DERANDOMISED,
     deadline=None,
     report_multiple_bugs=False,
     phases=(hypothesis.Phase.explicit, hypothesis.Phase.generate),
--- a/tests/records/test_histories.py
+++ b/tests/records/test_histories.py
@@ -14,6 +14,7 @@
 from crocusrudder.wire import messages
 from tests.records import test_core
 from tests.records import world
+from tests.support import histories
 
 RECORDS = (
     test_core.V1,
@@ -238,10 +239,10 @@
     """Guards against revisions that go down, lost changes and answers that are not true (I9)."""
 
     settings = hypothesis.settings(
-        derandomize=True,
+        derandomize=histories.IS_DERANDOMISED,
         database=None,
         deadline=None,
-        max_examples=120,
+        max_examples=histories.count_examples(120),
         stateful_step_count=50,
         suppress_health_check=list(hypothesis.HealthCheck),
     )
--- a/tests/requests/test_interleavings.py
+++ b/tests/requests/test_interleavings.py
@@ -11,6 +11,7 @@
 from crocusrudder.requests import limits
 from crocusrudder.requests import outcomes
 from tests.requests import fakes
+from tests.support import histories
 
 ENTRIES = strategies.sampled_from(["e1", "e2"])
 AGENTS = strategies.sampled_from(["a1", "a2"])
@@ -166,10 +167,10 @@
 
 InterleavingTest = RequestMachine.TestCase
 InterleavingTest.settings = hypothesis.settings(
-    derandomize=True,
+    derandomize=histories.IS_DERANDOMISED,
     database=None,
     deadline=None,
-    max_examples=300,
+    max_examples=histories.count_examples(300),
     stateful_step_count=40,
     suppress_health_check=list(hypothesis.HealthCheck),
 )
