End a planned stop while the store is down

Cause: entries of a killed test run were still alive minutes after SIGTERM: the stop waited until the release of their cells was stored, and the store was gone. Change: a cell whose lease has ended by itself needs no release. Figures: the new test fails without the change and passes with it, within the cell lease plus 1 s. Conclusion: also for a claim whose answer was lost.

--- a/crocusrudder/membership/cells.py
+++ b/crocusrudder/membership/cells.py
@@ -140,7 +140,7 @@
             if cell.state is tracking.CellState.OWNED:
                 produced += self._tick_owned(cell, now)
             elif cell.state is tracking.CellState.RESOLVING_CLAIM:
-                produced += self._read(cell, Purpose.RESOLVE, now)
+                produced += self._tick_resolving(cell, now)
             else:
                 produced += self._tick_watched(cell, now)
         return produced
@@ -177,6 +177,9 @@
     def _tick_owned(self, cell: tracking.TrackedCell, now: float) -> list[effects.Effect]:
         cell.releasing = cell.releasing or self._stopping
         lapsed = now >= cell.valid_until
+        if lapsed and cell.releasing:
+            # The lease has ended by itself; a stop must not wait for a store that is down.
+            return self._lose(cell)
         due = RETRY_SECONDS if lapsed else RENEW_SECONDS
         if cell.releasing:
             due = RETRY_SECONDS if cell.release_sent else 0.0
@@ -188,6 +191,11 @@
         cell.release_sent = cell.releasing
         return self._renew(cell, now)
 
+    def _tick_resolving(self, cell: tracking.TrackedCell, now: float) -> list[effects.Effect]:
+        if self._stopping and now >= cell.valid_until:
+            return self._lose(cell)
+        return self._read(cell, Purpose.RESOLVE, now)
+
     def _renew(self, cell: tracking.TrackedCell, now: float) -> list[effects.Effect]:
         cell.sent_at = now
         cell.counter += 1
--- a/tests/membership/test_ownership.py
+++ b/tests/membership/test_ownership.py
@@ -214,6 +214,14 @@
         )
         self.assertLess(taken, cells.CELL_LEASE_SECONDS)
 
+    def test_a_planned_stop_ends_while_the_store_is_down(self):
+        """An entry that waited for its release to be stored would never exit."""
+        stopping = self.find_owner()
+        self.world.faults.store_down = {"*"}
+        process = self.world.processes[stopping]
+        self.world.post(process, events.StopRequested())
+        self.world.run_until(lambda: process.core.ownership.released, cells.CELL_LEASE_SECONDS + 1)
+
     def test_owners_go_on_after_a_store_outage(self):
         before = [self.world.owners(config.cell)[0].name for config in CELLS]
         self.world.faults.store_down = {"*"}
