Derive the runtime's stop grace from the one that owners wait for

An owner restarts a task after the first, the runtime stops it after the second; if only one were changed, a task could run in two places (I2). Change: the platform's constant is the core's. Conclusion: one place decides the length.

--- a/crocusrudder/platform/runtime_calls.py
+++ b/crocusrudder/platform/runtime_calls.py
@@ -8,10 +8,11 @@
 
 import msgspec
 
+from crocusrudder.core import clocks
 from crocusrudder.core import ids
 from crocusrudder.wire import messages
 
-STOP_GRACE_SECONDS = 10.0
+STOP_GRACE_SECONDS = clocks.RUNTIME_GRACE_SECONDS
 """Time after the lease's deadline at which the runtime stops a suspended run for good."""
 
 NO_CHECKPOINT = "no such checkpoint"
