Do not let later owners wait anew for agents that are gone or lost

Change: a worker that has signed off and is silent for 0.7 s is reported as gone, and its agent leaves the roster. The owner's row says for how long an agent has been lost, and the next owner goes on counting; an agent that comes back gets no orders before the row no longer names it. The row of an owner that an agent has not heard permits no renewals.

--- a/crocusrudder/wire/workflow_messages.py
+++ b/crocusrudder/wire/workflow_messages.py
@@ -75,6 +75,8 @@
     starting: tuple[tuple[str, int], ...] = ()
     ended: tuple[EndedRun, ...] = ()
     rejected: tuple[RejectedRun, ...] = ()
+    left: bool = False
+    """The worker has ended as it announced, and no other has come."""
 
 
 class StartOrder(msgspec.Struct, frozen=True, array_like=True):
--- a/crocusrudder/workflows/agent_daemon.py
+++ b/crocusrudder/workflows/agent_daemon.py
@@ -87,8 +87,9 @@
         beat = heartbeats.HEARTBEAT_PATH.fullmatch(request.target)
         leave = heartbeats.DEREGISTER_PATH.fullmatch(request.target)
         if leave:
-            self._state.forget_worker(leave[1])
-            self._log("worker_left", worker=leave[1])
+            self._state.take_sign_off(leave[1], clocks.read_boot_time())
+            self._log("worker_signed_off", worker=leave[1])
+            await curio.spawn(self._report_after, agent_state.LEFT_SECONDS, daemon=True)
         elif beat:
             try:
                 heartbeat = heartbeats.decode_heartbeat(beat[1], request.body)
@@ -265,6 +266,11 @@
             self._link.send(self._owner, report, transport.ANY_INCARNATION)
             await self._link.retry_unsent()
 
+    async def _report_after(self, seconds: float) -> None:
+        """Have a report sent after some time, as silence makes it tell something new."""
+        await curio.sleep(seconds)
+        await self._news.set()
+
     async def _find_owner_forever(self) -> None:
         while True:
             if self._state.is_owner_silent(clocks.read_boot_time()):
@@ -292,8 +298,7 @@
             self._link.reconnect(self._owner)
         self._owner = row.holder
         self._link.learn_address(row.holder, row.address)
-        known = self._state.epoch in (0, row.epoch)
-        if known and self._document.process not in row.lost:
+        if self._document.process not in row.lost:
             self._state.permit(row.epoch, asked_at)
         await self._news.set()
 
--- a/crocusrudder/workflows/agent_state.py
+++ b/crocusrudder/workflows/agent_state.py
@@ -16,6 +16,8 @@
 """Age of the last answer up to which a worker counts as reachable; lists are asked for each 1 s."""
 REJECTION_KEPT_SECONDS = 5.0
 """Time for which a rejection is repeated in reports."""
+LEFT_SECONDS = 0.7
+"""Silence of a worker that has signed off after which it is gone; a call takes 0.5 s at most."""
 MAX_ORDERS_REMEMBERED = 4_096
 LAPSE_MARGIN_SECONDS = leases.LEASE_SECONDS * leases.WORKER_CLOCK_ERROR + 0.2
 """A worker's clock may be slow, and an end that it has listed may be on its way."""
@@ -50,6 +52,7 @@
         self._orders_seen = 0
         self._acknowledged = 0
         self._owner_heard_at = float("-inf")
+        self._signed_off_at: float | None = None
 
     @property
     def present_worker(self) -> workflow_messages.WorkerState | None:
@@ -99,16 +102,20 @@
         self._begin_life(now)
         return True
 
-    def forget_worker(self, worker_id: str) -> None:
-        """Note that a worker has left."""
+    def take_sign_off(self, worker_id: str, now: float) -> None:
+        """Note that a worker ends, and all its runs with it."""
         if self._worker is not None and self._worker.worker == worker_id:
             self._worker = msgspec.structs.replace(self._worker, draining=True)
+            self._signed_off_at = now
 
     def permit(self, epoch: int, asked_at: float) -> None:
-        """Note that the leases may be renewed, as of a time on the agent's clock."""
-        if epoch < self._epoch:
+        """Note that the owner's row permitted renewals as of a time on the agent's clock.
+
+        A later owner, or one that this process has not heard yet, may be about to give the tasks
+        to other workers, so it has to permit renewals itself.
+        """
+        if epoch != self._epoch:
             return
-        self._epoch = epoch
         self._permitted_at = max(self._permitted_at, asked_at)
 
     def take_orders(
@@ -223,7 +230,8 @@
 
     def make_report(self, data_centre: ids.DataCentre, now: float) -> workflow_messages.AgentReport:
         """Return the complete state."""
-        lapsed = self._has_lapsed(now)
+        left = self._has_left(now)
+        lapsed = left or self._has_lapsed(now)
         if lapsed:
             self._forget_runs()
         unlisted = tuple(
@@ -246,6 +254,7 @@
                 workflow_messages.RejectedRun(task, run, reason)
                 for (task, run), (reason, _) in self._rejected.items()
             ),
+            left,
         )
 
     def _settle_barred(self, asked_at: float, now: float) -> None:
@@ -263,6 +272,12 @@
         unanswered = now - self._answered_at > REACHABLE_SECONDS
         return unanswered and now > self._lease_until + LAPSE_MARGIN_SECONDS
 
+    def _has_left(self, now: float) -> bool:
+        """Return whether the worker has signed off and has not been heard since."""
+        if self._signed_off_at is None:
+            return False
+        return now - max(self._signed_off_at, self._answered_at) >= LEFT_SECONDS
+
     def _is_listed_as_ended(self, run: Run) -> bool:
         return any((entry.task, entry.run) == run for entry in self._ended.values())
 
@@ -285,6 +300,7 @@
     def _begin_life(self, now: float) -> None:
         self._forget_runs()
         self._clock = None
+        self._signed_off_at = None
         self._held_epoch = 0
         self._answered_at = float("-inf")
         self._lease_until = now
--- a/crocusrudder/workflows/fleet.py
+++ b/crocusrudder/workflows/fleet.py
@@ -55,6 +55,10 @@
         """The agent's address as its row in the store has it; empty without a row."""
         self.declared_lost = False
         self.lost_stored_at: float | None = None
+        """When the owner's row was first known to name the agent as lost. As a later owner counts
+        on the time in that row, the agent gets no orders before it is out of the row."""
+        self.left = False
+        """The worker has ended as it announced; nothing can run there until another one comes."""
         self.assignments: dict[tuple[str, int], Assignment] = {}
         self.orders_sent = 0
         self.orders_seen = 0
@@ -74,6 +78,11 @@
         """Return whether a later owner would find the agent in the store."""
         return bool(self.registered_address) and self.registered_address == self.address
 
+    @property
+    def stored_as_lost(self) -> bool:
+        """Return whether the owner's row names the agent as lost."""
+        return self.lost_stored_at is not None
+
     def is_usable(self, now: float) -> bool:
         """Return whether the worker may be given starts."""
         return (
--- a/crocusrudder/workflows/owner.py
+++ b/crocusrudder/workflows/owner.py
@@ -5,6 +5,7 @@
 """
 
 import itertools
+import types
 from collections.abc import Mapping
 
 import msgspec
@@ -44,7 +45,7 @@
     ends: dict[tuple[ids.ProcessId, tuple[ids.WorkerId, int]], int]
     """Ends processed, by agent and the life of the worker that lists them."""
     registered: dict[ids.ProcessId, str]
-    """Addresses stored, by agent."""
+    """Addresses stored, by agent; empty for an agent that was removed."""
     lost: tuple[ids.ProcessId, ...]
     removed: tuple[ids.JobId, ...]
 
@@ -52,7 +53,13 @@
 class Owner:
     """State and decisions of one term of ownership."""
 
-    def __init__(self, epoch: model.OwnerEpoch, version: int, now: float) -> None:
+    def __init__(
+        self,
+        epoch: model.OwnerEpoch,
+        version: int,
+        now: float,
+        lost: Mapping[ids.ProcessId, float] = types.MappingProxyType({}),
+    ) -> None:
         self._epoch = epoch
         self._book = book.JobBook()
         self._views: dict[ids.ProcessId, fleet.AgentView] = {}
@@ -60,9 +67,11 @@
         self._pacer = pacing.PaceController()
         self._planner = planning.Planner(epoch, self._book, version, self._pacer)
         self._reader = reports.ReportReader(epoch, self._book)
-        self._silent_roster: set[ids.ProcessId] = set()
-        self._settled_at = now + leases.LAPSE_SECONDS
+        self._begun_at = now
+        self._silent_roster: dict[ids.ProcessId, float] = {}
+        """When the leases of agents that have not reported yet are over."""
         self._logged: list[effects.LogChange] = []
+        self._load_lost(lost)
 
     @property
     def epoch(self) -> model.OwnerEpoch:
@@ -79,11 +88,6 @@
         """Return the agents by process."""
         return self._views
 
-    @property
-    def lost(self) -> tuple[ids.ProcessId, ...]:
-        """Return the agents that are declared lost."""
-        return tuple(sorted(v.agent for v in self._views.values() if v.declared_lost))
-
     def take_log(self) -> list[effects.LogChange]:
         """Return the decisions made since the last call."""
         logged = [*self._logged, *self._reader.take_log(), *self._planner.take_log()]
@@ -93,8 +97,19 @@
     def load_roster(self, agents: Mapping[ids.ProcessId, str]) -> None:
         """Note the agents that an earlier owner may have given starts to, and their addresses."""
         for agent, address in agents.items():
-            self._silent_roster.add(agent)
-            self._get_view(agent).registered_address = address
+            view = self._get_view(agent)
+            view.registered_address = address
+            if not view.declared_lost:
+                view.received_at = self._begun_at
+                self._silent_roster[agent] = self._begun_at + leases.LAPSE_SECONDS
+
+    def list_lost(self, now: float) -> dict[ids.ProcessId, float]:
+        """Return the agents that are declared lost, and for how many seconds they have been."""
+        return {
+            view.agent: self._compute_lost_seconds(view, now)
+            for view in self._views.values()
+            if view.declared_lost
+        }
 
     def set_configuration(self, configuration: model.Configuration) -> None:
         """Take a newer configuration."""
@@ -128,7 +143,7 @@
             return
         self._reader.read(view, report, now, wall)
         if view.settled or report.lapsed:
-            self._silent_roster.discard(agent)
+            self._silent_roster.pop(agent, None)
         self._pacer.adjust(view, now)
         self._close_final_jobs()
 
@@ -142,7 +157,7 @@
         """Give up runs whose leases are over, and plan starts."""
         for view in self._views.values():
             self._check_silence(view, now)
-        settled = not self._silent_roster or now >= self._settled_at
+        settled = all(now >= over_at for over_at in self._silent_roster.values())
         self._planner.plan(self._views.values(), now, wall, settled)
         for view, run in self._planner.list_moves(self._views.values(), now):
             self._reader.move_run(view, run)
@@ -154,6 +169,7 @@
             for view in self._views.values()
             if view.worker is not None
             and view.report_sent_at >= 0
+            and not view.stored_as_lost
             and now - view.received_at < leases.ORDER_VALID_SECONDS
             and (view.has_news or now - view.sent_at >= ORDER_INTERVAL_SECONDS)
         ]
@@ -170,7 +186,8 @@
         """Return what has to be stored; changes are pending until ``take_committed``."""
         writes: list[tuple[str, str, bytes | None]] = []
         registered = self._list_unregistered()
-        writes += [(rows.ROSTER_TABLE, agent, at.encode()) for agent, at in registered.items()]
+        for agent, address in registered.items():
+            writes.append((rows.ROSTER_TABLE, agent, address.encode() or None))
         changed = [r for r in self._book.records.values() if r.changed][: MAX_WRITES - len(writes)]
         complete = len(changed) == sum(r.changed for r in self._book.records.values())
         for record in changed:
@@ -190,14 +207,15 @@
                 (rows.PROGRESS_TABLE, job, None),
             ]
         states = {record.job.job_id: record.progress.state for record in changed}
-        return Commit(tuple(writes), states, ends, registered, self.lost, removed)
+        lost = tuple(view.agent for view in self._views.values() if view.declared_lost)
+        return Commit(tuple(writes), states, ends, registered, lost, removed)
 
     def has_changes(self) -> bool:
         """Return whether a commit would store anything."""
         return (
             any(record.changed for record in self._book.records.values())
             or bool(self._list_unregistered())
-            or any(v.declared_lost and v.lost_stored_at is None for v in self._views.values())
+            or any(v.declared_lost != v.stored_as_lost for v in self._views.values())
             or any(v.ends_processed > v.ends_durable for v in self._views.values())
         )
 
@@ -219,9 +237,10 @@
             view.ends_durable = number
         for agent, address in commit.registered.items():
             self._views[agent].registered_address = address
-        for agent in commit.lost:
-            view = self._views[agent]
-            if view.lost_stored_at is None:
+        for view in self._views.values():
+            if view.agent not in commit.lost:
+                view.lost_stored_at = None
+            elif view.lost_stored_at is None:
                 view.lost_stored_at = now
         for job in commit.removed:
             self._book.forget(job)
@@ -253,8 +272,28 @@
         }
 
     def _list_unregistered(self) -> dict[ids.ProcessId, str]:
-        unregistered = (v for v in self._views.values() if v.worker and not v.registered)
-        return {view.agent: view.address for view in itertools.islice(unregistered, MAX_WRITES)}
+        """Return the agents to add to the roster, and with an empty address those to remove."""
+        due = {}
+        for view in self._views.values():
+            if view.left and view.registered_address and not view.assignments:
+                due[view.agent] = ""
+            elif view.worker and not view.left and not view.registered:
+                due[view.agent] = view.address
+        return dict(itertools.islice(due.items(), MAX_WRITES))
+
+    def _load_lost(self, lost: Mapping[ids.ProcessId, float]) -> None:
+        """Go on waiting for the agents that an earlier owner has declared lost."""
+        for agent, seconds in lost.items():
+            view = self._get_view(agent)
+            view.declared_lost = True
+            view.lost_stored_at = self._begun_at - seconds
+            self._silent_roster[agent] = view.lost_stored_at + leases.LAPSE_SECONDS
+
+    def _compute_lost_seconds(self, view: fleet.AgentView, now: float) -> float:
+        """Return for how long an agent has certainly not been permitted to renew leases."""
+        if view.lost_stored_at is None:
+            return 0.0
+        return max(now - max(view.lost_stored_at, view.echoed_at), 0.0)
 
     def _get_view(self, agent: ids.ProcessId) -> fleet.AgentView:
         if agent not in self._views:
@@ -263,14 +302,14 @@
 
     def _check_silence(self, view: fleet.AgentView, now: float) -> None:
         silent = now - view.received_at
-        if silent >= LOST_AFTER_SECONDS and view.assignments and not view.declared_lost:
+        awaited = view.assignments or view.agent in self._silent_roster
+        if silent >= LOST_AFTER_SECONDS and awaited and not view.declared_lost:
             view.declared_lost = True
-            view.lost_stored_at = None
             self._log("agent_lost", agent=view.agent, silent_s=round(silent, 2))
         if (
             view.declared_lost
-            and view.lost_stored_at is not None
-            and now - max(view.lost_stored_at, view.echoed_at) >= leases.LAPSE_SECONDS
+            and self._compute_lost_seconds(view, now) >= leases.LAPSE_SECONDS
+            and view.assignments
         ):
             self._reader.drop_all(view, now, "lease_over")
 
--- a/crocusrudder/workflows/owner_service.py
+++ b/crocusrudder/workflows/owner_service.py
@@ -62,7 +62,7 @@
         self._metrics = registry
         self._get_configuration = get_configuration
         now = clocks.read_boot_time()
-        self._owner = owner.Owner(term.row.epoch, term.version, now)
+        self._owner = owner.Owner(term.row.epoch, term.version, now, term.row.lost)
         self._attempts: dict[int, _Attempt] = {}
         self._incarnations: dict[ids.ProcessId, str] = {}
         self._entries: dict[ids.ProcessId, float] = {}
@@ -287,8 +287,9 @@
             await self._wait_for_changes()
             releasing = self._releasing
             commit = self._owner.make_commit(time.time())
-            row = self._term.make_next_row(commit.lost, releasing)
-            attempt = _Attempt(commit, row, clocks.read_boot_time())
+            now = clocks.read_boot_time()
+            row = self._term.make_next_row(self._owner.list_lost(now), releasing)
+            attempt = _Attempt(commit, row, now)
             try:
                 await self._try_commit(attempt)
             except workflow_errors.OwnershipLostError as error:
--- a/crocusrudder/workflows/ownership.py
+++ b/crocusrudder/workflows/ownership.py
@@ -6,6 +6,8 @@
 (Gray and Cheriton, "Leases", SOSP 1989). Times are seconds on a clock that counts suspension.
 """
 
+from collections.abc import Mapping
+
 from crocusrudder.core import ids
 from crocusrudder.workflows import leases
 from crocusrudder.workflows import model
@@ -51,12 +53,14 @@
         self._yielded = True
 
     def make_next_row(
-        self, lost: tuple[ids.ProcessId, ...], released: bool = False
+        self, lost: Mapping[ids.ProcessId, float], released: bool = False
     ) -> rows.OwnerRow:
         """Return the row of the next attempt to commit; each attempt has its own number."""
         row = self._row
         self._attempts += 1
-        return rows.OwnerRow(row.epoch, row.holder, row.address, self._attempts, released, lost)
+        return rows.OwnerRow(
+            row.epoch, row.holder, row.address, self._attempts, released, dict(lost)
+        )
 
     def take_renewal(self, row: rows.OwnerRow, version: int, begun_at: float) -> None:
         """Note a successful commit."""
@@ -113,5 +117,6 @@
     def make_claim(self) -> tuple[rows.OwnerRow, int]:
         """Return the row to write and the version that the present one must have."""
         epoch = self._row.epoch + 1 if self._row else 1
-        row = rows.OwnerRow(model.OwnerEpoch(epoch), self._process, self._address, 0)
+        lost = self._row.lost if self._row else {}
+        row = rows.OwnerRow(model.OwnerEpoch(epoch), self._process, self._address, 0, lost=lost)
         return row, self._version or 0
--- a/crocusrudder/workflows/reports.py
+++ b/crocusrudder/workflows/reports.py
@@ -57,15 +57,15 @@
         view.data_centre = report.data_centre
         view.orders_seen = report.orders_seen
         view.reachable = report.reachable
+        view.left = report.left
+        if view.declared_lost:
+            view.declared_lost = False
+            self._log("agent_back", agent=view.agent)
         if report.lapsed:
             self.drop_all(view, now, "worker_lapsed")
         if report.epoch != self._epoch:
             return
         view.settled = True
-        if view.declared_lost:
-            view.declared_lost = False
-            view.lost_stored_at = None
-            self._log("agent_back", agent=view.agent)
         self._read_rejected(view, report, now)
         self._read_ended(view, report, now, wall)
         self._read_running(view, report, now)
--- a/crocusrudder/workflows/rows.py
+++ b/crocusrudder/workflows/rows.py
@@ -27,8 +27,9 @@
     address: str
     sequence: int
     released: bool = False
-    lost: tuple[ids.ProcessId, ...] = ()
-    """Agents whose workers' leases must not be renewed without the owner."""
+    lost: dict[ids.ProcessId, float] = {}
+    """Agents whose workers' leases must not be renewed without the owner, and for how many seconds
+    they have not been, at least."""
 
 
 def encode(value: msgspec.Struct) -> bytes:
--- a/tests/workflows/test_agent_state.py
+++ b/tests/workflows/test_agent_state.py
@@ -112,6 +112,23 @@
         self.assertTrue(report.lapsed)
         self.assertEqual(((), ()), (report.starting, report.running))
 
+    def test_a_worker_that_signed_off_is_gone_once_it_is_silent(self):
+        self.state.take_orders(make_orders(1, 101.0), 101.0)
+        self._list(101.0, RUN)
+        self.state.take_sign_off("w1", 101.0)
+        self._list(101.5, RUN)
+        self.assertFalse(self._report(101.0 + agent_state.LEFT_SECONDS).left)
+        report = self._report(101.6 + agent_state.LEFT_SECONDS)
+        self.assertEqual((True, True, ()), (report.left, report.lapsed, report.running))
+        self.state.take_heartbeat(make_worker(born_ms=9), 1, 103.0)
+        self.assertFalse(self._report(103.0).left)
+
+    def test_the_row_of_an_owner_that_was_not_heard_permits_nothing(self):
+        # The owner does not know a restarted agent's runs, and starts the tasks elsewhere (TWICE).
+        self.state.permit(3, 101.0)
+        self._list(101.0)
+        self.assertIsNone(self.state.get_lease_end_ms(101.0))
+
     def test_a_silent_worker_counts_as_lapsed_only_after_its_lease(self):
         self.state.take_orders(make_orders(1, 101.0), 101.0)
         self._list(101.0)
--- a/tests/workflows/test_owner.py
+++ b/tests/workflows/test_owner.py
@@ -4,7 +4,10 @@
 
 from crocusrudder.core import ids
 from crocusrudder.wire import messages
+from crocusrudder.workflows import agent_state
+from crocusrudder.workflows import leases
 from crocusrudder.workflows import model
+from crocusrudder.workflows import owner
 from tests.workflows import world
 
 ONE_CORE = messages.Resources(1_000, 100, 0)
@@ -120,6 +123,53 @@
         system.run(1.5)
         self.assertEqual(2, system.count_starts("j1.0.0.0"))
 
+    def test_a_worker_that_signed_off_holds_up_no_later_owner(self):
+        # A machine left while the owners were stopped in turn; its tasks were away for 11 s (LOST).
+        system = self._start_long_task()
+        holder = next(agent for agent in system.agents.values() if agent.worker.running)
+        holder.state.take_sign_off(holder.worker.state.worker, system.now)
+        holder.worker.running.clear()
+        holder.worker.answers = False
+        system.owner.take_job = lambda *_: None
+        system.run(agent_state.LEFT_SECONDS + 0.3)
+        holder.connected = False
+        system.hand_over(2)
+        system.run(1.0)
+        self.assertEqual(2, system.count_starts("j1.0.0.0"))
+
+    def test_owners_in_a_row_do_not_each_wait_anew_for_a_lost_agent(self):
+        system = self._start_long_task()
+        holder = next(agent for agent in system.agents.values() if agent.worker.running)
+        holder.connected = False
+        silent_since = system.now
+        for epoch in (2, 3, 4):
+            for _ in range(25):
+                system.step()
+                self.assertLessEqual(self._count_running(system), 1, "two runs of one task")
+            system.hand_over(epoch)
+        system.run(owner.LOST_AFTER_SECONDS + leases.LAPSE_SECONDS + silent_since + 1 - system.now)
+        self.assertEqual(2, system.count_starts("j1.0.0.0"))
+
+    def test_a_lost_agent_that_returns_gets_no_orders_before_the_row_says_so(self):
+        # A later owner counts on the time for which the row names the agent as lost (TWICE).
+        system = self._start_long_task()
+        holder = next(agent for agent in system.agents.values() if agent.worker.running)
+        holder.connected = False
+        system.run(4.0)
+        holder.connected = True
+        system.store_works = False
+        system.run(0.5)
+        orders = [process for process, _ in system.owner.make_orders(system.now + 1.0)]
+        self.assertNotIn(holder.process, orders)
+        lost = system.owner.list_lost(system.now)
+        self.assertEqual({}, lost)
+        system.commit()
+        orders = [process for process, _ in system.owner.make_orders(system.now + 1.0)]
+        self.assertIn(holder.process, orders)
+
+    def _count_running(self, system: world.World) -> int:
+        return sum(len(agent.worker.running) for agent in system.agents.values())
+
     def test_failures_that_an_earlier_owner_counted_are_not_counted_twice(self):
         system = world.World()
         record_progress = model.Progress(failures={"0.0.0": (100_001,)})
@@ -223,7 +273,7 @@
         system = world.World(agents=1)
         system.run(1.0)
         agent = system.agents["a0"]
-        agent.state.forget_worker(agent.worker.state.worker)
+        agent.state.take_sign_off(agent.worker.state.worker, system.now)
         agent.worker.answers = False
         system.submit("j1", model.Stage(1, ONE_CORE))
         system.run(1.0)
--- a/tests/workflows/world.py
+++ b/tests/workflows/world.py
@@ -4,6 +4,9 @@
 ends that are kept until they are acknowledged.
 """
 
+import types
+from collections.abc import Mapping
+
 from crocusrudder.core import ids
 from crocusrudder.platform import worker as worker_client
 from crocusrudder.wire import messages
@@ -151,9 +154,11 @@
         self.progress: dict[str, model.Progress] = {}
         self.owner = self.take_over(1, 0)
 
-    def take_over(self, epoch: int, version: int) -> owner.Owner:
+    def take_over(
+        self, epoch: int, version: int, lost: Mapping = types.MappingProxyType({})
+    ) -> owner.Owner:
         """Return a new owner that has read nothing yet."""
-        self.owner = owner.Owner(model.OwnerEpoch(epoch), version, self.now)
+        self.owner = owner.Owner(model.OwnerEpoch(epoch), version, self.now, lost)
         queue = model.Queue(QUEUE, "host", "/q/", SERVICE, 0, 2)
         self.owner.set_configuration(model.Configuration(1, (queue,), (model.Service(SERVICE),)))
         return self.owner
@@ -163,6 +168,15 @@
         job = model.Job(ids.JobId(name), QUEUE, "spec", stages, WALL)
         self.owner.take_job(job, version)
 
+    def hand_over(self, epoch: int) -> None:
+        """Replace the owner by one that reads what the last one has stored."""
+        former = self.owner
+        roster = {v.agent: v.registered_address for v in former.views.values() if v.registered}
+        self.take_over(epoch, epoch * 100, former.list_lost(self.now))
+        self.owner.load_roster(roster)
+        for record in former.book.records.values():
+            self.owner.take_job(record.job, record.version, record.progress)
+
     def run(self, seconds: float) -> None:
         """Let time pass."""
         for _ in range(round(seconds / TICK)):
