--- a/crocusrudder/workflows/owner.py
+++ b/crocusrudder/workflows/owner.py
@@ -90,7 +90,8 @@
 
     def take_log(self) -> list[effects.LogChange]:
         """Return the decisions made since the last call."""
-        logged = [*self._logged, *self._reader.take_log(), *self._planner.take_log()]
+        sources = (self._reader, self._planner, self._pacer)
+        logged = [*self._logged, *itertools.chain.from_iterable(s.take_log() for s in sources)]
         self._logged.clear()
         return logged
 
--- a/crocusrudder/workflows/pacing.py
+++ b/crocusrudder/workflows/pacing.py
@@ -6,6 +6,7 @@
 
 import math
 
+from crocusrudder.core import effects
 from crocusrudder.core import ids
 from crocusrudder.placement import interference
 from crocusrudder.workflows import fleet
@@ -60,6 +61,12 @@
         self._stopped_since: dict[tuple[str, int], float] = {}
         self._observed_at: dict[ids.ProcessId, float] = {}
         self._harmed_since: dict[ids.ProcessId, float] = {}
+        self._logged: list[effects.LogChange] = []
+
+    def take_log(self) -> list[effects.LogChange]:
+        """Return the decisions made since the last call."""
+        logged, self._logged = self._logged, []
+        return logged
 
     def predict_pressure(self, view: fleet.AgentView, added: model.Stage | None = None) -> float:
         """Return the expected latency as a share of its target; the highest of the worker.
@@ -138,6 +145,19 @@
         else:
             return
         self._changed_at[view.agent] = now
+        self._log_levels(view, pressures)
+
+    def _log_levels(self, view: fleet.AgentView, pressures: dict[str, float]) -> None:
+        fields = {
+            "agent": view.agent,
+            "worker": view.worker.worker,
+            "pressures": {image: round(value, 2) for image, value in pressures.items()},
+            "paces": {
+                image: PACE_LEVELS[self._levels.get((view.agent, image), 0)]
+                for image in _sum_by_image(view)
+            },
+        }
+        self._logged.append(effects.LogChange("paces_chosen", fields))
 
     def _is_harmed(self, view: fleet.AgentView, highest: float, now: float) -> bool:
         """Return whether a latency has been too high for so long that all must stand still."""
