Wait for the leases of the process before when an agent restarts

Ruled out: ages of lost agents in the owner's row (the agent was not lost); a list under the new term (none had been taken).

Change: only a life that replaces another one ends the wait; a choice of paces is logged when it changes something. Both have a test that failed first.

--- a/crocusrudder/workflows/agent_state.py
+++ b/crocusrudder/workflows/agent_state.py
@@ -99,7 +99,8 @@
             return False
         self._worker = state
         self._sequence = sequence
-        self._begin_life(now)
+        if known is not None:
+            self._begin_life(now)
         return True
 
     def take_sign_off(self, worker_id: str, now: float) -> None:
--- a/crocusrudder/workflows/pacing.py
+++ b/crocusrudder/workflows/pacing.py
@@ -133,6 +133,7 @@
 
     def _change_levels(self, view: fleet.AgentView, now: float) -> None:
         pressures = _measure_pressures(view)
+        before = self._list_paces(view)
         highest = max(pressures.values(), default=0.0)
         since = now - self._changed_at.get(view.agent, 0.0)
         if self._is_harmed(view, highest, now):
@@ -145,18 +146,21 @@
         else:
             return
         self._changed_at[view.agent] = now
-        self._log_levels(view, pressures)
-
-    def _log_levels(self, view: fleet.AgentView, pressures: dict[str, float]) -> None:
-        fields = {
-            "agent": view.agent,
-            "worker": view.worker.worker,
-            "pressures": {image: round(value, 2) for image, value in pressures.items()},
-            "paces": {
-                image: PACE_LEVELS[self._levels.get((view.agent, image), 0)]
-                for image in _sum_by_image(view)
-            },
+        paces = self._list_paces(view)
+        if paces != before:
+            self._log_paces(view, pressures, paces)
+
+    def _list_paces(self, view: fleet.AgentView) -> dict[str, int]:
+        return {
+            image: PACE_LEVELS[self._levels.get((view.agent, image), 0)]
+            for image in _sum_by_image(view)
         }
+
+    def _log_paces(
+        self, view: fleet.AgentView, pressures: dict[str, float], paces: dict[str, int]
+    ) -> None:
+        shares = {image: round(value, 2) for image, value in pressures.items()}
+        fields = {"agent": view.agent, "pressures": shares, "paces": paces}
         self._logged.append(effects.LogChange("paces_chosen", fields))
 
     def _is_harmed(self, view: fleet.AgentView, highest: float, now: float) -> bool:
--- a/tests/workflows/test_agent_state.py
+++ b/tests/workflows/test_agent_state.py
@@ -123,6 +123,11 @@
         self.state.take_heartbeat(make_worker(born_ms=9), 1, 103.0)
         self.assertFalse(self._report(103.0).left)
 
+    def test_a_restarted_agent_does_not_call_the_worker_lapsed_early(self):
+        # The first heartbeat cut the wait for the leases of the process before (TWICE).
+        self.assertFalse(self._report(100.0 + leases.LEASE_SECONDS).lapsed)
+        self.assertTrue(self._report(100.1 + leases.LAPSE_SECONDS).lapsed)
+
     def test_the_row_of_an_owner_that_was_not_heard_permits_nothing(self):
         # The owner does not know a restarted agent's runs, and starts the tasks elsewhere (TWICE).
         self.state.permit(3, 101.0)
--- a/tests/workflows/test_pacing.py
+++ b/tests/workflows/test_pacing.py
@@ -72,6 +72,11 @@
         self._measure(HARM_SECONDS / 2, 3 * TARGET_MS)
         self.assertEqual(0, self.view.paces[(self.noisy.name, 1)])
 
+    def test_a_worker_that_is_not_known_yet_changes_nothing(self):
+        # A report without a worker ended the owner's process.
+        self.pacer.adjust(fleet.AgentView(ids.ProcessId("a9")), 100.0)
+        self.assertEqual([], self.pacer.take_log())
+
     def test_a_low_latency_changes_nothing(self):
         self._measure(5.0, 0.4 * TARGET_MS)
         self.assertEqual({}, self.view.paces)
