--- a/crocusrudder/workflows/agent_daemon.py
+++ b/crocusrudder/workflows/agent_daemon.py
@@ -136,8 +136,10 @@
             await curio.spawn(self._start, orders, order, daemon=True)
         for run in orders.stops:
             await curio.spawn(self._stop, orders, run, daemon=True)
+        starting = {(order.task, order.run) for order in orders.starts}
         for pace in orders.paces:
-            await curio.spawn(self._pace, orders, pace, daemon=True)
+            if pace[:2] not in starting:
+                await curio.spawn(self._pace, orders, pace, daemon=True)
 
     async def _take_owner(self, sender: ids.ProcessId, hello: workflow_messages.OwnerHello) -> None:
         """Report to an owner that has just begun its term."""
@@ -165,6 +167,9 @@
             worker=orders.worker,
             reason=rejected.value if rejected else "",
         )
+        for pace in orders.paces:
+            if pace[:2] == run and rejected is None:
+                await self._pace(orders, pace)
         await self._news.set()
 
     async def _call_start(
