Start tasks that fill at full speed again beside unknown reactions

Ruled out: a defect in the rise (paces rose each second in the logs).

Conclusion: reverted. That an agent paces a new run only after its start is answered stays.

--- a/crocusrudder/workflows/pacing.py
+++ b/crocusrudder/workflows/pacing.py
@@ -31,11 +31,6 @@
 """Workers measure over half a second, and a new pace takes 0.1 s; a shorter interval would blame
 others for what the last change has ended."""
 RAISE_INTERVAL_SECONDS = 2.0
-PROBE_LEVEL = 2
-"""Level at which an image begins beside tasks that serve and whose reaction is not known; at a
-fifth of its speed, an image that slows them 14 times keeps most latencies below their targets."""
-PROBE_RAISE_SECONDS = 1.0
-"""Interval at which the pace of such an image may rise: one measurement and the delay of a pace."""
 CULPRIT_SLOWDOWN = 0.3
 """Logarithm of the slowdown from which an image counts as a culprit."""
 MOVE_AFTER_SECONDS = 1.0
@@ -102,14 +97,6 @@
         """Return the expected share of its target for a serving stage on the worker."""
         return self._predict(stage, self._measure_exposure(view))
 
-    def begin_probe(self, view: fleet.AgentView, stage: model.Stage, now: float) -> None:
-        """Slow down a task that fills and is about to start, if its effect is not known."""
-        key = (view.agent, stage.image)
-        if view.list_serving() and key not in self._levels and not self.is_tested(view, stage):
-            self._levels[key] = PROBE_LEVEL
-            self._changed_at[view.agent] = now
-        self._set_paces(view, now)
-
     def adjust(self, view: fleet.AgentView, now: float) -> None:
         """Learn from a worker's newest measurements and set its paces."""
         if now - self._observed_at.get(view.agent, -math.inf) >= OBSERVE_SECONDS:
@@ -154,7 +141,7 @@
                 self._levels[(view.agent, image)] = len(PACE_LEVELS) - 1
         elif highest > LOWER_ABOVE and since >= LOWER_INTERVAL_SECONDS:
             self._lower(view, pressures, highest)
-        elif highest < RAISE_BELOW and since >= self._get_raise_interval(view):
+        elif highest < RAISE_BELOW and since >= RAISE_INTERVAL_SECONDS:
             self._raise(view)
         else:
             return
@@ -192,9 +179,6 @@
             level = self._levels.get(key, 0) + (len(PACE_LEVELS) if severe else 1)
             self._levels[key] = min(level, len(PACE_LEVELS) - 1)
 
-    def _get_raise_interval(self, view: fleet.AgentView) -> float:
-        return PROBE_RAISE_SECONDS if self.is_probing(view) else RAISE_INTERVAL_SECONDS
-
     def _raise(self, view: fleet.AgentView) -> None:
         """Raise the pace of one image that is expected to leave the latencies low."""
         exposure = self._measure_exposure(view)
--- a/crocusrudder/workflows/planning.py
+++ b/crocusrudder/workflows/planning.py
@@ -137,8 +137,6 @@
         view.assignments[(task.name, run)] = assignment
         view.has_news = True
         room.take(task.stage.spec)
-        if task.stage.spec.fills_idle:
-            self._pacer.begin_probe(view, task.stage.spec, now)
         task.phase = book.TaskPhase.ASSIGNED
         task.agent = view.agent
         task.run = run
