--- a/crocusrudder/workflows/placement.py
+++ b/crocusrudder/workflows/placement.py
@@ -26,7 +26,9 @@
         self.accelerators = capacity.accelerators - reserved.accelerators
         self.fill = view.compute_fill()
         self.idle_millicores = self.millicores + SERVING_IDLE_SHARE * view.compute_serving()
-        self.serving = len(view.list_serving())
+        serving = view.list_serving()
+        self.serving = len(serving)
+        self.images = {task.stage.spec.image for task in serving}
         self.labels = frozenset(view.worker.labels)
 
     def fits(self, spec: model.Stage) -> bool:
@@ -55,7 +57,9 @@
             self.millicores -= sign * spec.demand.millicores
             share = 1 - SERVING_IDLE_SHARE if spec.latency_target_ms else 1
             self.idle_millicores -= sign * share * spec.demand.millicores
-        self.serving += sign if spec.latency_target_ms else 0
+        if spec.latency_target_ms:
+            self.serving += sign
+            self.images.add(spec.image)
 
 
 class Rooms:
@@ -111,10 +115,12 @@
         remote = bool(spec.data_rack) and spec.data_rack not in room.labels
         capacity = max(room.capacity.millicores, 1)
         if spec.latency_target_ms:
-            # Serving tasks share few workers, which leaves the others to tasks that disturb them.
+            # Serving tasks share few workers, which leaves the others to tasks that disturb them,
+            # and one image shares a worker with few others: each task that fills disturbs some.
             pressure = self._pacer.predict_serving(room.view, spec)
             disturbed = pressure > pacing.PREDICTED_LIMIT
-            return (avoided, remote, disturbed, -room.serving, room.millicores / capacity)
+            others = len(room.images - {spec.image})
+            return (avoided, remote, disturbed, others, -room.serving, room.millicores / capacity)
         if spec.fills_idle:
             idle = max(room.idle_millicores - room.fill, 0) / capacity
             return (avoided, remote, self._rank_company(room, spec), -idle)
