--- a/crocusrudder/workflows/placement.py
+++ b/crocusrudder/workflows/placement.py
@@ -120,7 +120,8 @@
             pressure = self._pacer.predict_serving(room.view, spec)
             disturbed = pressure > pacing.PREDICTED_LIMIT
             others = len(room.images - {spec.image})
-            return (avoided, remote, disturbed, others, -room.serving, room.millicores / capacity)
+            opened = not room.serving
+            return (avoided, remote, disturbed, opened, others, room.millicores / capacity)
         if spec.fills_idle:
             idle = max(room.idle_millicores - room.fill, 0) / capacity
             return (avoided, remote, self._rank_company(room, spec), -idle)
