Hand what was learned of interference, and paces, to later owners

A run that the former owner had paced down was taken for one at full speed, and stood still until its end.

Change: the owner stores its estimates each 2 s with a commit; a later owner begins with them. Runs that another owner has started get their pace anew, and stand still where they are expected to disturb.

--- a/crocusrudder/placement/filters.py
+++ b/crocusrudder/placement/filters.py
@@ -36,12 +36,23 @@
         """Return the names of the coefficients."""
         return list(self._index)
 
-    def add(self, name: str, mean: float, deviation: float, drift: float) -> None:
-        """Add a coefficient with its prior; ``drift`` is variance per second."""
+    def add(
+        self,
+        name: str,
+        mean: float,
+        deviation: float,
+        drift: float,
+        known_deviation: float | None = None,
+    ) -> None:
+        """Add a coefficient with its prior; ``drift`` is variance per second.
+
+        ``known_deviation`` is that of an estimate made elsewhere; it may grow to ``deviation``.
+        """
         size = len(self._means)
         for row in self._covariance:
             row.append(0.0)
-        self._covariance.append([0.0] * size + [deviation**2])
+        present = deviation if known_deviation is None else min(known_deviation, deviation)
+        self._covariance.append([0.0] * size + [present**2])
         self._index[name] = size
         self._means.append(mean)
         self._prior_variances.append(deviation**2)
--- a/crocusrudder/placement/interference.py
+++ b/crocusrudder/placement/interference.py
@@ -72,9 +72,9 @@
 class _Service:
     """Regression of one service."""
 
-    def __init__(self, log_p99: float, now: float) -> None:
+    def __init__(self, log_p99: float, now: float, deviation: float = INTERCEPT_DEVIATION) -> None:
         self.filter = filters.ShrinkageFilter(NOISE_DEVIATION)
-        self.filter.add(filters.INTERCEPT, log_p99, INTERCEPT_DEVIATION, INTERCEPT_DRIFT)
+        self.filter.add(filters.INTERCEPT, log_p99, INTERCEPT_DEVIATION, INTERCEPT_DRIFT, deviation)
         self.classes: dict[str, str] = {}
         self.reports: collections.Counter[str] = collections.Counter()
         self.observed = 0
@@ -213,6 +213,40 @@
                 result.setdefault(service, {})[job_class] = rounded
         return dict(result)
 
+    def export_estimates(self) -> dict[str, dict[str, tuple[float, float, int]]]:
+        """Return mean, deviation and reports of each coefficient by service and class.
+
+        The class ``filters.INTERCEPT`` stands for a service's undisturbed level.
+        """
+        return {
+            service: {
+                name: (*state.filter.get(name), state.reports[name]) for name in state.filter.names
+            }
+            for service, state in self._services.items()
+        }
+
+    def restore_estimates(
+        self, known: Mapping[str, Mapping[str, tuple[float, float, int]]], now: float
+    ) -> None:
+        """Take estimates that another process has exported, for services not observed yet."""
+        for service, coefficients in known.items():
+            if service not in self._services and filters.INTERCEPT in coefficients:
+                self._services[ids.ServiceName(service)] = self._restore(coefficients, now)
+
+    def _restore(
+        self, coefficients: Mapping[str, tuple[float, float, int]], now: float
+    ) -> _Service:
+        level, deviation, _ = coefficients[filters.INTERCEPT]
+        state = _Service(level, now, deviation)
+        for name, (mean, known_deviation, reports) in coefficients.items():
+            if name == filters.INTERCEPT:
+                continue
+            prior = self._timing.pair_deviation
+            state.filter.add(name, mean, prior, PAIR_DRIFT, known_deviation)
+            state.reports[name] = reports
+            state.classes[name] = name
+        return state
+
     def _measured_exposure(self, worker: ids.WorkerId, now: float) -> dict[str, float]:
         """Return the mean exposure over the window in which the p99 was measured."""
         end = now - self._timing.report_age_seconds
--- a/crocusrudder/workflows/fleet.py
+++ b/crocusrudder/workflows/fleet.py
@@ -22,7 +22,16 @@
 class Assignment:
     """A run that a worker may hold."""
 
-    __slots__ = ("checkpoint", "order_number", "phase", "run", "task", "task_name", "ticket")
+    __slots__ = (
+        "adopted",
+        "checkpoint",
+        "order_number",
+        "phase",
+        "run",
+        "task",
+        "task_name",
+        "ticket",
+    )
 
     def __init__(
         self, task_name: str, run: int, task: book.Task | None, phase: AssignmentPhase
@@ -34,6 +43,8 @@
         self.order_number = 0
         self.checkpoint = ""
         self.ticket = ""
+        self.adopted = False
+        """Another owner ordered the run, so its pace on the worker is not known."""
 
 
 class AgentView:
@@ -128,6 +139,10 @@
             if assignment.task is not None and assignment.task.stage.spec.latency_target_ms
         ]
 
+    def list_unknown_paces(self) -> list[tuple[str, int]]:
+        """Return the runs on idle processors whose pace another owner has set."""
+        return [(run.task_name, run.run) for run in self.list_filling() if run.adopted]
+
     def list_filling(self) -> list[Assignment]:
         """Return the runs on idle processors."""
         return [
--- a/crocusrudder/workflows/owner.py
+++ b/crocusrudder/workflows/owner.py
@@ -119,6 +119,14 @@
             self._planner.set_configuration(configuration)
             self._reader.set_configuration(configuration)
 
+    def export_estimates(self) -> rows.Learned:
+        """Return what a later owner need not learn anew."""
+        return rows.Learned(self._pacer.export_estimates())
+
+    def restore_estimates(self, learned: rows.Learned) -> None:
+        """Take what an earlier owner has learned."""
+        self._pacer.restore_estimates(learned.slowdowns, self._begun_at)
+
     def take_job(
         self, job: model.Job, version: int, progress: model.Progress | None = None
     ) -> None:
@@ -367,7 +375,7 @@
     def _list_paces(self, view: fleet.AgentView, now: float) -> tuple[tuple[str, int, int], ...]:
         """Return the paces that have changed, and from time to time all of them."""
         repeat = now - view.paces_repeated_at >= REPEAT_PACES_SECONDS
-        known = {} if repeat else view.paces_sent
+        known = dict.fromkeys(view.list_unknown_paces()) if repeat else view.paces_sent
         view.paces_repeated_at = now if repeat else view.paces_repeated_at
         view.paces_sent = dict(view.paces)
         return tuple(
--- a/crocusrudder/workflows/owner_service.py
+++ b/crocusrudder/workflows/owner_service.py
@@ -30,6 +30,10 @@
 RETRY_SECONDS = 0.05
 FEED_WAIT_SECONDS = 2.0
 HELLO_SECONDS = 0.4
+LEARNED_SECONDS = 2.0
+"""Interval at which what was learned is stored; with 45 pairs of images, a row of 1 KB."""
+LEARNED_BYTES_MAX = 48_000
+"""Rows of the users' store hold 65,536 bytes."""
 ENTRY_FORGOTTEN_SECONDS = 10.0
 YIELD_FAILED_SECONDS = 1.0
 """Age of the last commit at which an owner whose commits fail yields; it renews each 0.6 s."""
@@ -68,6 +72,7 @@
         self._entries: dict[ids.ProcessId, float] = {}
         self._early_reports: list = []
         self._loaded = False
+        self._learned_at = 0.0
         self._feed_version = 0
         self._work = curio.Event()
         self._releasing = False
@@ -149,6 +154,7 @@
                 entries = await self._client.read(rows.ENTRIES_TABLE)
                 progress = await self._client.read(rows.PROGRESS_TABLE)
                 jobs = await self._client.read(rows.JOBS_TABLE)
+                learned = await self._client.read_row(rows.CONTROL_TABLE, rows.LEARNED_KEY)
                 break
             except errors.PlatformError as error:
                 self._log("load_failed", error=str(error))
@@ -159,6 +165,7 @@
             if entry != self._term.row.holder:
                 self._link.learn_address(entry, row.value.decode())
                 self.take_entry(entry)
+        self._take_learned(learned)
         self._take_page(jobs, {row.key: row.value for row in progress.rows})
         self._feed_version = jobs.version
         self._loaded = True
@@ -173,6 +180,25 @@
             self._link.learn_address(agent, address)
             self._link.send(agent, hello, transport.ANY_INCARNATION)
 
+    def _take_learned(self, row: store.StoreRow | None) -> None:
+        if row is None or row.value is None:
+            return
+        try:
+            self._owner.restore_estimates(rows.decode_learned(row.value))
+        except workflow_errors.UnreadableRowError as error:
+            self._log("row_unreadable", key=rows.LEARNED_KEY, error=str(error))
+
+    def _list_learned(self, now: float) -> list[store.Write]:
+        """Return the row of what was learned if it is due."""
+        if not self._loaded or now - self._learned_at < LEARNED_SECONDS:
+            return []
+        self._learned_at = now
+        value = rows.encode(self._owner.export_estimates())
+        if len(value) > LEARNED_BYTES_MAX:
+            self._log("learned_too_large", size=len(value))
+            return []
+        return [store.Write(rows.CONTROL_TABLE, rows.LEARNED_KEY, value)]
+
     def _take_page(self, page: store.Page, progress: dict[str, bytes | None]) -> None:
         cancellations = []
         for row in page.rows:
@@ -315,6 +341,7 @@
         self._attempts[attempt.row.sequence] = attempt
         writes = [store.Write(rows.CONTROL_TABLE, rows.OWNER_KEY, rows.encode(attempt.row))]
         writes += [store.Write(*write) for write in attempt.commit.writes]
+        writes += self._list_learned(attempt.begun_at)
         expected = store.Expectation(rows.CONTROL_TABLE, rows.OWNER_KEY, self._term.version)
         self._metrics.count("store_commits")
         try:
--- a/crocusrudder/workflows/pacing.py
+++ b/crocusrudder/workflows/pacing.py
@@ -11,6 +11,7 @@
 from crocusrudder.placement import interference
 from crocusrudder.workflows import fleet
 from crocusrudder.workflows import model
+from crocusrudder.workflows import rows
 
 PACE_LEVELS = (100, 50, 20, 0)
 """Shares in percent."""
@@ -68,6 +69,14 @@
         logged, self._logged = self._logged, []
         return logged
 
+    def export_estimates(self) -> rows.Slowdowns:
+        """Return what is known of the interference between images."""
+        return self._model.export_estimates()
+
+    def restore_estimates(self, known: rows.Slowdowns, now: float) -> None:
+        """Take what an earlier owner has learned."""
+        self._model.restore_estimates(known, now)
+
     def predict_pressure(self, view: fleet.AgentView, added: model.Stage | None = None) -> float:
         """Return the expected latency as a share of its target; the highest of the worker.
 
@@ -216,6 +225,7 @@
 
     def _set_paces(self, view: fleet.AgentView, now: float) -> None:
         self._forget_levels(view)
+        self._take_adopted(view)
         wanted: dict[tuple[str, int], int] = {}
         for run in view.list_filling():
             key = (run.task_name, run.run)
@@ -233,6 +243,18 @@
             view.paces = wanted
             view.has_news = True
 
+    def _take_adopted(self, view: fleet.AgentView) -> None:
+        """Let runs that another owner has started work only if they are expected to harm nobody."""
+        images = {run.task.stage.spec.image for run in view.list_filling() if run.adopted}
+        found = [(view.agent, image) for image in sorted(images)]
+        found = [key for key in found if key not in self._levels] if view.list_serving() else []
+        for key in found:
+            self._levels[key] = len(PACE_LEVELS) - 1
+        for key in found:
+            self._levels[key] = 0
+            if self.predict_pressure(view) >= PREDICTED_LIMIT:
+                self._levels[key] = len(PACE_LEVELS) - 1
+
     def _forget_levels(self, view: fleet.AgentView) -> None:
         """Drop the levels of images that no task of the worker uses, or that disturb nobody."""
         used = _sum_by_image(view) if view.list_serving() else {}
--- a/crocusrudder/workflows/reports.py
+++ b/crocusrudder/workflows/reports.py
@@ -238,7 +238,10 @@
         """Take over a run that this owner did not order; stop it if it must not go on."""
         task = self._book.find_task(task_name)
         assignment = fleet.Assignment(task_name, run, task, fleet.AssignmentPhase.CONFIRMED)
+        assignment.adopted = True
+        view.paces_repeated_at = float("-inf")
         view.assignments[(task_name, run)] = assignment
+        view.has_news = True
         if task is None or task.record.is_final or task.phase is not book.TaskPhase.PENDING:
             self._stop(view, assignment)
         else:
--- a/crocusrudder/workflows/rows.py
+++ b/crocusrudder/workflows/rows.py
@@ -15,10 +15,22 @@
 """A row for each agent that may have been given a start, with its address."""
 ENTRIES_TABLE = "entries"
 """A row for each entry, with its address."""
+LEARNED_KEY = "learned"
+"""What the owner has learned of the interference between images."""
 CANCEL_SUFFIX = ".cancel"
 CANCEL_VALUE = b"1"
 
 
+Slowdowns = dict[str, dict[str, tuple[float, float, int]]]
+"""Mean, deviation and number of reports by serving image and image beside it."""
+
+
+class Learned(msgspec.Struct, frozen=True):
+    """What a later owner need not learn anew."""
+
+    slowdowns: Slowdowns
+
+
 class OwnerRow(msgspec.Struct, frozen=True):
     """Who owns the workers; rewritten with each commit of the owner."""
 
@@ -52,6 +64,11 @@
     return _decode(value, OwnerRow)
 
 
+def decode_learned(value: bytes) -> Learned:
+    """Return what an owner has learned; raises ``UnreadableRowError``."""
+    return _decode(value, Learned)
+
+
 def _decode(value: bytes, type_: type) -> msgspec.Struct:
     try:
         return msgspec.msgpack.decode(value, type=type_)
--- a/tests/placement/test_interference.py
+++ b/tests/placement/test_interference.py
@@ -83,6 +83,17 @@
         self.assertGreater(noisy, 0.3)
         self.assertLess(model.estimate("third", "quiet").mean, 0.15)
 
+    def test_restored_estimates_predict_the_same_and_go_on_learning(self) -> None:
+        """Guards against estimates that are fixed once another process has taken them."""
+        model = interference.InterferenceModel()
+        _feed(model, random.Random(1), SLOPES, 3_000.0)
+        other = interference.InterferenceModel()
+        other.restore_estimates(model.export_estimates(), 0.0)
+        for pair in SLOPES:
+            self.assertAlmostEqual(model.estimate(*pair).mean, other.estimate(*pair).mean)
+        _feed(other, random.Random(2), {**SLOPES, ("search", "noisy"): 0.6}, 20_000.0)
+        self.assertGreater(other.estimate("search", "noisy").mean, 0.4)
+
     def test_useless_values_are_ignored(self) -> None:
         """Guards against a broken report that turns all estimates into NaN."""
         model = interference.InterferenceModel()
--- a/tests/workflows/test_owner.py
+++ b/tests/workflows/test_owner.py
@@ -5,6 +5,7 @@
 from crocusrudder.core import ids
 from crocusrudder.wire import messages
 from crocusrudder.workflows import agent_state
+from crocusrudder.workflows import book
 from crocusrudder.workflows import leases
 from crocusrudder.workflows import model
 from crocusrudder.workflows import owner
@@ -99,6 +100,23 @@
         self.assertEqual(1, system.count_starts("j1.0.0.0"))
         self.assertIs(model.JobState.RUNNING, system.get_state("j1"))
 
+    def test_the_pace_of_an_adopted_run_is_set_anew(self):
+        # A run that the earlier owner had stopped stood still until its end.
+        system = world.World()
+        system.run(1.0)
+        for agent in system.agents.values():
+            agent.worker.duration = 60.0
+        fills = model.Stage(1, ONE_CORE, image="sheet", fills_idle=True)
+        system.submit("j1", fills)
+        system.run(1.0)
+        system.hand_over(2)
+        sent = []
+        make_orders = system.owner.make_orders
+        system.owner.make_orders = lambda now: sent.extend(orders := make_orders(now)) or orders
+        system.run(1.0)
+        paces = [pace for _, orders in sent for pace in orders.paces]
+        self.assertIn(("j1.0.0.0", book.RUNS_PER_EPOCH + 1, 100), paces)
+
     def test_a_task_on_an_unreachable_worker_waits_for_the_lease(self):
         system = self._start_long_task()
         holder = next(agent for agent in system.agents.values() if agent.worker.running)
--- a/tests/workflows/test_pacing.py
+++ b/tests/workflows/test_pacing.py
@@ -1,5 +1,6 @@
 """Tests of paces, and of where tasks may be placed."""
 
+import math
 import unittest
 
 import msgspec
@@ -12,6 +13,7 @@
 from crocusrudder.workflows import model
 from crocusrudder.workflows import pacing
 from crocusrudder.workflows import placement
+from crocusrudder.workflows import rows
 
 SERVICE = ids.ServiceName("s")
 TARGET_MS = 20.0
@@ -77,6 +79,34 @@
         self.pacer.adjust(fleet.AgentView(ids.ProcessId("a9")), 100.0)
         self.assertEqual([], self.pacer.take_log())
 
+    def test_a_later_owner_knows_what_disturbs(self):
+        # Each takeover cost the serving tasks seconds over their target for every pair again.
+        self._measure(4.0, 3 * TARGET_MS)
+        self.assertTrue(self.pacer.is_tested(self.view, NOISY))
+        later = pacing.PaceController()
+        learned = rows.encode(rows.Learned(self.pacer.export_estimates()))
+        later.restore_estimates(rows.decode_learned(learned).slowdowns, 200.0)
+        self.assertTrue(later.is_tested(self.view, NOISY))
+        self.assertAlmostEqual(
+            self.pacer.predict_pressure(self.view, NOISY),
+            later.predict_pressure(self.view, NOISY),
+            delta=0.5 * self.pacer.predict_pressure(self.view, NOISY),
+        )
+
+    def test_adopted_runs_that_disturb_stand_still_and_others_work(self):
+        # A run that an earlier owner had stopped stayed so for good, or went on to disturb.
+        level = math.log(0.3 * TARGET_MS)
+        known = {"": (level, 0.1, 20), "noisy": (2.0, 0.1, 20), "quiet": (0.0, 0.1, 20)}
+        quiet = place(self.view, "quiet", msgspec.structs.replace(NOISY, image="quiet"))
+        later = pacing.PaceController()
+        later.restore_estimates({"front": known}, 200.0)
+        for assignment in self.view.list_filling():
+            assignment.adopted = True
+        self.view.measures = {self.serving.name: 0.3 * TARGET_MS}
+        later.adjust(self.view, 200.0)
+        self.assertEqual({(self.noisy.name, 1): 0}, self.view.paces)
+        self.assertIn((quiet.name, 1), self.view.list_unknown_paces())
+
     def test_a_low_latency_changes_nothing(self):
         self._measure(5.0, 0.4 * TARGET_MS)
         self.assertEqual({}, self.view.paces)
