Log why a request had no success; keep stages of one rack together

Cancellations and unknown queues had no line at all.

Change: a line for each call of the store that fails on behalf of a job, for each submission, cancellation and state that is not told, with its time, and for each unknown queue with the configuration's version. A stage that asks for one rack stays on the rack with the most room. A host may carry a port.

--- a/crocusrudder/workflows/calls.py
+++ b/crocusrudder/workflows/calls.py
@@ -2,7 +2,9 @@
 
 import enum
 
+from crocusrudder.core import effects
 from crocusrudder.core import ids
+from crocusrudder.observability import logs
 from crocusrudder.platform import errors
 from crocusrudder.platform import store
 from crocusrudder.workflows import model
@@ -60,10 +62,10 @@
             )
         except errors.ConflictError:
             return Outcome.ACCEPTED, 0
-        except errors.UnreachedError:
-            return Outcome.NOT_PERFORMED, 0
-        except errors.BrokenError:
-            return Outcome.UNCERTAIN, 0
+        except errors.UnreachedError as error:
+            return self._fail("submit", job, Outcome.NOT_PERFORMED, error), 0
+        except errors.BrokenError as error:
+            return self._fail("submit", job, Outcome.UNCERTAIN, error), 0
         return Outcome.ACCEPTED, version
 
     async def cancel(self, job: ids.JobId, timeout_seconds: float) -> tuple[Outcome, int]:
@@ -79,10 +81,10 @@
             )
         except errors.ConflictError:
             return Outcome.UNKNOWN_JOB, 0
-        except errors.UnreachedError:
-            return Outcome.NOT_PERFORMED, 0
-        except errors.PlatformError:
-            return Outcome.UNCERTAIN, 0
+        except errors.UnreachedError as error:
+            return self._fail("cancel", job, Outcome.NOT_PERFORMED, error), 0
+        except errors.PlatformError as error:
+            return self._fail("cancel", job, Outcome.UNCERTAIN, error), 0
         return Outcome.CANCELLED, version
 
     async def read_state(self, job: ids.JobId) -> Outcome:
@@ -93,11 +95,18 @@
             if not any(row.key == job for row in stored.rows):
                 return Outcome.UNKNOWN_JOB
             row = await self._client.read_row(rows.PROGRESS_TABLE, job)
-        except errors.PlatformError:
-            return Outcome.NOT_PERFORMED
+        except errors.PlatformError as error:
+            return self._fail("status", job, Outcome.NOT_PERFORMED, error)
         state = rows.decode_progress(row.value).state if row else model.JobState.QUEUED
         if state in model.FINAL_STATES:
             return make_state_outcome(state)
         if len(stored.rows) > 1:
             return Outcome.CANCELLED
         return make_state_outcome(state)
+
+    def _fail(
+        self, kind: str, job: ids.JobId, outcome: Outcome, error: errors.PlatformError
+    ) -> Outcome:
+        fields = {"job": job, "kind": kind, "outcome": outcome.value, "error": str(error)}
+        logs.write_change(effects.LogChange("store_call_failed", fields))
+        return outcome
--- a/crocusrudder/workflows/entry_http.py
+++ b/crocusrudder/workflows/entry_http.py
@@ -22,6 +22,13 @@
 _JOB_ID = re.compile(r"[0-9a-f]{16}")
 _STATE_OUTCOMES = frozenset(calls.make_state_outcome(state) for state in model.JobState)
 
+_KINDS = {"POST": "submit", "GET": "status", "DELETE": "cancel"}
+_EVENTS = {
+    "submit": "job_submitted",
+    "status": "state_unknown",
+    "cancel": "cancellation_requested",
+}
+
 Ask = Callable[[str, ids.JobId, bytes, float], Awaitable[calls.Outcome]]
 """Carry out a call: its kind, the job, the job's row and the seconds that are left."""
 
@@ -47,6 +54,8 @@
         path = request.target.partition("?")[0]
         queue = configuration.find_queue(request.get_header("host"), path)
         if queue is None:
+            host = request.get_header("host")
+            self._log("queue_unknown", host=host, path=path, configuration=configuration.version)
             return _answer(404, "CR-WFL-404", "there is no such queue")
         job = path.removeprefix(queue.path_prefix)
         if not job and request.method == "GET":
@@ -58,34 +67,30 @@
     async def _handle_job(
         self, request: http_messages.Request, queue: model.Queue, job: ids.JobId
     ) -> http_messages.Response:
-        timeout = _get_timeout(request)
-        match request.method:
-            case "POST":
-                return await self._submit(request, queue, job, timeout)
-            case "GET":
-                outcome = await self._ask("status", job, b"", timeout)
-            case "DELETE":
-                outcome = await self._ask("cancel", job, b"", timeout)
-            case _:
-                return _answer(405, "CR-WFL-405", "use POST, GET or DELETE")
+        kind = _KINDS.get(request.method)
+        if kind is None:
+            return _answer(405, "CR-WFL-405", "use POST, GET or DELETE")
+        row = b""
+        if kind == "submit":
+            try:
+                row = rows.encode(operator.decode_job(job, queue.name, request.body, time.time()))
+            except errors.MalformedInputError as error:
+                self._log("job_malformed", job=job, **error.to_dict())
+                return _answer(400, error.code, error.message)
+        begun_at = time.monotonic()
+        outcome = await self._ask(kind, job, row, _get_timeout(request))
+        if outcome not in _STATE_OUTCOMES:
+            self._log(
+                _EVENTS[kind],
+                job=job,
+                queue=queue.name,
+                outcome=outcome.value,
+                took_ms=round((time.monotonic() - begun_at) * 1_000),
+            )
         return _respond(request.method, outcome)
 
-    async def _submit(
-        self,
-        request: http_messages.Request,
-        queue: model.Queue,
-        job_id: ids.JobId,
-        timeout: float,
-    ) -> http_messages.Response:
-        try:
-            job = operator.decode_job(job_id, queue.name, request.body, time.time())
-        except errors.MalformedInputError as error:
-            logs.write_change(effects.LogChange("job_malformed", error.to_dict()))
-            return _answer(400, error.code, error.message)
-        outcome = await self._ask("submit", job_id, rows.encode(job), timeout)
-        fields = {"job": job_id, "queue": queue.name, "outcome": outcome.value}
-        logs.write_change(effects.LogChange("job_submitted", fields))
-        return _respond(request.method, outcome)
+    def _log(self, name: str, **fields: object) -> None:
+        logs.write_change(effects.LogChange(name, fields))
 
     def _answer_pending(self, queue: model.Queue) -> http_messages.Response:
         count = self._count_pending(queue.name)
--- a/crocusrudder/workflows/model.py
+++ b/crocusrudder/workflows/model.py
@@ -114,11 +114,15 @@
     body_bytes: int = 262_144
 
     def find_queue(self, host: str, path: str) -> Queue | None:
-        """Return the queue of the host with the longest prefix of the path."""
+        """Return the queue of the host with the longest prefix of the path.
+
+        The host may carry a port, and its case does not matter.
+        """
+        name = host.partition(":")[0].lower()
         matching = (
             queue
             for queue in self.queues
-            if queue.host == host and path.startswith(queue.path_prefix)
+            if queue.host.lower() == name and path.startswith(queue.path_prefix)
         )
         return max(matching, key=lambda queue: len(queue.path_prefix), default=None)
 
--- a/crocusrudder/workflows/placement.py
+++ b/crocusrudder/workflows/placement.py
@@ -30,6 +30,7 @@
         self.serving = len(serving)
         self.images = {task.stage.spec.image for task in serving}
         self.labels = frozenset(view.worker.labels)
+        self.rack = get_rack(view)
 
     def fits(self, spec: model.Stage) -> bool:
         """Return whether a task of the stage fits."""
@@ -40,6 +41,17 @@
             return self.fill + demand.millicores <= self.idle_millicores
         return demand.millicores <= self.millicores
 
+    def count_fitting(self, spec: model.Stage) -> int:
+        """Return how many tasks of a stage fit by processors, memory and accelerators."""
+        demand = spec.demand
+        room = self.idle_millicores - self.fill if spec.fills_idle else self.millicores
+        shares = (
+            (room, demand.millicores),
+            (self.memory_mb, demand.memory_mb),
+            (self.accelerators, demand.accelerators),
+        )
+        return max(int(min((have // need for have, need in shares if need), default=0)), 0)
+
     def take(self, spec: model.Stage) -> None:
         """Reserve a task's demand."""
         self._change(spec, 1)
@@ -70,7 +82,9 @@
     ) -> None:
         self._pacer = pacer
         self._by_service: dict[ids.ServiceName, list[Room]] = {}
+        self._racks: dict[ids.ProcessId, str] = {}
         for view in views:
+            self._racks[view.agent] = get_rack(view)
             if view.is_usable(now):
                 self._by_service.setdefault(view.worker.service, []).append(Room(view))
 
@@ -108,11 +122,29 @@
             return 0
         return 1 if self._pacer.is_tested(room.view, spec) else 2
 
+    def _is_apart(self, room: Room, task: book.Task) -> bool:
+        """Return whether a task would run in another rack than the rest of its stage."""
+        racks = {self._racks.get(other.agent, "") for other in task.stage.tasks if other.agent}
+        if racks:
+            return racks != {room.rack}
+        # The first task chooses the rack with the most room for the others.
+        return room.rack != self._find_roomiest_rack(task.stage.spec)
+
+    def _find_roomiest_rack(self, spec: model.Stage) -> str:
+        counts: dict[str, int] = {}
+        for rooms in self._by_service.values():
+            for room in rooms:
+                if not spec.required_label or spec.required_label in room.labels:
+                    counts[room.rack] = counts.get(room.rack, 0) + room.count_fitting(spec)
+        return max(counts, key=lambda rack: (counts[rack], rack), default="")
+
     def _score(self, room: Room, task: book.Task) -> tuple[float, ...]:
         """Return a sort key; lower is better."""
         spec = task.stage.spec
         avoided = room.view.agent in task.avoided
         remote = bool(spec.data_rack) and spec.data_rack not in room.labels
+        if spec.same_rack:
+            remote = remote or self._is_apart(room, task)
         capacity = max(room.capacity.millicores, 1)
         if spec.latency_target_ms:
             # Serving tasks share few workers, which leaves the others to tasks that disturb them,
@@ -128,6 +160,11 @@
         return (avoided, remote, -room.millicores / capacity)
 
 
+def get_rack(view: fleet.AgentView) -> str:
+    """Return the worker's rack, which is its last label; empty if it has none."""
+    return view.worker.labels[-1] if view.worker and view.worker.labels else ""
+
+
 def _count_tasks(view: fleet.AgentView, stage: book.StageRecord) -> int:
     """Return how many tasks of a stage the worker may hold."""
     return sum(
--- a/tests/platform/test_users_messages.py
+++ b/tests/platform/test_users_messages.py
@@ -91,6 +91,13 @@
         self.assertEqual(4, configuration.find_queue("h", "/q/1").max_attempts)
         self.assertIsNone(configuration.find_queue("h", "/r/1"))
 
+    def test_a_host_may_carry_a_port_and_capitals(self):
+        # Some clients name the port of a proxy; they got 404.
+        route = {"name": "a", "host": "shop.example", "pathPrefix": "/q/", "service": "s"}
+        body = msgspec.json.encode({"version": 7, "routes": [route], "services": []})
+        configuration = operator.decode_configuration(body)
+        self.assertEqual("a", configuration.find_queue("Shop.example:8080", "/q/1").name)
+
     def test_a_job_with_a_stage_that_waits_for_itself_is_refused(self):
         body = msgspec.json.encode({"spec": "", "steps": [{"taskCount": 1, "after": [0]}]})
         with self.assertRaises(errors.MalformedInputError):
--- /dev/null
+++ b/tests/workflows/test_calls.py
@@ -0,0 +1,57 @@
+"""Tests of what the log tells of calls that the store did not carry out."""
+
+import unittest
+from unittest import mock
+
+import curio
+
+from crocusrudder.core import ids
+from crocusrudder.observability import logs
+from crocusrudder.platform import errors
+from crocusrudder.workflows import calls
+
+
+class FailingStore:
+    """A store that fails each call with one error."""
+
+    def __init__(self, error: errors.PlatformError) -> None:
+        self._error = error
+
+    async def commit(self, *_):
+        raise self._error
+
+    async def read_row(self, *_):
+        raise self._error
+
+    async def read(self, *_):
+        raise self._error
+
+
+class FailedCallTest(unittest.TestCase):
+    """Guards against refusals whose cause the logs did not tell (incident a2ed)."""
+
+    def _call(self, kind: str, error: errors.PlatformError) -> dict[str, object]:
+        store = calls.JobStore(FailingStore(error))
+        words = {"submit": (b"", 1.0), "cancel": (1.0,), "read_state": ()}[kind]
+        with mock.patch.object(logs, "write_change") as write:
+            curio.run(getattr(store, kind)(ids.JobId("j1"), *words))
+        return write.call_args.args[0].fields
+
+    def test_each_failed_call_names_the_job_and_the_cause(self):
+        refused = errors.UnreachedError("the store answered 429")
+        broken = errors.BrokenError("no response within 1.5 s")
+        for kind, error, outcome in (
+            ("submit", refused, calls.Outcome.NOT_PERFORMED),
+            ("submit", broken, calls.Outcome.UNCERTAIN),
+            ("cancel", refused, calls.Outcome.NOT_PERFORMED),
+            ("cancel", broken, calls.Outcome.UNCERTAIN),
+            ("read_state", broken, calls.Outcome.NOT_PERFORMED),
+        ):
+            with self.subTest(kind=kind, error=error.code):
+                fields = self._call(kind, error)
+                self.assertEqual(("j1", outcome.value), (fields["job"], fields["outcome"]))
+                self.assertIn(error.message, fields["error"])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/workflows/test_pacing.py
+++ b/tests/workflows/test_pacing.py
@@ -170,6 +170,20 @@
         unsettled.settled = False
         self.assertIsNone(self._choose(stage, unsettled))
 
+    def test_tasks_of_one_rack_stay_together(self):
+        # On more than one rack such tasks take half as long again.
+        views = [make_view(f"a{n}", ("a", rack)) for n, rack in enumerate(("r1", "r2", "r2"))]
+        stage = model.Stage(6, messages.Resources(20_000, 100, 0), same_rack=True)
+        record = book.JobRecord(model.Job(ids.JobId("j"), "q", "", (stage,), 0.0), 1)
+        rooms = placement.Rooms(views, pacing.PaceController(), 100.0)
+        racks = []
+        for task in record.get_stage(0, 0).tasks:
+            room = rooms.choose(task, SERVICE)
+            room.take(stage)
+            task.agent = room.view.agent
+            racks.append(room.rack)
+        self.assertEqual(["r2"] * 6, racks)
+
     def test_tasks_that_fill_go_where_nothing_serves(self):
         beside = make_view("a1")
         place(beside, "hold", SERVING)
