--- a/crocusrudder/workflows/fleet.py
+++ b/crocusrudder/workflows/fleet.py
@@ -120,10 +120,10 @@
         return messages.Resources(millicores, memory, accelerators)
 
     def compute_fill(self) -> int:
-        """Return the millicores that tasks on idle processors use at their paces."""
+        """Return the millicores that tasks on idle processors ask for."""
         return sum(
-            assignment.task.stage.spec.demand.millicores * self.paces.get(key, 100) // 100
-            for key, assignment in self.assignments.items()
+            assignment.task.stage.spec.demand.millicores
+            for assignment in self.assignments.values()
             if assignment.task is not None and assignment.task.stage.spec.fills_idle
         )
 
