--- a/crocusrudder/hosting/http_server.py
+++ b/crocusrudder/hosting/http_server.py
@@ -113,6 +113,13 @@
             self._ended.clear()
             await self._ended.wait()
 
+    async def close(self, seconds: float) -> None:
+        """Stop, but wait for requests in flight for some seconds only.
+
+        A process that ends without it may accept connections while curio shuts down, which fails.
+        """
+        await curio.ignore_after(seconds, self.stop)
+
     async def _accept_forever(self) -> None:
         while True:
             try:
--- a/crocusrudder/workflows/agent_daemon.py
+++ b/crocusrudder/workflows/agent_daemon.py
@@ -38,6 +38,8 @@
 STOP_ATTEMPTS = 20
 """Attempts to bar a run whose start had no answer, before the owner waits for the lease."""
 CONCURRENT_CALLS = 8
+CLOSE_SECONDS = 0.5
+"""Patience with requests in flight at the end; heartbeats take some milliseconds."""
 
 
 class AgentProcess:
@@ -60,10 +62,11 @@
 
     async def run(self) -> None:
         """Work until a planned stop; runs go on until the leases end."""
+        watcher = signals.SignalWatcher((signal.SIGTERM, signal.SIGINT, signal.SIGHUP))
         host, port = settings.split_address(self._document.heartbeat_address)
         server = http_server.Server(host, port, self._take_call, self._metrics.count)
         await server.start()
-        await inspection.start(self._document, self._metrics, self._dump)
+        inspected = await inspection.start(self._document, self._metrics, self._dump)
         self._log("started", incarnation=self._incarnation)
         async with curio.TaskGroup(wait=any) as group:
             await group.spawn(self._link.receive_forever, self._deliver)
@@ -71,13 +74,14 @@
             await group.spawn(self._hold_forever)
             await group.spawn(self._report_forever)
             await group.spawn(self._find_owner_forever)
-            await group.spawn(self._wait_for_stop)
+            await group.spawn(self._wait_for_stop, watcher)
+        await server.close(CLOSE_SECONDS)
+        await inspected.close(CLOSE_SECONDS)
         if group.exception:
             raise group.exception
         self._log("stopped", incarnation=self._incarnation)
 
-    async def _wait_for_stop(self) -> None:
-        watcher = signals.SignalWatcher((signal.SIGTERM, signal.SIGINT, signal.SIGHUP))
+    async def _wait_for_stop(self, watcher: signals.SignalWatcher) -> None:
         while await watcher.wait() == signal.SIGHUP:
             self._log("settings_signal")
 
--- a/crocusrudder/workflows/entry_daemon.py
+++ b/crocusrudder/workflows/entry_daemon.py
@@ -45,6 +45,8 @@
 """Share of a caller's time after which an uncertain submission is no longer repeated."""
 PENDING_VALID_SECONDS = 1.5
 """Greatest age of the owner's counts; callers take counts of 2 s ago."""
+CLOSE_SECONDS = 0.5
+"""Patience with requests in flight at the end; those of callers have been answered before."""
 READY_NOTICE_SECONDS = 2.5
 """Time in which the load balancer notices that the entry is not ready; it asks each second and
 waits for two misses."""
@@ -78,12 +80,13 @@
 
     async def run(self) -> None:
         """Serve until a planned stop is complete."""
+        watcher = signals.SignalWatcher((signal.SIGTERM, signal.SIGINT, signal.SIGHUP))
         front = await self._start_server(
             self._document.caller_address,
             entry_http.JobHttp(self._ask, lambda: self._configuration, self._count_pending).handle,
         )
-        await self._start_server(self._document.ready_address, self._answer_ready)
-        await inspection.start(self._document, self._metrics, self._dump)
+        ready = await self._start_server(self._document.ready_address, self._answer_ready)
+        inspected = await inspection.start(self._document, self._metrics, self._dump)
         self._log("started", incarnation=self._incarnation)
         async with curio.TaskGroup(wait=any) as group:
             await group.spawn(self._link.receive_forever, self._deliver)
@@ -92,7 +95,9 @@
             await group.spawn(self._own_forever)
             await group.spawn(self._greet_forever)
             await group.spawn(self._register)
-            await group.spawn(self._wait_for_stop, front)
+            await group.spawn(self._wait_for_stop, watcher, front)
+        for server in (front, ready, inspected):
+            await server.close(CLOSE_SECONDS)
         if group.exception:
             raise group.exception
         self._log("stopped", incarnation=self._incarnation)
@@ -108,8 +113,9 @@
         ready = self._configuration is not None and not self._stopping
         return http_messages.make_json_response(200 if ready else 503, {"ready": ready})
 
-    async def _wait_for_stop(self, front: http_server.Server) -> None:
-        watcher = signals.SignalWatcher((signal.SIGTERM, signal.SIGINT, signal.SIGHUP))
+    async def _wait_for_stop(
+        self, watcher: signals.SignalWatcher, front: http_server.Server
+    ) -> None:
         while await watcher.wait() == signal.SIGHUP:
             self._log("settings_signal")
         self._stopping = True
--- a/crocusrudder/workflows/inspection.py
+++ b/crocusrudder/workflows/inspection.py
@@ -17,7 +17,7 @@
     document: settings.WorkflowSettings,
     registry: metrics.Metrics,
     dump: Callable[[], dict[str, object]],
-) -> None:
+) -> http_server.Server:
     """Serve ``GET /v1/metrics`` and ``GET /v1/state``."""
 
     async def answer(request: http_messages.Request) -> http_messages.Response:
@@ -31,3 +31,4 @@
 
     server = http_server.Server(document.host, document.inspection_port, answer, registry.count)
     await server.start()
+    return server
--- a/tests/endtoend/test_workflows.py
+++ b/tests/endtoend/test_workflows.py
@@ -4,11 +4,15 @@
 """
 
 import collections
+import contextlib
 import pathlib
+import signal
+import socket
 import tempfile
+import threading
 import unittest
 
-from tests.endtoend import workflows
+from tools.standin.users import deployment as deployments
 
 JOB = {
     "spec": "sheet",
@@ -24,14 +28,14 @@
         self.addCleanup(folder.cleanup)
         self.folder = pathlib.Path(folder.name)
 
-    def _start(self, run_seconds: float) -> workflows.Deployment:
-        deployment = workflows.Deployment(self.folder, run_seconds)
+    def _start(self, run_seconds: float) -> deployments.Deployment:
+        deployment = deployments.Deployment(self.folder, run_seconds)
         self.addCleanup(deployment.stop)
         deployment.start()
         deployment.wait("an owner", deployment.find_owner)
         return deployment
 
-    def _wait_until_completed(self, deployment: workflows.Deployment, entry: str, job: str):
+    def _wait_until_completed(self, deployment: deployments.Deployment, entry: str, job: str):
         deployment.wait(
             f"{job} completed",
             lambda: deployment.call(entry, "GET", job) == (200, {"state": "completed"}),
@@ -50,6 +54,35 @@
         self.assertEqual(410, deployment.call("entry-2", "GET", "00000000000000ff")[0])
         self.assertEqual((200, {"pending": 0}), deployment.call("entry-2", "GET", ""))
 
+    def test_an_agent_that_is_called_while_it_stops_ends_without_an_error(self):
+        # It accepted a connection while curio shut down, and ended with 1 (soak seeds 101, 301).
+        deployment = self._start(run_seconds=0.2)
+        name, ports = next(iter(deployment.agents.items()))
+        deployment.wait("the agent", lambda: deployment.is_answering(name))
+        over = threading.Event()
+
+        def call_forever():
+            while not over.is_set():
+                with (
+                    contextlib.suppress(OSError),
+                    socket.create_connection(("127.0.0.1", ports[2])),
+                ):
+                    pass
+
+        callers = [threading.Thread(target=call_forever) for _ in range(2)]
+        for caller in callers:
+            caller.start()
+        codes = []
+        for _ in range(3):
+            deployment.send_signal(name, signal.SIGTERM)
+            codes.append(deployment.join(name))
+            deployment.start_agent(name)
+            deployment.wait("the agent", lambda: deployment.is_answering(name))
+        over.set()
+        for caller in callers:
+            caller.join()
+        self.assertEqual([0] * 3, codes)
+
     def test_running_tasks_outlive_the_owner(self):
         deployment = self._start(run_seconds=4.0)
         job = "00000000000000bb"
--- a/tests/endtoend/workflows.py
+++ b/tools/standin/users/deployment.py
@@ -2,11 +2,14 @@
 
 import contextlib
 import pathlib
+import random
 import signal
 import socket
 import subprocess
 import sys
 import time
+import types
+from collections.abc import Mapping
 
 import curio
 import msgspec
@@ -17,29 +20,48 @@
 
 HOST = "127.0.0.1"
 PREFIX = "/confirm/"
+SERVER_PORTS = range(12_000, 32_000)
+"""Below the ports that Linux gives to outgoing connections, from 32,768 on."""
 LIMIT_SECONDS = 60.0
 """Time after which something counts as never happening."""
 
 
 def find_ports(count: int) -> list[int]:
-    """Return free ports."""
+    """Return free ports that no outgoing connection takes while a process is away."""
     with contextlib.ExitStack() as stack:
-        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for probe in probes:
-            probe.bind((HOST, 0))
-        return [probe.getsockname()[1] for probe in probes]
+        found = []
+        for port in random.SystemRandom().sample(SERVER_PORTS, len(SERVER_PORTS)):
+            probe = stack.enter_context(socket.socket())
+            with contextlib.suppress(OSError):
+                probe.bind((HOST, port))
+                found.append(port)
+            if len(found) == count:
+                break
+        return found
 
 
 class Deployment:
-    """Two entries, two agents with their workers, and the store."""
-
-    def __init__(self, folder: pathlib.Path, run_seconds: float = 0.3) -> None:
+    """Entries, agents with their workers, and the store.
+
+    ``store_ports`` gives the port of the store for a process, as of a proxy before it.
+    """
+
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        run_seconds: float = 0.3,
+        count: int = 2,
+        store_ports: Mapping[str, int] = types.MappingProxyType({}),
+        store_port: int = 0,
+    ) -> None:
         self._folder = folder
+        self._store_ports = store_ports
         self._processes: dict[str, subprocess.Popen] = {}
-        ports = iter(find_ports(20))
-        self.store_port = next(ports)
-        self.entries = {f"entry-{n}": [next(ports) for _ in range(4)] for n in (1, 2)}
-        self.agents = {f"agent-{n}": [next(ports) for _ in range(4)] for n in (1, 2)}
+        ports = iter(find_ports(8 * count + 1))
+        self.store_port = store_port or next(ports)
+        numbers = range(1, count + 1)
+        self.entries = {f"entry-{n}": [next(ports) for _ in range(4)] for n in numbers}
+        self.agents = {f"agent-{n}": [next(ports) for _ in range(4)] for n in numbers}
         self._write_platform(run_seconds)
         for name, (peer, inspection, caller, ready) in self.entries.items():
             addresses = {
@@ -60,7 +82,7 @@
         for name in self.entries:
             self.start_entry(name)
         for name in self.agents:
-            self._spawn(name, "-m", "crocusrudder", "workflow-agent")
+            self.start_agent(name)
         for name in self.entries:
             self.wait(name, lambda name=name: self.is_ready(name))
 
@@ -68,6 +90,22 @@
         """Start an entry."""
         self._spawn(name, "-m", "crocusrudder", "workflow-entry")
 
+    def start_agent(self, name: str) -> None:
+        """Start an agent."""
+        self._spawn(name, "-m", "crocusrudder", "workflow-agent")
+
+    def send_signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a process."""
+        self._processes[name].send_signal(number)
+
+    def join(self, name: str) -> int:
+        """Wait for the end of a process and return its exit code."""
+        return self._processes.pop(name).wait(LIMIT_SECONDS)
+
+    def list_ended(self) -> list[str]:
+        """Return the processes that have ended by themselves."""
+        return [name for name, process in self._processes.items() if process.poll() is not None]
+
     def kill(self, name: str) -> None:
         """Kill a process."""
         self._processes[name].kill()
@@ -88,6 +126,10 @@
         """Return whether an entry is ready."""
         return self._call(self.entries[name][3], "GET", "/")[0] == 200
 
+    def is_answering(self, agent: str) -> bool:
+        """Return whether an agent serves its state."""
+        return self._call(self.agents[agent][1], "GET", "/v1/state")[0] == 200
+
     def call(self, entry: str, method: str, path: str, content: object = None) -> tuple[int, dict]:
         """Call an entry as a caller; the status is 0 if there was no answer."""
         return self._call(self.entries[entry][2], method, PREFIX + path, content)
@@ -105,6 +147,10 @@
         _, starts = self._call(self.store_port, "GET", "/standin/starts")
         return [task for task, _ in starts]
 
+    def list_runs(self) -> list[dict]:
+        """Return each run of a task with its worker, times and end, as the workers saw it."""
+        return self._call(self.store_port, "GET", "/standin/runs")[1]
+
     def switch_store(self, up: bool) -> None:
         """Turn the store off or on."""
         self._call(self.store_port, "PUT", "/standin/up" if up else "/standin/down")
@@ -154,22 +200,20 @@
             "host": HOST,
             "peer_port": peer,
             "inspection_port": inspection,
-            "store_address": f"{HOST}:{self.store_port}",
+            "store_address": f"{HOST}:{self._store_ports.get(name, self.store_port)}",
             **addresses,
         }
         (self._folder / f"{name}.json").write_bytes(msgspec.json.encode(content))
 
     def _write_platform(self, run_seconds: float) -> None:
-        # The client names host and port, and each entry has a port of its own here.
         routes = [
             {
                 "name": "confirm",
-                "host": f"{HOST}:{ports[2]}",
+                "host": HOST,
                 "pathPrefix": PREFIX,
                 "service": "dispatch",
                 "maxAttempts": 3,
             }
-            for ports in self.entries.values()
         ]
         content = {
             "store_port": self.store_port,
--- a/tools/standin/users/platform.py
+++ b/tools/standin/users/platform.py
@@ -68,6 +68,9 @@
             case "GET", ("standin", "starts"):
                 starts = [run for served in self._workers.values() for run in served.started]
                 return http_messages.make_json_response(200, starts)
+            case "GET", ("standin", "runs"):
+                runs = [run for w in self._workers.values() for run in w.history.values()]
+                return http_messages.make_json_response(200, runs)
             case "PUT", ("standin", "down" | "up"):
                 self._store.down = request.path[-1] == "down"
                 return http_messages.make_json_response(200, {})
--- a/tools/standin/users/worker.py
+++ b/tools/standin/users/worker.py
@@ -35,6 +35,8 @@
         self._numbers = 0
         self._highest: dict[str, int] = {}
         self.started: list[Run] = []
+        self.history: dict[Run, dict] = {}
+        """What was seen of each run; seconds on a clock that all processes share."""
 
     @property
     def clock_ms(self) -> int:
@@ -107,6 +109,14 @@
         self._highest[run[0]] = run[1]
         self._running[run] = time.monotonic() + self._run_seconds
         self.started.append(run)
+        self.history[run] = {
+            "task": run[0],
+            "run": run[1],
+            "worker": self._name,
+            "begin": time.monotonic(),
+            "end": None,
+            "how": "",
+        }
         return self._answer(200)
 
     def _stop(self, run: Run) -> None:
@@ -141,6 +151,7 @@
 
     def _end(self, run: Run, how: str) -> None:
         del self._running[run]
+        self.history[run] |= {"end": time.monotonic(), "how": how}
         self._numbers += 1
         self._ended.append([self._numbers, *run, how, ""])
 
