Bound the time that plans take

Change: after a plan the owner rests for three times its duration; what did not fit is not searched for again in one plan; workers are described a second time only if a run stands still.

--- a/crocusrudder/workflows/owner_service.py
+++ b/crocusrudder/workflows/owner_service.py
@@ -24,6 +24,9 @@
 
 COALESCE_SECONDS = 0.004
 """Wait for further events before a plan is made."""
+REST_FACTOR = 3.0
+"""Time without planning after a plan, in times of what the plan took: a quarter of a core at most,
+which leaves room for reports and callers with hundreds of workers."""
 TICK_SECONDS = 0.1
 COMMIT_DELAY_SECONDS = 0.01
 """Wait for further changes before a commit; a commit takes 0.025 s or more."""
@@ -258,9 +261,10 @@
             return store.Page((), self._feed_version)
 
     async def _order_forever(self) -> None:
+        took = 0.0
         while True:
             await curio.ignore_after(TICK_SECONDS, self._work.wait)
-            await curio.sleep(COALESCE_SECONDS)
+            await curio.sleep(max(COALESCE_SECONDS, REST_FACTOR * took))
             self._work.clear()
             now = clocks.read_boot_time()
             configuration = self._get_configuration()
@@ -269,7 +273,9 @@
             if self._releasing or not self._term.may_act(now):
                 continue
             self._owner.tick(now, time.time())
-            for agent, orders in self._owner.make_orders(now):
+            due = self._owner.make_orders(now)
+            took = clocks.read_boot_time() - now
+            for agent, orders in due:
                 self._link.send(agent, orders, transport.ANY_INCARNATION)
             await self._link.retry_unsent()
             for change in self._owner.take_log():
--- a/crocusrudder/workflows/placement.py
+++ b/crocusrudder/workflows/placement.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 
 from crocusrudder.core import ids
+from crocusrudder.wire import messages
 from crocusrudder.workflows import book
 from crocusrudder.workflows import fleet
 from crocusrudder.workflows import model
@@ -83,6 +84,8 @@
         self._pacer = pacer
         self._by_service: dict[ids.ServiceName, list[Room]] = {}
         self._racks: dict[ids.ProcessId, str] = {}
+        self._unfit: dict[tuple, list[messages.Resources]] = {}
+        """Demands for which there was no room, by service and what else decides."""
         for view in views:
             self._racks[view.agent] = get_rack(view)
             if view.is_usable(now):
@@ -90,6 +93,23 @@
 
     def choose(self, task: book.Task, service: ids.ServiceName) -> Room | None:
         """Return the best worker for a task; None if none fits."""
+        spec = task.stage.spec
+        key = (service, spec.required_label, spec.fills_idle and spec.image)
+        unfit = self._unfit.setdefault(key, [])
+        # Room only shrinks while a plan is made, so that as much or more does not fit either.
+        if any(_is_within(demand, spec.demand) for demand in unfit):
+            return None
+        room = self._find_best(task, service)
+        if room is None and not spec.max_per_worker:
+            unfit.append(spec.demand)
+        return room
+
+    def give_back(self, room: Room, spec: model.Stage) -> None:
+        """Undo a room's ``take``."""
+        room.give_back(spec)
+        self._unfit.clear()
+
+    def _find_best(self, task: book.Task, service: ids.ServiceName) -> Room | None:
         spec = task.stage.spec
         candidates = [
             room
@@ -160,6 +180,15 @@
         return (avoided, remote, -room.millicores / capacity)
 
 
+def _is_within(demand: messages.Resources, other: messages.Resources) -> bool:
+    """Return whether a demand asks for no more than another one of anything."""
+    return (
+        demand.millicores <= other.millicores
+        and demand.memory_mb <= other.memory_mb
+        and demand.accelerators <= other.accelerators
+    )
+
+
 def get_rack(view: fleet.AgentView) -> str:
     """Return the worker's rack, which is its last label; empty if it has none."""
     return view.worker.labels[-1] if view.worker and view.worker.labels else ""
--- a/crocusrudder/workflows/planning.py
+++ b/crocusrudder/workflows/planning.py
@@ -66,10 +66,13 @@
     ) -> list[tuple[fleet.AgentView, fleet.Assignment]]:
         """Return runs that stand still and that another worker has room for, one a worker."""
         views = list(views)
+        stuck = [(view, self._pacer.list_to_move(view, now)) for view in views]
+        if not any(runs for _, runs in stuck):
+            return []
         rooms = placement.Rooms(views, self._pacer, now)
         moves = []
-        for view in views:
-            for run in self._pacer.list_to_move(view, now):
+        for view, runs in stuck:
+            for run in runs:
                 queue = self._queues.get(run.task.record.job.queue)
                 room = queue and rooms.choose(run.task, queue.service)
                 if room is not None and room.view is not view:
@@ -124,7 +127,7 @@
             room = rooms.choose(task, service)
             if room is None:
                 for member, taken in placed:
-                    self._withdraw(member, taken)
+                    self._withdraw(member, taken, rooms)
                 return
             task.checkpoint = checkpoint
             self._assign(task, room, run, now)
@@ -156,9 +159,9 @@
         }
         self._logged.append(effects.LogChange("run_assigned", fields))
 
-    def _withdraw(self, task: book.Task, room: placement.Room) -> None:
+    def _withdraw(self, task: book.Task, room: placement.Room, rooms: placement.Rooms) -> None:
         """Take back an assignment that no order has left for."""
         room.view.assignments.pop((task.name, task.run))
-        room.give_back(task.stage.spec)
+        rooms.give_back(room, task.stage.spec)
         task.phase = book.TaskPhase.PENDING
         task.agent = None
--- a/tests/workflows/test_pacing.py
+++ b/tests/workflows/test_pacing.py
@@ -2,6 +2,7 @@
 
 import math
 import unittest
+from unittest import mock
 
 import msgspec
 
@@ -170,6 +171,17 @@
         unsettled.settled = False
         self.assertIsNone(self._choose(stage, unsettled))
 
+    def test_what_did_not_fit_is_not_searched_for_again_in_one_plan(self):
+        # With 60 workers and many waiting jobs, plans took a whole core.
+        rooms = placement.Rooms([make_view()], pacing.PaceController(), 100.0)
+        rooms._find_best = mock.Mock(side_effect=rooms._find_best)
+        for millicores, searched in ((70_000, 1), (80_000, 1), (65_000, 2), (10_000, 3)):
+            stage = model.Stage(1, messages.Resources(millicores, 100, 0))
+            record = book.JobRecord(model.Job(ids.JobId("j"), "q", "", (stage,), 0.0), 1)
+            room = rooms.choose(record.get_stage(0, 0).tasks[0], SERVICE)
+            self.assertEqual(searched, rooms._find_best.call_count)
+            self.assertEqual(millicores == 10_000, room is not None)
+
     def test_tasks_of_one_rack_stay_together(self):
         # On more than one rack such tasks take half as long again.
         views = [make_view(f"a{n}", ("a", rack)) for n, rack in enumerate(("r1", "r2", "r2"))]
