--- a/tools/soak/runner.py
+++ b/tools/soak/runner.py
@@ -88,8 +88,7 @@
                 self._start(name)
             case faults.Kind.STOP:
                 deployment.send_signal(name, signal.SIGTERM)
-                if code := deployment.join(name):
-                    self._problems.put(f"FAULT: {name} ended with {code} after SIGTERM")
+                self._check_end(name, deployment.join(name))
                 self._start(name)
             case faults.Kind.PAUSE:
                 deployment.send_signal(name, signal.SIGSTOP)
@@ -105,6 +104,12 @@
                 deployment.switch_store(up=True)
         self._busy.discard(name)
 
+    def _check_end(self, name: str, code: int) -> None:
+        # Before a process has begun to serve there is nothing to finish.
+        early = code == -signal.SIGTERM and not self._deployment.has_started(name)
+        if code and not early:
+            self._problems.put(f"FAULT: {name} ended with {code} after SIGTERM")
+
     def _start(self, name: str) -> None:
         if name.startswith("entry"):
             self._deployment.start_entry(name)
--- a/tools/standin/users/deployment.py
+++ b/tools/standin/users/deployment.py
@@ -1,5 +1,6 @@
 """A deployment of real entries and agents on the stand-in of the users' platform."""
 
+import collections
 import contextlib
 import pathlib
 import random
@@ -57,6 +58,7 @@
         self._folder = folder
         self._store_ports = store_ports
         self._processes: dict[str, subprocess.Popen] = {}
+        self._spawned: collections.Counter[str] = collections.Counter()
         ports = iter(find_ports(8 * count + 1))
         self.store_port = store_port or next(ports)
         numbers = range(1, count + 1)
@@ -102,6 +104,11 @@
         """Wait for the end of a process and return its exit code."""
         return self._processes.pop(name).wait(LIMIT_SECONDS)
 
+    def has_started(self, name: str) -> bool:
+        """Return whether the newest process of this name has logged that it has started."""
+        log = (self._folder / f"{name}.log").read_text()
+        return log.count('"event":"started"') == self._spawned[name]
+
     def list_ended(self) -> list[str]:
         """Return the processes that have ended by themselves."""
         return [name for name, process in self._processes.items() if process.poll() is not None]
@@ -183,6 +190,7 @@
         return response.status, msgspec.json.decode(response.body) if response.body else {}
 
     def _spawn(self, name: str, *words: str) -> None:
+        self._spawned[name] += 1
         log = (self._folder / f"{name}.log").open("ab")
         with log:
             self._processes[name] = subprocess.Popen(
