--- a/tests/workflows/test_owner.py
+++ b/tests/workflows/test_owner.py
@@ -287,6 +287,19 @@
             self.assertLessEqual(held, 1, "two runs of one task")
         self.assertEqual(2, system.count_starts("j1.0.0.0"))
 
+    def test_lasting_tasks_on_a_sound_worker_are_never_stopped(self):
+        # AVAIL: only the end of their job may take them away.
+        system = world.World(agents=2)
+        system.submit("j1", model.Stage(2, ONE_CORE, long_running=True))
+        system.run(1.0)
+        for agent in system.agents.values():
+            agent.worker.hangs = True
+        for number in range(8):
+            system.submit(f"b{number}", model.Stage(2, ONE_CORE))
+        system.run(8.0)
+        self.assertEqual(1, system.count_starts("j1.0.0.0"))
+        self.assertEqual(1, system.count_starts("j1.0.0.1"))
+
     def test_a_draining_worker_gets_no_starts(self):
         system = world.World(agents=1)
         system.run(1.0)
