--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: install format lint test demo proofs fuzz benchmarks experiment clean
+.PHONY: install format lint test demo proofs fuzz soak benchmarks experiment clean
 
 install: $(STAMP)
 
@@ -41,6 +41,12 @@
 	CROCUSRUDDER_EXAMPLES=$(EXAMPLES) $(BIN)/python -m unittest tests.jobs.test_histories \
 		tests.records.test_histories tests.requests.test_interleavings
 
+# Fresh seeds; CI plays one short run.
+SOAK_SEEDS ?= 5
+
+soak: install
+	$(BIN)/python -m tools.soak --seeds $(SOAK_SEEDS)
+
 experiment: install
 	$(BIN)/python -m tools.experiment --load arriola --scale today --seeds 3
 	$(BIN)/python -m tools.experiment --load servicio --scale today --seeds 3
