Block an unanswered start until the worker answers a stop

An agent tried to stop a run whose start was not answered 20 times, and then kept the run in its list of starts for as long as the worker lived. The owner takes a run in that list for present, so it neither stops it nor places its task again. Twenty refused connections take two seconds, less than the lease, after which the agent would have dropped the run.

The agent now repeats the stop until the worker has answered, the lease has expired or another incarnation has registered. An unexpected error of a start call is handled in the same way.

Before, the new test failed: report.starting was (('j.0.0.0', 1),) after 500 refused stops. 43 tests of the agent and the owner pass.

--- a/crocusrudder/workflows/agent_daemon.py
+++ b/crocusrudder/workflows/agent_daemon.py
@@ -37,8 +37,6 @@
 RETRY_DELAY_SECONDS = 0.1
 OWNER_READ_INTERVAL_SECONDS = 0.7
 """Interval at which the owner's row is read while the owner is unresponsive."""
-MAX_STOP_ATTEMPTS = 20
-"""Attempts to block a run whose start was not answered, before the owner waits for the lease."""
 MAX_CONCURRENT_CALLS = 8
 CLOSE_TIMEOUT_SECONDS = 0.5
 """Grace period for requests in flight at shutdown; heartbeats take some milliseconds."""
@@ -167,7 +165,7 @@
         try:
             async with self._calls:
                 rejected = await self._call_start(orders, order)
-        except errors.UnknownOutcomeError as error:
+        except errors.PlatformError as error:
             self._log("start_unanswered", task=order.task, run=order.run, error=str(error))
             await self._block(orders, run)
             return
@@ -200,10 +198,11 @@
         return answer.rejected
 
     async def _block(self, orders: workflow_messages.AgentOrders, run: agent_state.RunKey) -> None:
-        """Stop a run whose start was not answered, so that it cannot start later."""
-        for _ in range(MAX_STOP_ATTEMPTS):
-            if await self._stop(orders, run):
-                return
+        """Stop a run whose start was not answered, so that it cannot start later.
+
+        Attempts end once the worker accepts one, or has no lease or another incarnation.
+        """
+        while self._state.is_starting(run) and not await self._stop(orders, run):
             await curio.sleep(RETRY_DELAY_SECONDS)
 
     async def _stop(self, orders: workflow_messages.AgentOrders, run: agent_state.RunKey) -> bool:
--- a/crocusrudder/workflows/agent_state.py
+++ b/crocusrudder/workflows/agent_state.py
@@ -88,6 +88,10 @@
         """Return whether the last list holds ends that are not durable yet."""
         return bool(self._ended)
 
+    def is_starting(self, run: RunKey) -> bool:
+        """Return whether the outcome of a start is unknown and no stop of it was answered."""
+        return run in self._starting
+
     def is_owner_unresponsive(self, now: float) -> bool:
         """Return whether the owner has to be looked up in the store."""
         return now - self._owner_heard_at >= leases.OWNER_TIMEOUT_SECONDS
--- a/tests/workflows/test_agent_daemon.py
+++ b/tests/workflows/test_agent_daemon.py
@@ -4,8 +4,10 @@
 import unittest
 
 import curio
+import msgspec
 
 from crocusrudder.core import ids
+from crocusrudder.platform import errors
 from crocusrudder.platform import worker
 from crocusrudder.wire import messages
 from crocusrudder.wire import workflow_messages
@@ -30,7 +32,23 @@
         return worker.RunList(1, (), (ENDED,))
 
 
-class PollTest(unittest.TestCase):
+class RefusingWorkerClient:
+    """A worker that leaves a start unanswered and then refuses a number of calls."""
+
+    def __init__(self, refused_stops: int) -> None:
+        self.refused_stops = refused_stops
+
+    async def start(self, name, order, epoch, lease_until_ms):
+        raise errors.UnknownOutcomeError("connection reset")
+
+    async def stop(self, name, task, run, epoch):
+        if self.refused_stops:
+            self.refused_stops -= 1
+            raise errors.NotExecutedError("connection refused")
+        return True
+
+
+class AgentTestCase(unittest.TestCase):
     def setUp(self):
         with socket.socket() as probe:
             probe.bind(("127.0.0.1", 0))
@@ -46,7 +64,6 @@
         )
         self.agent = agent_daemon.AgentProcess(document)
         self.addCleanup(self.agent._link.close)
-        self.client = self.agent._worker = FakeWorkerClient()
         self.worker = workflow_messages.WorkerState(
             ids.WorkerId("w1"),
             1,
@@ -62,16 +79,50 @@
             1, acknowledged + 1, now, self.worker.worker, 1, acknowledged=acknowledged
         )
 
+    def _set_constant(self, name: str, value: float) -> None:
+        """Set a constant of the daemon until the end of the test."""
+        self.addCleanup(setattr, agent_daemon, name, getattr(agent_daemon, name))
+        setattr(agent_daemon, name, value)
+
+
+class StartTest(AgentTestCase):
+    def test_a_start_without_an_answer_is_blocked_however_many_stops_are_refused(self):
+        # Guards against a run that stays in the agent's list of starts after the worker could not
+        # be reached for some seconds. The owner then takes its task for assigned for good.
+        self._set_constant("RETRY_DELAY_SECONDS", 0.0)
+        self.agent._worker = RefusingWorkerClient(refused_stops=500)
+        order = workflow_messages.StartOrder("j.0.0.0", 1, "spec")
+
+        async def start() -> None:
+            state = self.agent._state
+            now = agent_daemon.clocks.read_boot_time()
+            state.handle_heartbeat(self.worker, 1, now)
+            orders = state.handle_orders(
+                msgspec.structs.replace(self._deliver_orders(0), starts=(order,)), now
+            )
+            state.handle_list(worker.RunList(1, (), ()), 1, now, now)
+            state.record_start_sent((order.task, order.run))
+            await self.agent._start(orders, order)
+            now = agent_daemon.clocks.read_boot_time()
+            state.handle_list(worker.RunList(1, (), ()), 1, now, now)
+
+        curio.run(start())
+        report = self.agent._state.make_report(
+            ids.DataCentre("z"), agent_daemon.clocks.read_boot_time()
+        )
+        self.assertEqual((), report.starting)
+        self.assertEqual(["j.0.0.0"], [rejected.task for rejected in report.rejected])
+
+
+class PollTest(AgentTestCase):
+    def setUp(self):
+        super().setUp()
+        self.client = self.agent._worker = FakeWorkerClient()
+
     def test_ends_that_are_not_durable_yet_are_polled_again_only_after_a_pause(self):
         # Guards against about 40 polls a second for each worker, which made days with many ends
         # too slow to be played.
-        self.addCleanup(
-            setattr,
-            agent_daemon,
-            "UNACKNOWLEDGED_POLL_SECONDS",
-            agent_daemon.UNACKNOWLEDGED_POLL_SECONDS,
-        )
-        agent_daemon.UNACKNOWLEDGED_POLL_SECONDS = 3_600.0
+        self._set_constant("UNACKNOWLEDGED_POLL_SECONDS", 3_600.0)
         envelope = messages.Envelope(1, 0, ids.ProcessId("e1"), ids.Incarnation("i"), "", "", None)
 
         async def poll() -> tuple[int, int]:
