Set at most a third of a service's workers aside as faulty

Callers saw accepted jobs with nothing running while most capacity was free. A worker on which tasks of two jobs fail within 6 s is set aside for 3 to 12 s. A burst of jobs that fail by their own fault sets every worker aside within a second, and then no task starts anywhere.

If more than a third of the workers seem faulty, the jobs are the likelier cause, so no more are set aside. Blocks after a rejected start are kept apart and unchanged.

--- a/crocusrudder/workflows/fleet.py
+++ b/crocusrudder/workflows/fleet.py
@@ -106,6 +106,8 @@
         self.last_processed_end = 0
         self.last_durable_end = 0
         self.blocked_until = 0.0
+        self.set_aside_until = 0.0
+        """Until when the worker counts as faulty; see ``health.select_set_aside``."""
         self.measurements: dict[str, float] = {}
         self.cpu_shares: dict[tuple[str, int], int] = {}
         """Target CPU share of throttled runs in percent, by task and run; absent for 100."""
--- a/crocusrudder/workflows/health.py
+++ b/crocusrudder/workflows/health.py
@@ -1,5 +1,7 @@
 """Detect faulty workers: those on which runs of several jobs fail, or no run makes progress."""
 
+from collections.abc import Iterable
+
 from crocusrudder.core import ids
 from crocusrudder.workflows import fleet
 from crocusrudder.workflows import job_registry
@@ -15,6 +17,11 @@
 """Time without progress or completion of any task after which a worker counts as stalled. A worker
 that is six times slower than normal still advances a task of 10 s by 1% in 0.6 s."""
 
+MAX_SET_ASIDE_SHARE = 1 / 3
+"""Greatest share of a service's workers that is set aside at a time. In the users' deployments up
+to a sixth of the workers are faulty at once; if more seem to be, the jobs are the likelier cause.
+"""
+
 LIST_GAP_SECONDS = 1.0
 """Interval between two lists from which the worker may have been suspended; it lists its runs every
 0.5 s."""
@@ -78,6 +85,31 @@
         return QUARANTINE_SECONDS
 
 
+def select_set_aside(views: Iterable[fleet.AgentView], now: float) -> set[ids.ProcessId]:
+    """Return the agents whose workers are set aside, among those that could get starts.
+
+    If too many workers of a service count as faulty, those that do so until last are selected.
+    """
+    totals: dict[ids.ServiceName, int] = {}
+    faulty: dict[ids.ServiceName, list[fleet.AgentView]] = {}
+    for view in views:
+        service = view.worker.service
+        totals[service] = totals.get(service, 0) + 1
+        if now < view.set_aside_until:
+            faulty.setdefault(service, []).append(view)
+    selected = set()
+    for service, suspects in faulty.items():
+        limit = _compute_set_aside_limit(totals[service])
+        suspects.sort(key=lambda view: view.set_aside_until, reverse=True)
+        selected.update(view.agent for view in suspects[:limit])
+    return selected
+
+
+def _compute_set_aside_limit(workers: int) -> int:
+    """Return how many of a service's workers may be set aside: one of two, none of one."""
+    return min(max(int(workers * MAX_SET_ASIDE_SHARE), 1), workers - 1)
+
+
 def list_expected_to_progress(view: fleet.AgentView) -> list[fleet.Assignment]:
     """Return the runs that should make progress: not long-running, stopping or throttled."""
     return [
--- a/crocusrudder/workflows/placement.py
+++ b/crocusrudder/workflows/placement.py
@@ -7,6 +7,7 @@
 from crocusrudder.wire import messages
 from crocusrudder.workflows import candidates
 from crocusrudder.workflows import fleet
+from crocusrudder.workflows import health
 from crocusrudder.workflows import job_registry
 from crocusrudder.workflows import model
 from crocusrudder.workflows import throttling
@@ -45,20 +46,26 @@
         self._changes = []
         self._unplaceable = {}
         self._testing = {}
+        schedulable = [view for view in views.values() if view.is_schedulable(now)]
+        set_aside = health.select_set_aside(schedulable, now)
         for view in views.values():
             for image in view.usage.best_effort_by_image:
                 # A paused run does not interfere, so its worker measures nothing.
                 if not self._throttle_controller.is_paused(view, image):
                     self._record_tests(view, image)
-            if view.is_schedulable(now):
-                candidate = self._known.get(view.agent)
-                if candidate is None or candidate.view is not view or not candidate.is_current:
-                    candidate = candidates.CandidateWorker(view)
-                    self._known[view.agent] = candidate
-                same_service = self._by_service.setdefault(view.worker.service, [])
-                candidate.index = len(same_service)
-                same_service.append(candidate)
-                self._usable[view.agent] = candidate
+        for view in schedulable:
+            if view.agent not in set_aside:
+                self._add_candidate(view)
+
+    def _add_candidate(self, view: fleet.AgentView) -> None:
+        candidate = self._known.get(view.agent)
+        if candidate is None or candidate.view is not view or not candidate.is_current:
+            candidate = candidates.CandidateWorker(view)
+            self._known[view.agent] = candidate
+        same_service = self._by_service.setdefault(view.worker.service, [])
+        candidate.index = len(same_service)
+        same_service.append(candidate)
+        self._usable[view.agent] = candidate
 
     def choose(
         self, task: job_registry.Task, service: ids.ServiceName
--- a/crocusrudder/workflows/reports.py
+++ b/crocusrudder/workflows/reports.py
@@ -105,6 +105,7 @@
             view.last_durable_end = 0
             view.is_reconciled = False
             view.blocked_until = 0.0
+            view.set_aside_until = 0.0
             view.cpu_shares_sent = {}
         if new != known:
             view.worker = new
@@ -162,7 +163,7 @@
         """Quarantine a worker on which runs of several jobs fail in succession."""
         seconds = self._get_health(view).record_failure(task.record.job.job_id, now)
         if seconds:
-            view.blocked_until = max(view.blocked_until, now + seconds)
+            view.set_aside_until = max(view.set_aside_until, now + seconds)
             self._log("worker_set_aside", agent=view.agent, reason="fails", pause_s=seconds)
 
     def _check_stall(self, view: fleet.AgentView, now: float, list_age_seconds: float) -> None:
@@ -176,7 +177,7 @@
         if not worker_health.is_stalled(listed_at):
             return
         seconds = worker_health.record_stall(now)
-        view.blocked_until = max(view.blocked_until, now + seconds)
+        view.set_aside_until = max(view.set_aside_until, now + seconds)
         self._log("worker_set_aside", agent=view.agent, reason="stands_still", pause_s=seconds)
         for run in health.list_expected_to_progress(view):
             self.move_run(view, run)
