Let a job that runs nowhere use workers that are set aside

Callers saw accepted jobs with nothing running while most capacity was free. A job that needs a label, or a gang that needs several workers, may have room only on workers that are set aside as faulty, for up to 12 s and again after that.

Each task of a long-running stage counts by itself. A report of a run of the job ends the wait; an order does not, as the worker may reject it.

--- a/crocusrudder/workflows/job_registry.py
+++ b/crocusrudder/workflows/job_registry.py
@@ -70,7 +70,15 @@
 class StageRecord:
     """The tasks of one stage in one occurrence of a job."""
 
-    __slots__ = ("done_count", "number", "occurrence", "record", "spec", "tasks")
+    __slots__ = (
+        "done_count",
+        "number",
+        "occurrence",
+        "passed_over_since",
+        "record",
+        "spec",
+        "tasks",
+    )
 
     def __init__(self, record: "JobRecord", occurrence: int, number: int) -> None:
         self.record = record
@@ -78,6 +86,8 @@
         self.number = number
         self.spec = record.job.stages[number]
         self.done_count = 0
+        self.passed_over_since: float | None = None
+        """Since when no worker was found for a task of this long-running stage."""
         self.tasks = [
             Task(model.make_task_name(record.job.job_id, occurrence, number, index), self, index)
             for index in range(self.spec.task_count)
@@ -109,6 +119,8 @@
         self.is_started = self.progress.state is not model.JobState.QUEUED
         self.needs_planning = True
         """Whether a task may have become ready to start since the job was last planned."""
+        self.passed_over_since: float | None = None
+        """Since when no worker was found for a ready task while nothing was running."""
         self.registry: JobRegistry | None = None
         self._has_unsaved_changes = False
         self.stored_state = self.progress.state
@@ -119,6 +131,10 @@
     def is_final(self) -> bool:
         return self.progress.state in model.FINAL_STATES
 
+    @property
+    def has_assigned_tasks(self) -> bool:
+        return any(task.phase is TaskPhase.ASSIGNED for task in self.iterate_tasks())
+
     @property
     def has_unsaved_changes(self) -> bool:
         return self._has_unsaved_changes
@@ -220,8 +236,9 @@
         self.has_unsaved_changes = True
 
     def mark_started(self) -> None:
-        """Record that a task of the job was started."""
+        """Record that a task of the job is running."""
         self.is_started = True
+        self.passed_over_since = None
         if self.progress.state is model.JobState.QUEUED:
             self.progress.state = model.JobState.RUNNING
 
--- a/crocusrudder/workflows/placement.py
+++ b/crocusrudder/workflows/placement.py
@@ -1,6 +1,8 @@
 """Choose workers for tasks."""
 
 import functools
+import itertools
+from collections.abc import Callable
 from collections.abc import Mapping
 
 from crocusrudder.core import ids
@@ -16,6 +18,9 @@
 """Workers on which a pair of images is tested at a time; the second covers one that fails or whose
 latency is not measured."""
 
+ChooseFunction = Callable[[job_registry.Task, ids.ServiceName], candidates.CandidateWorker | None]
+"""Return the worker for a task; None if none fits."""
+
 
 class CandidatePool:
     """The workers to which plans may assign tasks, by service.
@@ -30,6 +35,7 @@
         self._known: dict[ids.ProcessId, candidates.CandidateWorker] = {}
         self._usable: dict[ids.ProcessId, candidates.CandidateWorker] = {}
         self._by_service: dict[ids.ServiceName, list[candidates.CandidateWorker]] = {}
+        self._set_aside: dict[ids.ServiceName, list[candidates.CandidateWorker]] = {}
         self._rankings: dict[candidates.Shape, candidates.Ranking] = {}
         self._changes: list[candidates.CandidateWorker] = []
         self._testing: dict[tuple[str, str], set[ids.ProcessId]] = {}
@@ -42,6 +48,7 @@
         self._views = views
         self._usable = {}
         self._by_service = {}
+        self._set_aside = {}
         self._rankings = {}
         self._changes = []
         self._unplaceable = {}
@@ -54,18 +61,24 @@
                 if not self._throttle_controller.is_paused(view, image):
                     self._record_tests(view, image)
         for view in schedulable:
-            if view.agent not in set_aside:
-                self._add_candidate(view)
+            if view.agent in set_aside:
+                self._add_candidate(view, self._set_aside)
+            else:
+                self._usable[view.agent] = self._add_candidate(view, self._by_service)
 
-    def _add_candidate(self, view: fleet.AgentView) -> None:
+    def _add_candidate(
+        self,
+        view: fleet.AgentView,
+        by_service: dict[ids.ServiceName, list[candidates.CandidateWorker]],
+    ) -> candidates.CandidateWorker:
         candidate = self._known.get(view.agent)
         if candidate is None or candidate.view is not view or not candidate.is_current:
             candidate = candidates.CandidateWorker(view)
             self._known[view.agent] = candidate
-        same_service = self._by_service.setdefault(view.worker.service, [])
+        same_service = by_service.setdefault(view.worker.service, [])
         candidate.index = len(same_service)
         same_service.append(candidate)
-        self._usable[view.agent] = candidate
+        return candidate
 
     def choose(
         self, task: job_registry.Task, service: ids.ServiceName
@@ -83,6 +96,22 @@
             unplaceable.append(spec.demand)
         return candidate
 
+    def choose_last_resort(
+        self, task: job_registry.Task, service: ids.ServiceName
+    ) -> candidates.CandidateWorker | None:
+        """Return the best worker, also among those set aside, for a job with nothing running."""
+        candidate = self.choose(task, service)
+        if candidate is not None:
+            return candidate
+        shape = self._make_shape(task, service)
+        scored = (
+            (score, candidate.index, candidate)
+            for candidate in self._set_aside.get(service, ())
+            if (score := self._score(task.stage, shape, candidate)) is not None
+        )
+        best = min(scored, default=None)
+        return best[-1] if best else None
+
     def reserve(self, candidate: candidates.CandidateWorker, spec: model.Stage) -> None:
         """Reserve capacity of a worker for a task of the stage."""
         candidate.reserve(spec)
@@ -102,9 +131,10 @@
 
     def count_fitting(self, spec: model.Stage, service: ids.ServiceName) -> int:
         """Return an upper bound of how many tasks of a stage fit on all workers together."""
+        usable = self._by_service.get(service, ())
         return sum(
             candidate.count_fitting(spec)
-            for candidate in self._by_service.get(service, ())
+            for candidate in itertools.chain(usable, self._set_aside.get(service, ()))
             if _has_label(candidate, spec)
         )
 
--- a/crocusrudder/workflows/planning.py
+++ b/crocusrudder/workflows/planning.py
@@ -12,6 +12,7 @@
 from crocusrudder.workflows import model
 from crocusrudder.workflows import moves
 from crocusrudder.workflows import placement
+from crocusrudder.workflows import starvation
 from crocusrudder.workflows import throttling
 from crocusrudder.workflows import waiting
 
@@ -119,6 +120,10 @@
                 continue
             self._moves.release_room(task)
             candidate = self._pool.choose(task, service)
+            if candidate is not None:
+                task.stage.passed_over_since = None
+            elif starvation.is_starved(task, now):
+                candidate = self._pool.choose_last_resort(task, service)
             if candidate is None:
                 return
             self._assign(task, candidate, next(self._run_numbers), now)
@@ -132,20 +137,34 @@
         """Assign all members of the gang or none."""
         if any(now < task.not_before for task in stage.tasks):
             return
-        if not self._can_fit(stage, service):
+        if self._place_gang(stage, service, now, self._pool.choose):
             return
+        if starvation.is_starved(stage.tasks[0], now):
+            self._place_gang(stage, service, now, self._pool.choose_last_resort)
+
+    def _place_gang(
+        self,
+        stage: job_registry.StageRecord,
+        service: ids.ServiceName,
+        now: float,
+        choose: placement.ChooseFunction,
+    ) -> bool:
+        """Assign all members with ``choose``, or none; return whether they were assigned."""
+        if not self._can_fit(stage, service):
+            return False
         run = next(self._run_numbers)
         checkpoint = max(task.checkpoint for task in stage.tasks)
         placed: list[tuple[job_registry.Task, candidates.CandidateWorker]] = []
         for task in stage.tasks:
-            candidate = self._pool.choose(task, service)
+            candidate = choose(task, service)
             if candidate is None:
                 for member, member_candidate in placed:
                     self._undo_assignment(member, member_candidate)
-                return
+                return False
             task.checkpoint = checkpoint
             self._assign(task, candidate, run, now)
             placed.append((task, candidate))
+        return True
 
     def _can_fit(self, stage: job_registry.StageRecord, service: ids.ServiceName) -> bool:
         """Return False if a gang certainly has no room, which saves placing and undoing it."""
