Start a starved best-effort job at the lowest CPU share

Callers saw an accepted job with nothing running while most capacity was free. A best-effort task is placed only where latencies are expected to stay within target. If latency-critical tasks run on all workers and the image is expected to interfere, is being tested elsewhere, or the workers are near target, nothing bounds how long the job is passed over.

After 1.5 s with nothing running, one of its tasks now starts on the least affected worker, at the lowest CPU share above 0, or paused if that worker is near its target. The controller raises, lowers, pauses and moves the run as any other.

--- a/crocusrudder/workflows/placement.py
+++ b/crocusrudder/workflows/placement.py
@@ -18,6 +18,9 @@
 """Workers on which a pair of images is tested at a time; the second covers one that fails or whose
 latency is not measured."""
 
+MAX_LAST_RESORT_SCORES = 5_000
+"""Workers scored in one plan for tasks of starved jobs, at 4 to 8 us each."""
+
 ChooseFunction = Callable[[job_registry.Task, ids.ServiceName], candidates.CandidateWorker | None]
 """Return the worker for a task; None if none fits."""
 
@@ -42,6 +45,8 @@
         """Agents on which the interference of an untested pair of images is being measured."""
         self._unplaceable: dict[tuple, list[messages.Resources]] = {}
         """Demands that no worker could meet, by service and the other constraints of placement."""
+        self._last_resort_rankings: dict[candidates.Shape, candidates.Ranking] = {}
+        self._last_resort_scores = 0
 
     def refresh(self, views: Mapping[ids.ProcessId, fleet.AgentView], now: float) -> None:
         """Begin a plan with the current state of the workers."""
@@ -52,6 +57,8 @@
         self._rankings = {}
         self._changes = []
         self._unplaceable = {}
+        self._last_resort_rankings = {}
+        self._last_resort_scores = 0
         self._testing = {}
         schedulable = [view for view in views.values() if view.is_schedulable(now)]
         set_aside = health.select_set_aside(schedulable, now)
@@ -96,21 +103,30 @@
             unplaceable.append(spec.demand)
         return candidate
 
+    @property
+    def may_search_last_resort(self) -> bool:
+        """Return whether this plan may take more time for tasks of starved jobs."""
+        return self._last_resort_scores < MAX_LAST_RESORT_SCORES
+
     def choose_last_resort(
         self, task: job_registry.Task, service: ids.ServiceName
     ) -> candidates.CandidateWorker | None:
-        """Return the best worker, also among those set aside, for a job with nothing running."""
-        candidate = self.choose(task, service)
-        if candidate is not None:
-            return candidate
+        """Return the best worker for a job with nothing running, or None if none fits.
+
+        Workers that are set aside may be chosen, and for a best-effort task also workers on which
+        it is expected to interfere; the caller has to limit its CPU share.
+        """
         shape = self._make_shape(task, service)
-        scored = (
-            (score, candidate.index, candidate)
-            for candidate in self._set_aside.get(service, ())
-            if (score := self._score(task.stage, shape, candidate)) is not None
-        )
-        best = min(scored, default=None)
-        return best[-1] if best else None
+        ranking = self._last_resort_rankings.get(shape)
+        if ranking is None:
+            workers = (*self._by_service.get(service, ()), *self._set_aside.get(service, ()))
+            self._last_resort_scores += len(workers)
+            ranking = self._last_resort_rankings[shape] = candidates.Ranking(
+                workers,
+                functools.partial(self._score_last_resort, task.stage, shape),
+                self._changes,
+            )
+        return ranking.find_best(lambda _: True)
 
     def reserve(self, candidate: candidates.CandidateWorker, spec: model.Stage) -> None:
         """Reserve capacity of a worker for a task of the stage."""
@@ -192,13 +208,8 @@
         self, candidate: candidates.CandidateWorker, stage: job_registry.StageRecord
     ) -> bool:
         spec = stage.spec
-        return (
-            candidate.fits(spec)
-            and _has_label(candidate, spec)
-            and (
-                not spec.max_per_worker or _count_tasks(candidate.view, stage) < spec.max_per_worker
-            )
-            and (not spec.best_effort or self._is_safe(candidate, spec))
+        return _is_eligible(candidate, stage) and (
+            not spec.best_effort or self._is_safe(candidate, spec)
         )
 
     def _is_safe(self, candidate: candidates.CandidateWorker, spec: model.Stage) -> bool:
@@ -284,6 +295,41 @@
             return (is_avoided, is_remote, self._rank_colocation(candidate, spec), -idle)
         return (is_avoided, is_remote, -candidate.millicores / capacity)
 
+    def _score_last_resort(
+        self,
+        stage: job_registry.StageRecord,
+        shape: candidates.Shape,
+        candidate: candidates.CandidateWorker,
+    ) -> candidates.Score | None:
+        """Return a worker's sort key for a task of a job with nothing running."""
+        spec = stage.spec
+        view = candidate.view
+        is_set_aside = view.agent not in self._usable
+        if not spec.best_effort:
+            score = self._score(stage, shape, candidate)
+            return None if score is None else (is_set_aside, *score)
+        if not _is_eligible(candidate, stage):
+            return None
+        return (
+            is_set_aside,
+            view.agent in shape.avoided_agents,
+            self._throttle_controller.is_near_target(view),
+            # The share of the image's other runs on the worker would be limited too.
+            spec.image in view.usage.best_effort_by_image,
+            self._throttle_controller.predict_latency_ratio(view, spec),
+            candidate.best_effort_millicores / max(candidate.capacity.millicores, 1),
+        )
+
+
+def _is_eligible(candidate: candidates.CandidateWorker, stage: job_registry.StageRecord) -> bool:
+    """Return whether a worker has room for a task of the stage and meets its constraints."""
+    spec = stage.spec
+    return (
+        candidate.fits(spec)
+        and _has_label(candidate, spec)
+        and (not spec.max_per_worker or _count_tasks(candidate.view, stage) < spec.max_per_worker)
+    )
+
 
 def _has_label(candidate: candidates.CandidateWorker, spec: model.Stage) -> bool:
     return not spec.required_label or spec.required_label in candidate.labels
--- a/crocusrudder/workflows/planning.py
+++ b/crocusrudder/workflows/planning.py
@@ -33,6 +33,7 @@
         self._epoch = epoch
         self._job_registry = jobs
         self._version = version
+        self._throttle_controller = throttle_controller
         self._pool = placement.CandidatePool(throttle_controller)
         self._moves = moves.MovePlanner(self._pool, throttle_controller)
         self._run_numbers = itertools.count(epoch * job_registry.RUNS_PER_EPOCH + 1)
@@ -122,11 +123,34 @@
             candidate = self._pool.choose(task, service)
             if candidate is not None:
                 task.stage.passed_over_since = None
-            elif starvation.is_starved(task, now):
-                candidate = self._pool.choose_last_resort(task, service)
-            if candidate is None:
+                self._assign(task, candidate, next(self._run_numbers), now)
+            elif not self._assign_starved(task, service, now):
                 return
-            self._assign(task, candidate, next(self._run_numbers), now)
+
+    def _assign_starved(
+        self, task: job_registry.Task, service: ids.ServiceName, now: float
+    ) -> bool:
+        """Assign a task of a starved job as a last resort; return whether it was assigned."""
+        if not self._may_use_last_resort(task, now):
+            return False
+        candidate = self._pool.choose_last_resort(task, service)
+        if candidate is None:
+            starvation.postpone(task, now)
+            return False
+        self._assign(task, candidate, next(self._run_numbers), now)
+        self._limit_cpu_share(task, candidate, now)
+        return True
+
+    def _may_use_last_resort(self, task: job_registry.Task, now: float) -> bool:
+        return starvation.is_starved(task, now) and self._pool.may_search_last_resort
+
+    def _limit_cpu_share(
+        self, task: job_registry.Task, candidate: candidates.CandidateWorker, now: float
+    ) -> None:
+        """Limit the CPU share of a best-effort task that was assigned as a last resort."""
+        spec = task.stage.spec
+        if spec.best_effort:
+            self._throttle_controller.limit_image(candidate.view, spec.image, now)
 
     def _plan_gang(
         self,
@@ -139,8 +163,12 @@
             return
         if self._place_gang(stage, service, now, self._pool.choose):
             return
-        if starvation.is_starved(stage.tasks[0], now):
-            self._place_gang(stage, service, now, self._pool.choose_last_resort)
+        if self._may_use_last_resort(stage.tasks[0], now):
+            placed = self._place_gang(stage, service, now, self._pool.choose_last_resort)
+            for task, candidate in placed:
+                self._limit_cpu_share(task, candidate, now)
+            if not placed:
+                starvation.postpone(stage.tasks[0], now)
 
     def _place_gang(
         self,
@@ -148,10 +176,10 @@
         service: ids.ServiceName,
         now: float,
         choose: placement.ChooseFunction,
-    ) -> bool:
-        """Assign all members with ``choose``, or none; return whether they were assigned."""
+    ) -> list[tuple[job_registry.Task, candidates.CandidateWorker]]:
+        """Assign all members with ``choose``, or none; return those assigned."""
         if not self._can_fit(stage, service):
-            return False
+            return []
         run = next(self._run_numbers)
         checkpoint = max(task.checkpoint for task in stage.tasks)
         placed: list[tuple[job_registry.Task, candidates.CandidateWorker]] = []
@@ -160,11 +188,11 @@
             if candidate is None:
                 for member, member_candidate in placed:
                     self._undo_assignment(member, member_candidate)
-                return False
+                return []
             task.checkpoint = checkpoint
             self._assign(task, candidate, run, now)
             placed.append((task, candidate))
-        return True
+        return placed
 
     def _can_fit(self, stage: job_registry.StageRecord, service: ids.ServiceName) -> bool:
         """Return False if a gang certainly has no room, which saves placing and undoing it."""
--- a/crocusrudder/workflows/starvation.py
+++ b/crocusrudder/workflows/starvation.py
@@ -11,15 +11,24 @@
 free; planning, the start and its report take well under 1 s."""
 
 
+RETRY_SECONDS = 0.5
+"""Time after which a starved job is tried again that has found no worker even as a last resort."""
+
+
 def is_starved(task: job_registry.Task, now: float) -> bool:
     """Record that a task was passed over; return whether it has waited too long."""
-    stage = task.stage
-    if stage.spec.long_running:
-        waiting: job_registry.StageRecord | job_registry.JobRecord = stage
-    elif stage.record.has_assigned_tasks:
+    if not task.stage.spec.long_running and task.record.has_assigned_tasks:
         return False
-    else:
-        waiting = stage.record
+    waiting = _get_waiting(task)
     if waiting.passed_over_since is None:
         waiting.passed_over_since = now
     return now - waiting.passed_over_since >= STARVED_SECONDS
+
+
+def postpone(task: job_registry.Task, now: float) -> None:
+    """Let a starved job wait, so that jobs without any room do not use up the time of plans."""
+    _get_waiting(task).passed_over_since = now + RETRY_SECONDS - STARVED_SECONDS
+
+
+def _get_waiting(task: job_registry.Task) -> job_registry.StageRecord | job_registry.JobRecord:
+    return task.stage if task.stage.spec.long_running else task.record
--- a/crocusrudder/workflows/throttling.py
+++ b/crocusrudder/workflows/throttling.py
@@ -149,6 +149,15 @@
         worker = ids.WorkerId(view.agent)
         self._model.record_placement(worker, self._measure_exposure(view), now)
 
+    def limit_image(self, view: fleet.AgentView, image: str, now: float) -> None:
+        """Limit an image, which may interfere, to the lowest CPU share; pause it near target."""
+        if not view.usage.latency_critical:
+            return
+        lowest = len(CPU_SHARE_LEVELS) - (1 if self.is_near_target(view) else 2)
+        self._levels.setdefault(view.agent, {})[image] = max(lowest, self._get_level(view, image))
+        self._levels_changed_at[view.agent] = now
+        self._set_cpu_shares(view, now)
+
     def list_runs_to_move(self, view: fleet.AgentView, now: float) -> list[fleet.Assignment]:
         """Return the runs on a worker that have been paused too long."""
         paused_since = self._paused_since.get(view.agent)
--- /dev/null
+++ b/tests/workflows/test_starvation.py
@@ -0,0 +1,82 @@
+"""Tests of jobs that are passed over with nothing running."""
+
+import math
+import unittest
+
+import msgspec
+
+from crocusrudder.core import ids
+from crocusrudder.placement import filters
+from crocusrudder.workflows import job_registry
+from crocusrudder.workflows import model
+from crocusrudder.workflows import planning
+from crocusrudder.workflows import rows
+from crocusrudder.workflows import starvation
+from crocusrudder.workflows import throttling
+from tests.workflows import test_throttling
+
+QUEUE = model.Queue(model.QueueName("q"), "host", "/q/", test_throttling.SERVICE)
+LATER = starvation.STARVED_SECONDS + 0.1
+
+
+class StarvedBestEffortJobTest(unittest.TestCase):
+    """A best-effort image that interferes with the tasks that serve on every worker."""
+
+    def setUp(self):
+        self.views = {name: test_throttling.make_view(name) for name in ("a1", "a2")}
+        self.serving = [
+            test_throttling.assign(view, f"hold-{name}", test_throttling.LATENCY_CRITICAL)
+            for name, view in self.views.items()
+        ]
+        throttle_controller = throttling.ThrottleController()
+        estimates = rows.InterferenceEstimates(
+            {"front": {filters.INTERCEPT: (math.log(10.0), 0.1, 50), "noisy": (1.8, 0.1, 50)}}
+        )
+        throttle_controller.restore_estimates(estimates.slowdowns, 100.0)
+        self.registry = job_registry.JobRegistry()
+        self.planner = planning.Planner(model.OwnerEpoch(1), self.registry, 1, throttle_controller)
+        self.planner.set_configuration(model.Configuration(1, (QUEUE,)))
+
+    def _submit(self, name: str, stage: model.Stage = test_throttling.BEST_EFFORT) -> None:
+        job = model.Job(ids.JobId(name), QUEUE.name, "", (stage,), 100.0)
+        self.registry.add(job_registry.JobRecord(job, 2))
+
+    def _plan(self, now: float) -> dict[str, str]:
+        """Make a plan; return the agents of the best-effort tasks."""
+        for view in self.views.values():
+            view.received_at = now
+        self.planner.plan(self.views, now, now, True)
+        return {
+            run.task_name: agent
+            for agent, view in self.views.items()
+            for run in view.usage.best_effort
+        }
+
+    def _list_cpu_shares(self) -> list[int]:
+        return [share for view in self.views.values() for share in view.cpu_shares.values()]
+
+    def test_one_task_starts_at_the_lowest_cpu_share_after_a_bounded_wait(self):
+        # Guards against LOST: the image was expected to interfere on all workers, so that the job
+        # was passed over for as long as the serving tasks lasted.
+        self._submit("j1", msgspec.structs.replace(test_throttling.BEST_EFFORT, task_count=3))
+        self.assertEqual({}, self._plan(100.0))
+        self.assertEqual({}, self._plan(101.0))
+        self.assertEqual(["j1.0.0.0"], list(self._plan(100.0 + LATER)))
+        self.assertEqual([20], self._list_cpu_shares())
+        self.assertEqual(1, len(self._plan(100.0 + 2 * LATER)))
+
+    def test_the_worker_whose_latency_is_near_target_is_chosen_last_and_the_run_paused(self):
+        self.views["a1"].measurements = {self.serving[0].name: 19.0}
+        self._submit("j1")
+        self._plan(100.0)
+        self.assertEqual({"j1.0.0.0": "a2"}, self._plan(100.0 + LATER))
+        self.views["a2"].measurements = {self.serving[1].name: 19.0}
+        self._submit("j2")
+        self._plan(110.0)
+        self._plan(110.0 + LATER)
+        self.assertEqual(2, len(self._list_cpu_shares()))
+        self.assertIn(0, self._list_cpu_shares())
+
+
+if __name__ == "__main__":
+    unittest.main()
