Share processors with starved best-effort jobs while most capacity is free

Callers saw an accepted job with nothing running while most capacity was free. Best-effort tasks reserve no processors, but a plan places them only up to the idle processors of each worker. Their processors are taken long before the memory: at 2 GB a core on workers with 4 GB a core, all workers are closed to further best-effort jobs while less than half of any reserved resource is in use.

A starved job now also gets a worker without idle processors, as long as less than half of the service's capacity is reserved; its tasks share the processors. From half on it waits, as before.

--- a/crocusrudder/workflows/candidates.py
+++ b/crocusrudder/workflows/candidates.py
@@ -57,12 +57,17 @@
     def fits(self, spec: model.Stage) -> bool:
         """Return whether the worker has enough free capacity for a task of the stage."""
         demand = spec.demand
-        if demand.memory_mb > self.memory_mb or demand.accelerators > self.accelerators:
+        if not self.fits_beside_cpu(spec):
             return False
         if spec.best_effort:
             return self.best_effort_millicores + demand.millicores <= self.idle_millicores
         return demand.millicores <= self.millicores
 
+    def fits_beside_cpu(self, spec: model.Stage) -> bool:
+        """Return whether the worker has enough of all resources but processors."""
+        demand = spec.demand
+        return demand.memory_mb <= self.memory_mb and demand.accelerators <= self.accelerators
+
     def count_fitting(self, spec: model.Stage) -> int:
         """Return how many tasks of a stage fit; 0 also for a stage that demands no resources."""
         demand = spec.demand
@@ -101,6 +106,26 @@
             self.latency_critical_images.add(spec.image)
 
 
+def compute_reserved_share(workers: Sequence[CandidateWorker]) -> float:
+    """Return the reserved share of the scarcest resource; 1 without workers.
+
+    Best-effort tasks reserve no processors.
+    """
+    totals = (
+        sum(worker.capacity.millicores for worker in workers),
+        sum(worker.capacity.memory_mb for worker in workers),
+        sum(worker.capacity.accelerators for worker in workers),
+    )
+    free = (
+        sum(worker.millicores for worker in workers),
+        sum(worker.memory_mb for worker in workers),
+        sum(worker.accelerators for worker in workers),
+    )
+    return max(
+        (1 - rest / total for rest, total in zip(free, totals, strict=True) if total), default=1.0
+    )
+
+
 class Shape(NamedTuple):
     """All that decides which workers suit a task; tasks of one shape share a ranking."""
 
--- a/crocusrudder/workflows/placement.py
+++ b/crocusrudder/workflows/placement.py
@@ -21,6 +21,10 @@
 MAX_LAST_RESORT_SCORES = 5_000
 """Workers scored in one plan for tasks of starved jobs, at 4 to 8 us each."""
 
+MAX_RESERVED_SHARE = 0.5
+"""Reserved share of a service's capacity up to which starved best-effort jobs share processors
+that other best-effort tasks have requested. From half on, the requirement lets jobs wait."""
+
 ChooseFunction = Callable[[job_registry.Task, ids.ServiceName], candidates.CandidateWorker | None]
 """Return the worker for a task; None if none fits."""
 
@@ -47,6 +51,7 @@
         """Demands that no worker could meet, by service and the other constraints of placement."""
         self._last_resort_rankings: dict[candidates.Shape, candidates.Ranking] = {}
         self._last_resort_scores = 0
+        self._reserved_shares: dict[ids.ServiceName, float] = {}
 
     def refresh(self, views: Mapping[ids.ProcessId, fleet.AgentView], now: float) -> None:
         """Begin a plan with the current state of the workers."""
@@ -59,6 +64,7 @@
         self._unplaceable = {}
         self._last_resort_rankings = {}
         self._last_resort_scores = 0
+        self._reserved_shares = {}
         self._testing = {}
         schedulable = [view for view in views.values() if view.is_schedulable(now)]
         set_aside = health.select_set_aside(schedulable, now)
@@ -121,6 +127,10 @@
         if ranking is None:
             workers = (*self._by_service.get(service, ()), *self._set_aside.get(service, ()))
             self._last_resort_scores += len(workers)
+            share = self._reserved_shares.get(service)
+            if share is None:
+                share = candidates.compute_reserved_share(workers)
+                self._reserved_shares[service] = share
             ranking = self._last_resort_rankings[shape] = candidates.Ranking(
                 workers,
                 functools.partial(self._score_last_resort, task.stage, shape),
@@ -208,8 +218,10 @@
         self, candidate: candidates.CandidateWorker, stage: job_registry.StageRecord
     ) -> bool:
         spec = stage.spec
-        return _is_eligible(candidate, stage) and (
-            not spec.best_effort or self._is_safe(candidate, spec)
+        return (
+            candidate.fits(spec)
+            and _meets_constraints(candidate, stage)
+            and (not spec.best_effort or self._is_safe(candidate, spec))
         )
 
     def _is_safe(self, candidate: candidates.CandidateWorker, spec: model.Stage) -> bool:
@@ -308,7 +320,9 @@
         if not spec.best_effort:
             score = self._score(stage, shape, candidate)
             return None if score is None else (is_set_aside, *score)
-        if not _is_eligible(candidate, stage):
+        shares_cpu = self._reserved_shares[shape.service] < MAX_RESERVED_SHARE
+        has_room = candidate.fits_beside_cpu(spec) if shares_cpu else candidate.fits(spec)
+        if not has_room or not _meets_constraints(candidate, stage):
             return None
         return (
             is_set_aside,
@@ -317,17 +331,16 @@
             # The share of the image's other runs on the worker would be limited too.
             spec.image in view.usage.best_effort_by_image,
             self._throttle_controller.predict_latency_ratio(view, spec),
-            candidate.best_effort_millicores / max(candidate.capacity.millicores, 1),
+            candidate.best_effort_millicores / max(candidate.idle_millicores, 1),
         )
 
 
-def _is_eligible(candidate: candidates.CandidateWorker, stage: job_registry.StageRecord) -> bool:
-    """Return whether a worker has room for a task of the stage and meets its constraints."""
+def _meets_constraints(
+    candidate: candidates.CandidateWorker, stage: job_registry.StageRecord
+) -> bool:
     spec = stage.spec
-    return (
-        candidate.fits(spec)
-        and _has_label(candidate, spec)
-        and (not spec.max_per_worker or _count_tasks(candidate.view, stage) < spec.max_per_worker)
+    return _has_label(candidate, spec) and (
+        not spec.max_per_worker or _count_tasks(candidate.view, stage) < spec.max_per_worker
     )
 
 
--- a/tests/workflows/test_starvation.py
+++ b/tests/workflows/test_starvation.py
@@ -7,6 +7,7 @@
 
 from crocusrudder.core import ids
 from crocusrudder.placement import filters
+from crocusrudder.wire import messages
 from crocusrudder.workflows import job_registry
 from crocusrudder.workflows import model
 from crocusrudder.workflows import planning
@@ -55,6 +56,28 @@
     def _list_cpu_shares(self) -> list[int]:
         return [share for view in self.views.values() for share in view.cpu_shares.values()]
 
+    def _fill_processors(self, memory_mb: int) -> None:
+        """Assign best-effort tasks that request all idle processors of both workers."""
+        demand = messages.Resources(9_000, memory_mb, 0)
+        stage = model.Stage(1, demand, image="harmless", best_effort=True)
+        for name, view in self.views.items():
+            for number in range(7):
+                test_throttling.assign(view, f"fill-{name}{number}", stage)
+
+    def test_processors_are_shared_after_a_bounded_wait_while_most_capacity_is_free(self):
+        # Guards against LOST: best-effort tasks reserve no processors, but their requests kept a
+        # job from running anywhere.
+        self._fill_processors(memory_mb=500)
+        self._submit("j1")
+        self.assertEqual(14, len(self._plan(100.0)))
+        self.assertIn("j1.0.0.0", self._plan(100.0 + LATER))
+
+    def test_a_starved_job_waits_for_processors_while_most_capacity_is_reserved(self):
+        self._fill_processors(memory_mb=700)
+        self._submit("j1")
+        self._plan(100.0)
+        self.assertEqual(14, len(self._plan(100.0 + LATER)))
+
     def test_one_task_starts_at_the_lowest_cpu_share_after_a_bounded_wait(self):
         # Guards against LOST: the image was expected to interfere on all workers, so that the job
         # was passed over for as long as the serving tasks lasted.
