--- a/crocusrudder/workflows/placement.py
+++ b/crocusrudder/workflows/placement.py
@@ -1,6 +1,8 @@
 """Choose workers for tasks."""
 
 import functools
+import itertools
+from collections.abc import Callable
 from collections.abc import Mapping
 
 from crocusrudder.core import ids
@@ -16,6 +18,16 @@
 """Workers on which a pair of images is tested at a time; the second covers one that fails or whose
 latency is not measured."""
 
+MAX_LAST_RESORT_SCORES = 5_000
+"""Workers scored in one plan for tasks of starved jobs, at 4 to 8 us each."""
+
+MAX_RESERVED_SHARE = 0.5
+"""Reserved share of a service's capacity up to which starved best-effort jobs share processors
+that other best-effort tasks have requested. From half on, the requirement lets jobs wait."""
+
+ChooseFunction = Callable[[job_registry.Task, ids.ServiceName], candidates.CandidateWorker | None]
+"""Return the worker for a task; None if none fits."""
+
 
 class CandidatePool:
     """The workers to which plans may assign tasks, by service.
@@ -30,21 +42,29 @@
         self._known: dict[ids.ProcessId, candidates.CandidateWorker] = {}
         self._usable: dict[ids.ProcessId, candidates.CandidateWorker] = {}
         self._by_service: dict[ids.ServiceName, list[candidates.CandidateWorker]] = {}
+        self._set_aside: dict[ids.ServiceName, list[candidates.CandidateWorker]] = {}
         self._rankings: dict[candidates.Shape, candidates.Ranking] = {}
         self._changes: list[candidates.CandidateWorker] = []
         self._testing: dict[tuple[str, str], set[ids.ProcessId]] = {}
         """Agents on which the interference of an untested pair of images is being measured."""
         self._unplaceable: dict[tuple, list[messages.Resources]] = {}
         """Demands that no worker could meet, by service and the other constraints of placement."""
+        self._last_resort_rankings: dict[candidates.Shape, candidates.Ranking] = {}
+        self._last_resort_scores = 0
+        self._reserved_shares: dict[ids.ServiceName, float] = {}
 
     def refresh(self, views: Mapping[ids.ProcessId, fleet.AgentView], now: float) -> None:
         """Begin a plan with the current state of the workers."""
         self._views = views
         self._usable = {}
         self._by_service = {}
+        self._set_aside = {}
         self._rankings = {}
         self._changes = []
         self._unplaceable = {}
+        self._last_resort_rankings = {}
+        self._last_resort_scores = 0
+        self._reserved_shares = {}
         self._testing = {}
         schedulable = [view for view in views.values() if view.is_schedulable(now)]
         set_aside = health.select_set_aside(schedulable, now)
@@ -54,18 +74,24 @@
                 if not self._throttle_controller.is_paused(view, image):
                     self._record_tests(view, image)
         for view in schedulable:
-            if view.agent not in set_aside:
-                self._add_candidate(view)
+            if view.agent in set_aside:
+                self._add_candidate(view, self._set_aside)
+            else:
+                self._usable[view.agent] = self._add_candidate(view, self._by_service)
 
-    def _add_candidate(self, view: fleet.AgentView) -> None:
+    def _add_candidate(
+        self,
+        view: fleet.AgentView,
+        by_service: dict[ids.ServiceName, list[candidates.CandidateWorker]],
+    ) -> candidates.CandidateWorker:
         candidate = self._known.get(view.agent)
         if candidate is None or candidate.view is not view or not candidate.is_current:
             candidate = candidates.CandidateWorker(view)
             self._known[view.agent] = candidate
-        same_service = self._by_service.setdefault(view.worker.service, [])
+        same_service = by_service.setdefault(view.worker.service, [])
         candidate.index = len(same_service)
         same_service.append(candidate)
-        self._usable[view.agent] = candidate
+        return candidate
 
     def choose(
         self, task: job_registry.Task, service: ids.ServiceName
@@ -83,6 +109,35 @@
             unplaceable.append(spec.demand)
         return candidate
 
+    @property
+    def may_search_last_resort(self) -> bool:
+        """Return whether this plan may take more time for tasks of starved jobs."""
+        return self._last_resort_scores < MAX_LAST_RESORT_SCORES
+
+    def choose_last_resort(
+        self, task: job_registry.Task, service: ids.ServiceName
+    ) -> candidates.CandidateWorker | None:
+        """Return the best worker for a job with nothing running, or None if none fits.
+
+        Workers that are set aside may be chosen, and for a best-effort task also workers on which
+        it is expected to interfere; the caller has to limit its CPU share.
+        """
+        shape = self._make_shape(task, service)
+        ranking = self._last_resort_rankings.get(shape)
+        if ranking is None:
+            workers = (*self._by_service.get(service, ()), *self._set_aside.get(service, ()))
+            self._last_resort_scores += len(workers)
+            share = self._reserved_shares.get(service)
+            if share is None:
+                share = candidates.compute_reserved_share(workers)
+                self._reserved_shares[service] = share
+            ranking = self._last_resort_rankings[shape] = candidates.Ranking(
+                workers,
+                functools.partial(self._score_last_resort, task.stage, shape),
+                self._changes,
+            )
+        return ranking.find_best(lambda _: True)
+
     def reserve(self, candidate: candidates.CandidateWorker, spec: model.Stage) -> None:
         """Reserve capacity of a worker for a task of the stage."""
         candidate.reserve(spec)
@@ -102,9 +157,10 @@
 
     def count_fitting(self, spec: model.Stage, service: ids.ServiceName) -> int:
         """Return an upper bound of how many tasks of a stage fit on all workers together."""
+        usable = self._by_service.get(service, ())
         return sum(
             candidate.count_fitting(spec)
-            for candidate in self._by_service.get(service, ())
+            for candidate in itertools.chain(usable, self._set_aside.get(service, ()))
             if _has_label(candidate, spec)
         )
 
@@ -164,10 +220,7 @@
         spec = stage.spec
         return (
             candidate.fits(spec)
-            and _has_label(candidate, spec)
-            and (
-                not spec.max_per_worker or _count_tasks(candidate.view, stage) < spec.max_per_worker
-            )
+            and _meets_constraints(candidate, stage)
             and (not spec.best_effort or self._is_safe(candidate, spec))
         )
 
@@ -254,6 +307,42 @@
             return (is_avoided, is_remote, self._rank_colocation(candidate, spec), -idle)
         return (is_avoided, is_remote, -candidate.millicores / capacity)
 
+    def _score_last_resort(
+        self,
+        stage: job_registry.StageRecord,
+        shape: candidates.Shape,
+        candidate: candidates.CandidateWorker,
+    ) -> candidates.Score | None:
+        """Return a worker's sort key for a task of a job with nothing running."""
+        spec = stage.spec
+        view = candidate.view
+        is_set_aside = view.agent not in self._usable
+        if not spec.best_effort:
+            score = self._score(stage, shape, candidate)
+            return None if score is None else (is_set_aside, *score)
+        shares_cpu = self._reserved_shares[shape.service] < MAX_RESERVED_SHARE
+        has_room = candidate.fits_beside_cpu(spec) if shares_cpu else candidate.fits(spec)
+        if not has_room or not _meets_constraints(candidate, stage):
+            return None
+        return (
+            is_set_aside,
+            view.agent in shape.avoided_agents,
+            self._throttle_controller.is_near_target(view),
+            # The share of the image's other runs on the worker would be limited too.
+            spec.image in view.usage.best_effort_by_image,
+            self._throttle_controller.predict_latency_ratio(view, spec),
+            candidate.best_effort_millicores / max(candidate.idle_millicores, 1),
+        )
+
+
+def _meets_constraints(
+    candidate: candidates.CandidateWorker, stage: job_registry.StageRecord
+) -> bool:
+    spec = stage.spec
+    return _has_label(candidate, spec) and (
+        not spec.max_per_worker or _count_tasks(candidate.view, stage) < spec.max_per_worker
+    )
+
 
 def _has_label(candidate: candidates.CandidateWorker, spec: model.Stage) -> bool:
     return not spec.required_label or spec.required_label in candidate.labels
