Log why a ready job has nothing running

The log said why a worker was chosen, but not why none was, so that the possible causes could not be told apart.

The owner now logs job_waiting for jobs without an assigned task for over 1 s, with the reason and the number of workers by reason: at most four lines a second and one a job in 2 s. The reasons come from the functions that decide: AgentView.find_block_reason, CandidatePool._find_obstacle and Planner._find_job_obstacle. Counters jobs_waiting_<reason> count the lines. Decisions are unchanged.

--- a/crocusrudder/workflows/fleet.py
+++ b/crocusrudder/workflows/fleet.py
@@ -10,6 +10,7 @@
 from crocusrudder.core import ids
 from crocusrudder.wire import workflow_messages
 from crocusrudder.workflows import job_registry
+from crocusrudder.workflows import waiting_reasons
 
 AGENT_TIMEOUT_SECONDS = 1.3
 """Time without a report after which an agent gets no new starts; it reports every 0.5 s."""
@@ -124,16 +125,26 @@
 
     def is_schedulable(self, now: float) -> bool:
         """Return whether new runs may be assigned to the worker."""
-        return (
-            self.worker is not None
-            and self.is_registered
-            and self.is_reconciled
-            and self.is_reachable
-            and not self.worker.draining
-            and not self.is_declared_lost
-            and now - self.received_at < AGENT_TIMEOUT_SECONDS
-            and now >= self.blocked_until
-        )
+        return self.find_block_reason(now) is None
+
+    def find_block_reason(self, now: float) -> waiting_reasons.WaitReason | None:
+        """Return why no run may be assigned to the worker; None if runs may be."""
+        reasons = waiting_reasons.WaitReason
+        if self.worker is None:
+            return reasons.NO_WORKER
+        if not self.is_registered:
+            return reasons.UNREGISTERED
+        if not self.is_reconciled:
+            return reasons.UNRECONCILED
+        if not self.is_reachable:
+            return reasons.UNREACHABLE
+        if self.worker.draining:
+            return reasons.DRAINING
+        if self.is_declared_lost:
+            return reasons.DECLARED_LOST
+        if now - self.received_at >= AGENT_TIMEOUT_SECONDS:
+            return reasons.NO_RECENT_REPORT
+        return reasons.SET_ASIDE if now < self.blocked_until else None
 
     @property
     def assignments(self) -> Mapping[tuple[str, int], Assignment]:
--- a/crocusrudder/workflows/job_registry.py
+++ b/crocusrudder/workflows/job_registry.py
@@ -62,9 +62,12 @@
 
     @phase.setter
     def phase(self, phase: TaskPhase) -> None:
+        record = self.stage.record
+        was_assigned = self._phase is TaskPhase.ASSIGNED
+        record.assigned_count += (phase is TaskPhase.ASSIGNED) - was_assigned
         self._phase = phase
         if phase is not TaskPhase.ASSIGNED:
-            self.stage.record.needs_planning = True
+            record.needs_planning = True
 
 
 class StageRecord:
@@ -109,6 +112,8 @@
         self.is_started = self.progress.state is not model.JobState.QUEUED
         self.needs_planning = True
         """Whether a task may have become ready to start since the job was last planned."""
+        self.assigned_count = 0
+        """Number of tasks in the phase ``ASSIGNED``."""
         self.registry: JobRegistry | None = None
         self._has_unsaved_changes = False
         self.stored_state = self.progress.state
--- a/crocusrudder/workflows/owner_service.py
+++ b/crocusrudder/workflows/owner_service.py
@@ -21,6 +21,7 @@
 from crocusrudder.workflows import owner
 from crocusrudder.workflows import ownership
 from crocusrudder.workflows import rows
+from crocusrudder.workflows import waiting_reasons
 
 COALESCE_SECONDS = 0.004
 """Delay before planning, so that one plan covers several events."""
@@ -281,8 +282,13 @@
                 self._owner.set_configuration(configuration)
             planning_seconds = self._send_orders()
             await self._link.retry_unsent()
-            for change in self._owner.drain_log():
-                logs.write_change(change)
+            self._write_log()
+
+    def _write_log(self) -> None:
+        for change in self._owner.drain_log():
+            logs.write_change(change)
+            if change.name == waiting_reasons.EVENT:
+                self._metrics.count(f"jobs_waiting_{change.fields['reason']}")
 
     def _send_orders(self) -> float:
         """Plan and send the orders that are due; return the duration of planning in seconds."""
--- a/crocusrudder/workflows/placement.py
+++ b/crocusrudder/workflows/placement.py
@@ -1,5 +1,6 @@
 """Choose workers for tasks."""
 
+import collections
 import functools
 from collections.abc import Mapping
 
@@ -10,6 +11,7 @@
 from crocusrudder.workflows import job_registry
 from crocusrudder.workflows import model
 from crocusrudder.workflows import throttling
+from crocusrudder.workflows import waiting_reasons
 
 MAX_TESTS = 2
 """Workers on which a pair of images is tested at a time; the second covers one that fails or whose
@@ -101,6 +103,32 @@
             if _has_label(candidate, spec)
         )
 
+    def explain(
+        self, stage: job_registry.StageRecord, service: ids.ServiceName, now: float
+    ) -> collections.Counter[waiting_reasons.WaitReason]:
+        """Count the workers by the reason why a task of the stage cannot be placed there now."""
+        return collections.Counter(
+            self._explain_worker(view, stage, now)
+            for view in self._views.values()
+            if view.worker is None or view.worker.service == service
+        )
+
+    def _explain_worker(
+        self, view: fleet.AgentView, stage: job_registry.StageRecord, now: float
+    ) -> waiting_reasons.WaitReason:
+        reason = view.find_block_reason(now)
+        if reason is not None:
+            return reason
+        candidate = self._usable[view.agent]
+        reason = self._find_obstacle(candidate, stage)
+        if reason is waiting_reasons.WaitReason.NO_CAPACITY:
+            # Only the room that is kept for moved runs is reserved without an assignment.
+            is_kept = candidates.CandidateWorker(view).fits(stage.spec)
+            return waiting_reasons.WaitReason.KEPT_ROOM if is_kept else reason
+        if reason is None and not self._may_test(candidate, stage.spec):
+            return waiting_reasons.WaitReason.TESTED_ELSEWHERE
+        return reason or waiting_reasons.WaitReason.FITS
+
     def _find_best(
         self, task: job_registry.Task, service: ids.ServiceName
     ) -> candidates.CandidateWorker | None:
@@ -151,37 +179,38 @@
                 counts[candidate.rack] = counts.get(candidate.rack, 0) + count
         return max(counts, key=lambda rack: (counts[rack], rack), default="")
 
-    def _is_allowed(
+    def _find_obstacle(
         self, candidate: candidates.CandidateWorker, stage: job_registry.StageRecord
-    ) -> bool:
+    ) -> waiting_reasons.WaitReason | None:
+        """Return why a task of the stage must not run on the worker; None if it may."""
         spec = stage.spec
-        return (
-            candidate.fits(spec)
-            and _has_label(candidate, spec)
-            and (
-                not spec.max_per_worker or _count_tasks(candidate.view, stage) < spec.max_per_worker
-            )
-            and (not spec.best_effort or self._is_safe(candidate, spec))
-        )
-
-    def _is_safe(self, candidate: candidates.CandidateWorker, spec: model.Stage) -> bool:
-        """Return whether latencies are expected to stay within target beside a best-effort task.
+        if not _has_label(candidate, spec):
+            return waiting_reasons.WaitReason.MISSING_LABEL
+        if not candidate.fits(spec):
+            return waiting_reasons.WaitReason.NO_CAPACITY
+        if spec.max_per_worker and _count_tasks(candidate.view, stage) >= spec.max_per_worker:
+            return waiting_reasons.WaitReason.WORKER_LIMIT
+        return self._find_interference(candidate, spec) if spec.best_effort else None
+
+    def _find_interference(
+        self, candidate: candidates.CandidateWorker, spec: model.Stage
+    ) -> waiting_reasons.WaitReason | None:
+        """Return why latencies may exceed their target beside a best-effort task; None if not.
 
         While the interference of one image is being measured on a worker, no other image whose
         interference is unknown is added.
         """
         if not candidate.latency_critical_count:
-            return True
-        if self._throttle_controller.is_near_target(candidate.view):
-            return False
-        if self._throttle_controller.is_probing(
-            candidate.view
-        ) and not self._throttle_controller.is_tested(candidate.view, spec):
-            return False
-        return (
-            self._throttle_controller.predict_latency_ratio(candidate.view, spec)
-            < throttling.PREDICTED_LIMIT
-        )
+            return None
+        view = candidate.view
+        controller = self._throttle_controller
+        if controller.is_near_target(view):
+            return waiting_reasons.WaitReason.NEAR_TARGET
+        if controller.is_probing(view) and not controller.is_tested(view, spec):
+            return waiting_reasons.WaitReason.PROBING
+        if controller.predict_latency_ratio(view, spec) >= throttling.PREDICTED_LIMIT:
+            return waiting_reasons.WaitReason.PREDICTED_LATENCY
+        return None
 
     def _may_test(self, candidate: candidates.CandidateWorker, spec: model.Stage) -> bool:
         """Return whether a best-effort task may test its image beside others on a worker.
@@ -216,7 +245,7 @@
         candidate: candidates.CandidateWorker,
     ) -> candidates.Score | None:
         """Return a worker's sort key for a task of the stage; None if it must not run there."""
-        if not self._is_allowed(candidate, stage):
+        if self._find_obstacle(candidate, stage) is not None:
             return None
         spec = stage.spec
         is_avoided = candidate.view.agent in shape.avoided_agents
--- a/crocusrudder/workflows/planning.py
+++ b/crocusrudder/workflows/planning.py
@@ -14,6 +14,7 @@
 from crocusrudder.workflows import placement
 from crocusrudder.workflows import throttling
 from crocusrudder.workflows import waiting
+from crocusrudder.workflows import waiting_reasons
 
 START_EARLY_SECONDS = 0.0
 """How long before its due time an occurrence may start; the requirement is at most 0.25 s."""
@@ -36,6 +37,10 @@
         self._moves = moves.MovePlanner(self._pool, throttle_controller)
         self._run_numbers = itertools.count(epoch * job_registry.RUNS_PER_EPOCH + 1)
         self._queues: dict[model.QueueName, model.Queue] = {}
+        self._is_reconciled = False
+        self._gangs_without_room: set[job_registry.StageRecord] = set()
+        """Stages that the last plan could not place as a whole."""
+        self._waiting_monitor = waiting_reasons.WaitingMonitor(epoch)
         self._logged: list[effects.LogChange] = []
 
     def set_configuration(self, configuration: model.Configuration) -> None:
@@ -61,16 +66,43 @@
         """
         self._pool.refresh(views, now)
         self._moves.begin(views, now)
+        self._is_reconciled = is_reconciled
+        self._gangs_without_room.clear()
         selected = []
         for record in self._sort_jobs(wall_time):
             queue = self._queues.get(record.job.queue)
             if queue is None:
                 continue
             selected += self._moves.select(record, queue.service, now)
-            if record.needs_planning and (is_reconciled or record.version > self._version):
+            if self._find_job_obstacle(record) is None:
                 self._plan_job(record, queue, now, wall_time)
+        active = self._job_registry.active.values()
+        self._logged += self._waiting_monitor.check(active, now, wall_time, self._explain)
         return selected
 
+    def _find_job_obstacle(
+        self, record: job_registry.JobRecord
+    ) -> waiting_reasons.WaitReason | None:
+        """Return why a job must not be planned; None if it may be."""
+        if record.job.queue not in self._queues:
+            return waiting_reasons.WaitReason.QUEUE_UNKNOWN
+        if not record.needs_planning:
+            return waiting_reasons.WaitReason.NOT_PLANNED
+        if not self._is_reconciled and record.version <= self._version:
+            return waiting_reasons.WaitReason.NOT_RECONCILED
+        return None
+
+    def _explain(self, stage: job_registry.StageRecord, now: float) -> waiting_reasons.Explanation:
+        """Explain why the last plan placed no task of a ready stage."""
+        queue = self._queues.get(stage.record.job.queue)
+        reason = self._find_job_obstacle(stage.record)
+        if reason is None:
+            reason = _find_stage_obstacle(stage, _list_pending(stage), now)
+        if reason is None and stage in self._gangs_without_room:
+            reason = waiting_reasons.WaitReason.GANG_WITHOUT_ROOM
+        workers = self._pool.explain(stage, queue.service, now) if queue else {}
+        return waiting_reasons.Explanation(reason, workers)
+
     def _plan_job(
         self, record: job_registry.JobRecord, queue: model.Queue, now: float, wall_time: float
     ) -> None:
@@ -102,12 +134,12 @@
         service: ids.ServiceName,
         now: float,
     ) -> None:
-        pending = [task for task in stage.tasks if task.phase is job_registry.TaskPhase.PENDING]
-        if stage.spec.gang:
-            if len(pending) == len(stage.tasks):
+        pending = _list_pending(stage)
+        if _find_stage_obstacle(stage, pending, now) is None:
+            if stage.spec.gang:
                 self._plan_gang(stage, service, now)
-        else:
-            self._plan_tasks(pending, service, now)
+            else:
+                self._plan_tasks(pending, service, now)
         if any(task.phase is job_registry.TaskPhase.PENDING for task in pending):
             stage.record.needs_planning = True
 
@@ -130,9 +162,8 @@
         now: float,
     ) -> None:
         """Assign all members of the gang or none."""
-        if any(now < task.not_before for task in stage.tasks):
-            return
         if not self._can_fit(stage, service):
+            self._gangs_without_room.add(stage)
             return
         run = next(self._run_numbers)
         checkpoint = max(task.checkpoint for task in stage.tasks)
@@ -140,6 +171,7 @@
         for task in stage.tasks:
             candidate = self._pool.choose(task, service)
             if candidate is None:
+                self._gangs_without_room.add(stage)
                 for member, member_candidate in placed:
                     self._undo_assignment(member, member_candidate)
                 return
@@ -190,3 +222,20 @@
         self._pool.release(candidate, task.stage.spec)
         task.phase = job_registry.TaskPhase.PENDING
         task.agent = None
+
+
+def _list_pending(stage: job_registry.StageRecord) -> list[job_registry.Task]:
+    return [task for task in stage.tasks if task.phase is job_registry.TaskPhase.PENDING]
+
+
+def _find_stage_obstacle(
+    stage: job_registry.StageRecord, pending: list[job_registry.Task], now: float
+) -> waiting_reasons.WaitReason | None:
+    """Return why no pending task of the stage may be placed now; None if some may be."""
+    if stage.spec.gang:
+        if len(pending) != len(stage.tasks):
+            return waiting_reasons.WaitReason.GANG_INCOMPLETE
+        is_delayed = any(now < task.not_before for task in pending)
+    else:
+        is_delayed = all(now < task.not_before for task in pending)
+    return waiting_reasons.WaitReason.RETRY_DELAY if is_delayed else None
--- a/tests/workflows/test_owner_service.py
+++ b/tests/workflows/test_owner_service.py
@@ -72,6 +72,17 @@
         self.service._send_orders()
         self.assertEqual(["j.0.0.0"], self._list_started())
 
+    def test_jobs_with_nothing_running_are_counted_by_reason(self):
+        stage = model.Stage(1, messages.Resources(9_000, 1, 0))
+        self.owner.add_job(model.Job(ids.JobId("large"), QUEUE.name, "", (stage,), START), 6)
+        for _ in range(2):
+            self.service._send_orders()
+            self.now += 1.2
+            self._report()
+        self.service._send_orders()
+        self.service._write_log()
+        self.assertEqual({"jobs_waiting_no_capacity": 1}, self.metrics.counters)
+
     def test_orders_planned_before_a_suspension_are_not_sent_after_the_lease_has_run_out(self):
         # Guards against two owners: a process that is suspended between its check of the lease
         # and the sending would send orders beside those of its successor.
