Plan a job again after an unexpected planning error

After an exception, _plan_job left needs_planning unset, so that the job was never planned again: an accepted job with nothing running could wait for good. A job with occurrences, which is always marked for planning, was planned and logged in each plan instead.

Such a job is now planned again after 1 s, and job_waiting shows it as planning_error.

--- a/crocusrudder/workflows/errors.py
+++ b/crocusrudder/workflows/errors.py
@@ -22,6 +22,6 @@
 
 
 class PlanningError(WorkflowError):
-    """Planning a job failed unexpectedly; the job waits until its state changes."""
+    """Planning a job failed unexpectedly; the job is planned again after a delay."""
 
     code = "CR-WFL-003"
--- a/crocusrudder/workflows/job_registry.py
+++ b/crocusrudder/workflows/job_registry.py
@@ -112,6 +112,8 @@
         self.is_started = self.progress.state is not model.JobState.QUEUED
         self.needs_planning = True
         """Whether a task may have become ready to start since the job was last planned."""
+        self.plan_not_before = 0.0
+        """When the job may be planned again after an error."""
         self.assigned_count = 0
         """Number of tasks in the phase ``ASSIGNED``."""
         self.registry: JobRegistry | None = None
--- a/crocusrudder/workflows/planning.py
+++ b/crocusrudder/workflows/planning.py
@@ -19,6 +19,9 @@
 START_EARLY_SECONDS = 0.0
 """How long before its due time an occurrence may start; the requirement is at most 0.25 s."""
 
+ERROR_RETRY_SECONDS = 1.0
+"""Delay before a job is planned again after an unexpected error, which is logged each time."""
+
 
 class Planner:
     """Assign pending tasks to workers."""
@@ -74,14 +77,14 @@
             if queue is None:
                 continue
             selected += self._moves.select(record, queue.service, now)
-            if self._find_job_obstacle(record) is None:
+            if self._find_job_obstacle(record, now) is None:
                 self._plan_job(record, queue, now, wall_time)
         active = self._job_registry.active.values()
         self._logged += self._waiting_monitor.check(active, now, wall_time, self._explain)
         return selected
 
     def _find_job_obstacle(
-        self, record: job_registry.JobRecord
+        self, record: job_registry.JobRecord, now: float
     ) -> waiting_reasons.WaitReason | None:
         """Return why a job must not be planned; None if it may be."""
         if record.job.queue not in self._queues:
@@ -90,12 +93,14 @@
             return waiting_reasons.WaitReason.NOT_PLANNED
         if not self._is_reconciled and record.version <= self._version:
             return waiting_reasons.WaitReason.NOT_RECONCILED
+        if now < record.plan_not_before:
+            return waiting_reasons.WaitReason.PLANNING_ERROR
         return None
 
     def _explain(self, stage: job_registry.StageRecord, now: float) -> waiting_reasons.Explanation:
         """Explain why the last plan placed no task of a ready stage."""
         queue = self._queues.get(stage.record.job.queue)
-        reason = self._find_job_obstacle(stage.record)
+        reason = self._find_job_obstacle(stage.record, now)
         if reason is None:
             reason = _find_stage_obstacle(stage, _list_pending(stage), now)
         if reason is None and stage in self._gangs_without_room:
@@ -112,6 +117,8 @@
                 self._plan_stage(stage, queue.service, now)
         except Exception as error:
             # One job must not keep all others, and each later owner, from being planned.
+            record.needs_planning = True
+            record.plan_not_before = now + ERROR_RETRY_SECONDS
             fields = {"job": record.job.job_id, "error": repr(error)}
             code = errors.PlanningError.code
             self._logged.append(effects.LogChange("job_not_planned", {"code": code, **fields}))
--- a/tests/workflows/test_owner.py
+++ b/tests/workflows/test_owner.py
@@ -1,5 +1,6 @@
 """Tests of the owner with simulated agents and workers."""
 
+import collections
 import unittest
 from unittest import mock
 
@@ -89,6 +90,32 @@
         system.run(2.0)
         self.assertIs(model.JobState.COMPLETED, system.get_state("j2"))
 
+    def _fail_planning(self, *jobs: model.Job) -> tuple[world.World, list[str]]:
+        """Fail to plan jobs for 3.5 s; return the system and the jobs of the logged failures."""
+        system = world.World()
+        system.run(1.0)
+        for job in jobs:
+            system.owner.add_job(job, 10)
+        system.owner.drain_log()
+        failure = mock.Mock(side_effect=ValueError("unexpected"))
+        with mock.patch.object(job_registry.JobRecord, "iterate_ready", failure):
+            system.run(3.5)
+        logged = [c.fields["job"] for c in system.owner.drain_log() if c.name == "job_not_planned"]
+        return system, logged
+
+    def test_a_job_whose_planning_failed_is_planned_again(self):
+        # Guards against LOST: after one error nothing marked the job for planning any more.
+        job = model.Job(ids.JobId("j1"), world.QUEUE, "", (model.Stage(1, ONE_CORE),), 0.0)
+        system, _ = self._fail_planning(job)
+        system.run(3.0)
+        self.assertIs(model.JobState.COMPLETED, system.get_state("j1"))
+
+    def test_a_planning_error_is_not_logged_in_each_plan(self):
+        stages = (model.Stage(1, ONE_CORE),)
+        jobs = [model.Job(ids.JobId(f"j{n}"), world.QUEUE, "", stages, 0.0, n) for n in range(2)]
+        _, logged = self._fail_planning(*jobs)
+        self.assertEqual({"j0": 4, "j1": 4}, collections.Counter(logged))
+
 
 class TakeoverTest(unittest.TestCase):
     """A new owner takes over the running tasks and waits for the leases of unreachable workers."""
