Log long-running tasks that wait beside others of their job

The users' rule on jobs without a run holds for each long-running task, whether others of its job run or not. job_waiting left such tasks out, as their job has an assigned task. The line now names the first ready stage that has a task to place, and counts the pending tasks.

--- a/crocusrudder/workflows/job_registry.py
+++ b/crocusrudder/workflows/job_registry.py
@@ -95,6 +95,10 @@
     def is_done(self) -> bool:
         return self.done_count == len(self.tasks)
 
+    def list_pending(self) -> list[Task]:
+        """Return the tasks that have not been placed."""
+        return [task for task in self.tasks if task.phase is TaskPhase.PENDING]
+
     def make_failure_key(self, task: Task) -> str:
         """Return the key of a task's failed runs in ``model.Progress``; gang members share one."""
         return self.key if self.spec.gang else f"{self.key}.{task.index}"
@@ -112,6 +116,7 @@
         self.is_started = self.progress.state is not model.JobState.QUEUED
         self.needs_planning = True
         """Whether a task may have become ready to start since the job was last planned."""
+        self.is_long_running = any(stage.long_running for stage in job.stages)
         self.plan_not_before = 0.0
         """When the job may be planned again after an error."""
         self.assigned_count = 0
--- a/crocusrudder/workflows/planning.py
+++ b/crocusrudder/workflows/planning.py
@@ -102,7 +102,7 @@
         queue = self._queues.get(stage.record.job.queue)
         reason = self._find_job_obstacle(stage.record, now)
         if reason is None:
-            reason = _find_stage_obstacle(stage, _list_pending(stage), now)
+            reason = _find_stage_obstacle(stage, stage.list_pending(), now)
         if reason is None and stage in self._gangs_without_room:
             reason = waiting_reasons.WaitReason.GANG_WITHOUT_ROOM
         workers = self._pool.explain(stage, queue.service, now) if queue else {}
@@ -141,7 +141,7 @@
         service: ids.ServiceName,
         now: float,
     ) -> None:
-        pending = _list_pending(stage)
+        pending = stage.list_pending()
         if _find_stage_obstacle(stage, pending, now) is None:
             if stage.spec.gang:
                 self._plan_gang(stage, service, now)
@@ -231,10 +231,6 @@
         task.agent = None
 
 
-def _list_pending(stage: job_registry.StageRecord) -> list[job_registry.Task]:
-    return [task for task in stage.tasks if task.phase is job_registry.TaskPhase.PENDING]
-
-
 def _find_stage_obstacle(
     stage: job_registry.StageRecord, pending: list[job_registry.Task], now: float
 ) -> waiting_reasons.WaitReason | None:
--- a/crocusrudder/workflows/waiting_reasons.py
+++ b/crocusrudder/workflows/waiting_reasons.py
@@ -1,7 +1,8 @@
 """Explain why a ready job has nothing running.
 
-The owner reports jobs that have had a ready stage but no assigned task for some time. The reasons
-come from the functions that make the decisions, so that the two cannot differ.
+The owner reports jobs that have had a ready stage but no assigned task for some time, and those of
+which a long-running task has not been placed. The reasons come from the functions that make the
+decisions, so that the two cannot differ.
 """
 
 import collections
@@ -113,7 +114,7 @@
     """Time for which the job has waited."""
     record: job_registry.JobRecord
     stage: job_registry.StageRecord | None
-    """The first ready stage; None if finding it raised an error."""
+    """The first ready stage with a task to place; None if finding it raised an error."""
 
 
 class WaitingMonitor:
@@ -133,7 +134,11 @@
     ) -> list[effects.LogChange]:
         """Return the lines about waiting jobs that are due after a plan."""
         known = self._waits
-        waiting = [record for record in records if not record.assigned_count]
+        waiting = [
+            record
+            for record in records
+            if not record.assigned_count or (record.is_long_running and record.needs_planning)
+        ]
         self._waits = {
             record.job.job_id: known.get(record.job.job_id) or _Wait(now) for record in waiting
         }
@@ -154,7 +159,7 @@
             if seconds < REPORT_AFTER_SECONDS or now - wait.reported_at < REPEAT_SECONDS:
                 continue
             try:
-                stage = next(record.iterate_ready(wall_time, 0.0), None)
+                stage = _find_waiting_stage(record, wall_time)
             except Exception:
                 # The planner meets and logs the same error.
                 yield _DueReport(wait.reported_at, seconds, record, None)
@@ -186,6 +191,20 @@
         return effects.LogChange(EVENT, fields)
 
 
+def _find_waiting_stage(
+    record: job_registry.JobRecord, wall_time: float
+) -> job_registry.StageRecord | None:
+    """Return the first ready stage with a task to place; None if there is none."""
+    return next(
+        (
+            stage
+            for stage in record.iterate_ready(wall_time, 0.0)
+            if (stage.spec.long_running or not record.assigned_count) and stage.list_pending()
+        ),
+        None,
+    )
+
+
 def _explain(
     stage: job_registry.StageRecord | None, now: float, explain: ExplainFunction
 ) -> Explanation:
@@ -207,5 +226,5 @@
         "demand": msgspec.structs.asdict(stage.spec.demand),
         "image": stage.spec.image,
         "label": stage.spec.required_label,
-        "tasks": len(stage.tasks) - stage.done_count,
+        "tasks": len(stage.list_pending()),
     }
--- a/tests/workflows/test_waiting_reasons.py
+++ b/tests/workflows/test_waiting_reasons.py
@@ -178,6 +178,14 @@
         self.system.submit("j1", OVERSIZED)
         self.assertEqual(3, len(list_waits(self.system, 6.5)))
 
+    def test_a_long_running_task_without_room_beside_others_of_its_job(self):
+        stage = model.Stage(3, messages.Resources(5_000, 1, 0), long_running=True)
+        for agent in self.system.agents.values():
+            agent.worker.duration = 60.0
+        self.system.submit("j1", stage)
+        (fields,) = list_waits(self.system)
+        self.assertEqual((1, {"no_capacity": 2}), (fields["tasks"], fields["workers"]))
+
     def test_a_job_that_runs_or_is_not_due_has_no_line(self):
         for agent in self.system.agents.values():
             agent.worker.duration = 60.0
