Tell a blocked worker from one that the pool leaves out

A pool may leave out workers whose agents can get starts, and explain() raised a KeyError for them, which showed as planning_error. They are now counted as set_aside, and workers before blocked_until as blocked. A stage that the last plan passed over is shown as not_planned, also in a gang.

--- a/crocusrudder/workflows/fleet.py
+++ b/crocusrudder/workflows/fleet.py
@@ -144,7 +144,7 @@
             return reasons.DECLARED_LOST
         if now - self.received_at >= AGENT_TIMEOUT_SECONDS:
             return reasons.NO_RECENT_REPORT
-        return reasons.SET_ASIDE if now < self.blocked_until else None
+        return reasons.BLOCKED if now < self.blocked_until else None
 
     @property
     def assignments(self) -> Mapping[tuple[str, int], Assignment]:
--- a/crocusrudder/workflows/job_registry.py
+++ b/crocusrudder/workflows/job_registry.py
@@ -116,15 +116,15 @@
         self.is_started = self.progress.state is not model.JobState.QUEUED
         self.needs_planning = True
         """Whether a task may have become ready to start since the job was last planned."""
+        self.registry: JobRegistry | None = None
+        self._has_unsaved_changes = False
+        self.stored_state = self.progress.state
+        self.is_stored = progress is not None
         self.is_long_running = any(stage.long_running for stage in job.stages)
         self.plan_not_before = 0.0
         """When the job may be planned again after an error."""
         self.assigned_count = 0
         """Number of tasks in the phase ``ASSIGNED``."""
-        self.registry: JobRegistry | None = None
-        self._has_unsaved_changes = False
-        self.stored_state = self.progress.state
-        self.is_stored = progress is not None
         self._stages: dict[tuple[int, int], StageRecord] = {}
 
     @property
--- a/crocusrudder/workflows/placement.py
+++ b/crocusrudder/workflows/placement.py
@@ -119,7 +119,9 @@
         reason = view.find_block_reason(now)
         if reason is not None:
             return reason
-        candidate = self._usable[view.agent]
+        candidate = self._usable.get(view.agent)
+        if candidate is None:
+            return waiting_reasons.WaitReason.SET_ASIDE
         reason = self._find_obstacle(candidate, stage)
         if reason is waiting_reasons.WaitReason.NO_CAPACITY:
             # Only the room that is kept for moved runs is reserved without an assignment.
--- a/crocusrudder/workflows/planning.py
+++ b/crocusrudder/workflows/planning.py
@@ -41,8 +41,8 @@
         self._run_numbers = itertools.count(epoch * job_registry.RUNS_PER_EPOCH + 1)
         self._queues: dict[model.QueueName, model.Queue] = {}
         self._is_reconciled = False
-        self._gangs_without_room: set[job_registry.StageRecord] = set()
-        """Stages that the last plan could not place as a whole."""
+        self._left_pending: set[job_registry.StageRecord] = set()
+        """Stages that the last plan considered and of which it left tasks without a worker."""
         self._waiting_monitor = waiting_reasons.WaitingMonitor(epoch)
         self._logged: list[effects.LogChange] = []
 
@@ -70,7 +70,7 @@
         self._pool.refresh(views, now)
         self._moves.begin(views, now)
         self._is_reconciled = is_reconciled
-        self._gangs_without_room.clear()
+        self._left_pending.clear()
         selected = []
         for record in self._sort_jobs(wall_time):
             queue = self._queues.get(record.job.queue)
@@ -103,7 +103,9 @@
         reason = self._find_job_obstacle(stage.record, now)
         if reason is None:
             reason = _find_stage_obstacle(stage, stage.list_pending(), now)
-        if reason is None and stage in self._gangs_without_room:
+        if reason is None and stage not in self._left_pending:
+            reason = waiting_reasons.WaitReason.NOT_PLANNED
+        if reason is None and stage.spec.gang:
             reason = waiting_reasons.WaitReason.GANG_WITHOUT_ROOM
         workers = self._pool.explain(stage, queue.service, now) if queue else {}
         return waiting_reasons.Explanation(reason, workers)
@@ -149,6 +151,7 @@
                 self._plan_tasks(pending, service, now)
         if any(task.phase is job_registry.TaskPhase.PENDING for task in pending):
             stage.record.needs_planning = True
+            self._left_pending.add(stage)
 
     def _plan_tasks(
         self, pending: list[job_registry.Task], service: ids.ServiceName, now: float
@@ -169,8 +172,9 @@
         now: float,
     ) -> None:
         """Assign all members of the gang or none."""
+        if any(now < task.not_before for task in stage.tasks):
+            return
         if not self._can_fit(stage, service):
-            self._gangs_without_room.add(stage)
             return
         run = next(self._run_numbers)
         checkpoint = max(task.checkpoint for task in stage.tasks)
@@ -178,7 +182,6 @@
         for task in stage.tasks:
             candidate = self._pool.choose(task, service)
             if candidate is None:
-                self._gangs_without_room.add(stage)
                 for member, member_candidate in placed:
                     self._undo_assignment(member, member_candidate)
                 return
