--- a/crocusrudder/workflows/job_registry.py
+++ b/crocusrudder/workflows/job_registry.py
@@ -62,9 +62,12 @@
 
     @phase.setter
     def phase(self, phase: TaskPhase) -> None:
+        record = self.stage.record
+        was_assigned = self._phase is TaskPhase.ASSIGNED
+        record.assigned_count += (phase is TaskPhase.ASSIGNED) - was_assigned
         self._phase = phase
         if phase is not TaskPhase.ASSIGNED:
-            self.stage.record.needs_planning = True
+            record.needs_planning = True
 
 
 class StageRecord:
@@ -102,6 +105,10 @@
     def is_done(self) -> bool:
         return self.done_count == len(self.tasks)
 
+    def list_pending(self) -> list[Task]:
+        """Return the tasks that have not been placed."""
+        return [task for task in self.tasks if task.phase is TaskPhase.PENDING]
+
     def make_failure_key(self, task: Task) -> str:
         """Return the key of a task's failed runs in ``model.Progress``; gang members share one."""
         return self.key if self.spec.gang else f"{self.key}.{task.index}"
@@ -125,6 +132,11 @@
         self._has_unsaved_changes = False
         self.stored_state = self.progress.state
         self.is_stored = progress is not None
+        self.is_long_running = any(stage.long_running for stage in job.stages)
+        self.plan_not_before = 0.0
+        """When the job may be planned again after an error."""
+        self.assigned_count = 0
+        """Number of tasks in the phase ``ASSIGNED``."""
         self._stages: dict[tuple[int, int], StageRecord] = {}
 
     @property
--- a/crocusrudder/workflows/planning.py
+++ b/crocusrudder/workflows/planning.py
@@ -15,10 +15,14 @@
 from crocusrudder.workflows import starvation
 from crocusrudder.workflows import throttling
 from crocusrudder.workflows import waiting
+from crocusrudder.workflows import waiting_reasons
 
 START_EARLY_SECONDS = 0.0
 """How long before its due time an occurrence may start; the requirement is at most 0.25 s."""
 
+ERROR_RETRY_SECONDS = 1.0
+"""Delay before a job is planned again after an unexpected error, which is logged each time."""
+
 
 class Planner:
     """Assign pending tasks to workers."""
@@ -38,6 +42,10 @@
         self._moves = moves.MovePlanner(self._pool, throttle_controller)
         self._run_numbers = itertools.count(epoch * job_registry.RUNS_PER_EPOCH + 1)
         self._queues: dict[model.QueueName, model.Queue] = {}
+        self._is_reconciled = False
+        self._left_pending: set[job_registry.StageRecord] = set()
+        """Stages that the last plan considered and of which it left tasks without a worker."""
+        self._waiting_monitor = waiting_reasons.WaitingMonitor(epoch)
         self._logged: list[effects.LogChange] = []
 
     def set_configuration(self, configuration: model.Configuration) -> None:
@@ -63,16 +71,47 @@
         """
         self._pool.refresh(views, now)
         self._moves.begin(views, now)
+        self._is_reconciled = is_reconciled
+        self._left_pending.clear()
         selected = []
         for record in self._sort_jobs(wall_time):
             queue = self._queues.get(record.job.queue)
             if queue is None:
                 continue
             selected += self._moves.select(record, queue.service, now)
-            if record.needs_planning and (is_reconciled or record.version > self._version):
+            if self._find_job_obstacle(record, now) is None:
                 self._plan_job(record, queue, now, wall_time)
+        active = self._job_registry.active.values()
+        self._logged += self._waiting_monitor.check(active, now, wall_time, self._explain)
         return selected
 
+    def _find_job_obstacle(
+        self, record: job_registry.JobRecord, now: float
+    ) -> waiting_reasons.WaitReason | None:
+        """Return why a job must not be planned; None if it may be."""
+        if record.job.queue not in self._queues:
+            return waiting_reasons.WaitReason.QUEUE_UNKNOWN
+        if not record.needs_planning:
+            return waiting_reasons.WaitReason.NOT_PLANNED
+        if not self._is_reconciled and record.version <= self._version:
+            return waiting_reasons.WaitReason.NOT_RECONCILED
+        if now < record.plan_not_before:
+            return waiting_reasons.WaitReason.PLANNING_ERROR
+        return None
+
+    def _explain(self, stage: job_registry.StageRecord, now: float) -> waiting_reasons.Explanation:
+        """Explain why the last plan placed no task of a ready stage."""
+        queue = self._queues.get(stage.record.job.queue)
+        reason = self._find_job_obstacle(stage.record, now)
+        if reason is None:
+            reason = _find_stage_obstacle(stage, stage.list_pending(), now)
+        if reason is None and stage not in self._left_pending:
+            reason = waiting_reasons.WaitReason.NOT_PLANNED
+        if reason is None and stage.spec.gang:
+            reason = waiting_reasons.WaitReason.GANG_WITHOUT_ROOM
+        workers = self._pool.explain(stage, queue.service, now) if queue else {}
+        return waiting_reasons.Explanation(reason, workers)
+
     def _plan_job(
         self, record: job_registry.JobRecord, queue: model.Queue, now: float, wall_time: float
     ) -> None:
@@ -82,6 +121,8 @@
                 self._plan_stage(stage, queue.service, now)
         except Exception as error:
             # One job must not keep all others, and each later owner, from being planned.
+            record.needs_planning = True
+            record.plan_not_before = now + ERROR_RETRY_SECONDS
             fields = {"job": record.job.job_id, "error": repr(error)}
             code = errors.PlanningError.code
             self._logged.append(effects.LogChange("job_not_planned", {"code": code, **fields}))
@@ -104,14 +145,15 @@
         service: ids.ServiceName,
         now: float,
     ) -> None:
-        pending = [task for task in stage.tasks if task.phase is job_registry.TaskPhase.PENDING]
-        if stage.spec.gang:
-            if len(pending) == len(stage.tasks):
+        pending = stage.list_pending()
+        if _find_stage_obstacle(stage, pending, now) is None:
+            if stage.spec.gang:
                 self._plan_gang(stage, service, now)
-        else:
-            self._plan_tasks(pending, service, now)
+            else:
+                self._plan_tasks(pending, service, now)
         if any(task.phase is job_registry.TaskPhase.PENDING for task in pending):
             stage.record.needs_planning = True
+            self._left_pending.add(stage)
 
     def _plan_tasks(
         self, pending: list[job_registry.Task], service: ids.ServiceName, now: float
@@ -237,3 +279,16 @@
         self._pool.release(candidate, task.stage.spec)
         task.phase = job_registry.TaskPhase.PENDING
         task.agent = None
+
+
+def _find_stage_obstacle(
+    stage: job_registry.StageRecord, pending: list[job_registry.Task], now: float
+) -> waiting_reasons.WaitReason | None:
+    """Return why no pending task of the stage may be placed now; None if some may be."""
+    if stage.spec.gang:
+        if len(pending) != len(stage.tasks):
+            return waiting_reasons.WaitReason.GANG_INCOMPLETE
+        is_delayed = any(now < task.not_before for task in pending)
+    else:
+        is_delayed = all(now < task.not_before for task in pending)
+    return waiting_reasons.WaitReason.RETRY_DELAY if is_delayed else None
