Declare idle agents lost as well, so that a new owner does not wait for them

Callers saw accepted jobs with nothing running for over 6 s after a change of the owner. Only agents with runs were declared lost. A machine that was lost while it was idle stayed on the roster as if it were in touch, and each new owner waited for its full lease before it placed any stored job, however long ago the machine had been lost.

--- a/crocusrudder/workflows/owner.py
+++ b/crocusrudder/workflows/owner.py
@@ -317,7 +317,8 @@
 
     def _check_timeout(self, view: fleet.AgentView, now: float) -> None:
         elapsed = now - view.received_at
-        is_awaited = view.assignments or view.agent in self._awaited_agents
+        # A later owner waits for the lease of each agent on the roster that is not stored as lost.
+        is_awaited = view.assignments or view.registered_address
         if elapsed >= LOST_AFTER_SECONDS and is_awaited and not view.is_declared_lost:
             view.is_declared_lost = True
             self._log("agent_lost", agent=view.agent, silent_s=round(elapsed, 2))
--- a/tests/workflows/test_owner.py
+++ b/tests/workflows/test_owner.py
@@ -157,6 +157,19 @@
         system.run(1.5)
         self.assertEqual(2, system.count_starts("j1.0.0.0"))
 
+    def test_a_new_owner_does_not_wait_for_an_idle_worker_that_was_lost_long_before(self):
+        # Guards against LOST: only agents with runs were declared lost, so each new owner waited
+        # for the full lease of a machine that had been idle when it was lost.
+        system = world.World(agents=3)
+        system.run(1.0)
+        system.agents["a0"].is_connected = False
+        system.run(owner.LOST_AFTER_SECONDS + leases.LEASE_EXPIRY_SECONDS + 0.5)
+        system.submit("j1", model.Stage(1, ONE_CORE))
+        system.owner.tick = lambda *_: None
+        system.replace_owner(2)
+        system.run(1.5)
+        self.assertEqual(1, system.count_starts("j1.0.0.0"))
+
     def test_a_new_owner_does_not_wait_for_a_deregistered_worker(self):
         # Guards against LOST: a machine was removed while the owners were stopped one after the
         # other, and its tasks did not run for 11 s.
