--- a/crocusrudder/workflows/job_registry.py
+++ b/crocusrudder/workflows/job_registry.py
@@ -143,10 +143,6 @@
     def is_final(self) -> bool:
         return self.progress.state in model.FINAL_STATES
 
-    @property
-    def has_assigned_tasks(self) -> bool:
-        return any(task.phase is TaskPhase.ASSIGNED for task in self.iterate_tasks())
-
     @property
     def has_unsaved_changes(self) -> bool:
         return self._has_unsaved_changes
--- a/crocusrudder/workflows/starvation.py
+++ b/crocusrudder/workflows/starvation.py
@@ -17,7 +17,7 @@
 
 def is_starved(task: job_registry.Task, now: float) -> bool:
     """Record that a task was passed over; return whether it has waited too long."""
-    if not task.stage.spec.long_running and task.record.has_assigned_tasks:
+    if not task.stage.spec.long_running and task.record.assigned_count:
         return False
     waiting = _get_waiting(task)
     if waiting.passed_over_since is None:
