Log why an assigned task is not running

A job whose only runs are ordered but not confirmed, starting, being stopped or on a silent agent has nothing running either, and job_waiting left it out, as its tasks are assigned. Such jobs now have a line after 1 s, with the state of most of the runs as the reason; run_missing is a task that is assigned to a worker without its run, which nothing would ever release.

test_jobs_with_nothing_running_are_counted_by_reason now expects a second counter: its other job is ordered and never reported.

--- a/crocusrudder/workflows/fleet.py
+++ b/crocusrudder/workflows/fleet.py
@@ -146,6 +146,20 @@
             return reasons.NO_RECENT_REPORT
         return reasons.BLOCKED if now < self.blocked_until else None
 
+    def find_run_obstacle(self, task: job_registry.Task, now: float) -> waiting_reasons.WaitReason:
+        """Return why a task that is assigned to the worker is not running there."""
+        reasons = waiting_reasons.WaitReason
+        assignment = self._assignments.get((task.name, task.run))
+        if assignment is None:
+            return reasons.RUN_MISSING
+        if self.is_declared_lost or now - self.received_at >= AGENT_TIMEOUT_SECONDS:
+            return reasons.AGENT_SILENT
+        return {
+            AssignmentPhase.ORDERED: reasons.ORDER_PENDING,
+            AssignmentPhase.CONFIRMED: reasons.START_PENDING,
+            AssignmentPhase.STOPPING: reasons.STOP_PENDING,
+        }[assignment.phase]
+
     @property
     def assignments(self) -> Mapping[tuple[str, int], Assignment]:
         """Return the runs that may exist on the worker, by task name and run number."""
--- a/crocusrudder/workflows/job_registry.py
+++ b/crocusrudder/workflows/job_registry.py
@@ -33,6 +33,7 @@
         "not_before",
         "progressed_at",
         "percent",
+        "reported_run",
         "run",
         "stage",
         "_phase",
@@ -45,6 +46,8 @@
         self._phase = TaskPhase.PENDING
         self.agent: ids.ProcessId | None = None
         self.run = 0
+        self.reported_run = 0
+        """Number of the last run that a worker has listed as running."""
         self.checkpoint = ""
         self.assigned_at = 0.0
         self.percent = 0
@@ -56,6 +59,11 @@
     def record(self) -> "JobRecord":
         return self.stage.record
 
+    @property
+    def is_running(self) -> bool:
+        """Return whether the worker has listed the assigned run as running."""
+        return self._phase is TaskPhase.ASSIGNED and self.reported_run == self.run
+
     @property
     def phase(self) -> TaskPhase:
         return self._phase
@@ -99,6 +107,10 @@
         """Return the tasks that have not been placed."""
         return [task for task in self.tasks if task.phase is TaskPhase.PENDING]
 
+    def list_assigned(self) -> list[Task]:
+        """Return the tasks that are assigned to a worker."""
+        return [task for task in self.tasks if task.phase is TaskPhase.ASSIGNED]
+
     def make_failure_key(self, task: Task) -> str:
         """Return the key of a task's failed runs in ``model.Progress``; gang members share one."""
         return self.key if self.spec.gang else f"{self.key}.{task.index}"
@@ -200,6 +212,10 @@
         for stage in self._stages.values():
             yield from stage.tasks
 
+    @property
+    def is_running(self) -> bool:
+        return bool(self.assigned_count) and any(task.is_running for task in self.iterate_tasks())
+
     def mark_done(self, task: Task, wall_time: float) -> None:
         """Mark a task as done, and the job as completed if it was the last task."""
         if task.phase is TaskPhase.DONE:
--- a/crocusrudder/workflows/placement.py
+++ b/crocusrudder/workflows/placement.py
@@ -2,6 +2,7 @@
 
 import collections
 import functools
+from collections.abc import Iterable
 from collections.abc import Mapping
 
 from crocusrudder.core import ids
@@ -113,6 +114,14 @@
             if view.worker is None or view.worker.service == service
         )
 
+    def explain_runs(
+        self, tasks: Iterable[job_registry.Task], now: float
+    ) -> collections.Counter[waiting_reasons.WaitReason]:
+        """Count assigned tasks by the reason why they are not running."""
+        return collections.Counter(
+            self._views[task.agent].find_run_obstacle(task, now) for task in tasks
+        )
+
     def _explain_worker(
         self, view: fleet.AgentView, stage: job_registry.StageRecord, now: float
     ) -> waiting_reasons.WaitReason:
--- a/crocusrudder/workflows/planning.py
+++ b/crocusrudder/workflows/planning.py
@@ -99,6 +99,10 @@
 
     def _explain(self, stage: job_registry.StageRecord, now: float) -> waiting_reasons.Explanation:
         """Explain why the last plan placed no task of a ready stage."""
+        assigned = stage.list_assigned()
+        if assigned and not stage.record.is_running:
+            counts = self._pool.explain_runs(assigned, now)
+            return waiting_reasons.Explanation(max(counts, key=counts.__getitem__), {})
         queue = self._queues.get(stage.record.job.queue)
         reason = self._find_job_obstacle(stage.record, now)
         if reason is None:
--- a/crocusrudder/workflows/reports.py
+++ b/crocusrudder/workflows/reports.py
@@ -220,6 +220,7 @@
             view.measurements[running.task] = running.measure
             if assignment.task is not None:
                 assignment.task.record.mark_started()
+                assignment.task.reported_run = running.run
                 if running.percent != assignment.task.percent:
                     assignment.task.percent = running.percent
                     assignment.task.progressed_at = now
--- a/crocusrudder/workflows/waiting_reasons.py
+++ b/crocusrudder/workflows/waiting_reasons.py
@@ -1,6 +1,6 @@
 """Explain why a ready job has nothing running.
 
-The owner reports jobs that have had a ready stage but no assigned task for some time, and those of
+The owner reports jobs that have had a ready stage but no running task for some time, and those of
 which a long-running task has not been placed. The reasons come from the functions that make the
 decisions, so that the two cannot differ.
 """
@@ -74,6 +74,17 @@
     GANG_WITHOUT_ROOM = "gang_without_room"
     """The members do not fit all at once."""
 
+    ORDER_PENDING = "order_pending"
+    """The agent has not confirmed the order to start a run."""
+    START_PENDING = "start_pending"
+    """The agent has confirmed the order, but the worker does not list the run."""
+    STOP_PENDING = "stop_pending"
+    """A run is being stopped, and its task cannot be placed until it has ended."""
+    AGENT_SILENT = "agent_silent"
+    """A run may exist on a worker without reports, so its task waits for the lease to expire."""
+    RUN_MISSING = "run_missing"
+    """A task is assigned to a worker that has no run of it: a fault of the owner."""
+
 
 class Explanation(msgspec.Struct, frozen=True):
     """Why no task of a stage has been placed."""
@@ -125,6 +136,8 @@
     def __init__(self, epoch: int) -> None:
         self._epoch = epoch
         self._waits: dict[ids.JobId, _Wait] = {}
+        self._not_running: set[ids.JobId] = set()
+        """Jobs with assigned tasks of which none was running in the last round."""
         self._next_round_at = float("-inf")
 
     def check(
@@ -136,15 +149,23 @@
     ) -> list[effects.LogChange]:
         """Return the lines about waiting jobs that are due after a plan."""
         known = self._waits
+        is_round = now >= self._next_round_at
+        if is_round:
+            records = list(records)
+            self._not_running = {
+                r.job.job_id for r in records if r.assigned_count and not r.is_running
+            }
         waiting = [
             record
             for record in records
-            if not record.assigned_count or (record.is_long_running and record.needs_planning)
+            if not record.assigned_count
+            or (record.is_long_running and record.needs_planning)
+            or record.job.job_id in self._not_running
         ]
         self._waits = {
             record.job.job_id: known.get(record.job.job_id) or _Wait(now) for record in waiting
         }
-        if now < self._next_round_at:
+        if not is_round:
             return []
         self._next_round_at = now + ROUND_SECONDS
         due = sorted(self._list_due(waiting, now, wall_time), key=lambda entry: entry.reported_at)
@@ -196,12 +217,17 @@
 def _find_waiting_stage(
     record: job_registry.JobRecord, wall_time: float
 ) -> job_registry.StageRecord | None:
-    """Return the first ready stage with a task to place; None if there is none."""
+    """Return the first ready stage with a task that waits; None if there is none."""
+    is_running = record.is_running
+    phase = job_registry.TaskPhase.PENDING
+    if record.assigned_count and not is_running:
+        phase = job_registry.TaskPhase.ASSIGNED
     return next(
         (
             stage
             for stage in record.iterate_ready(wall_time, 0.0)
-            if (stage.spec.long_running or not record.assigned_count) and stage.list_pending()
+            if (stage.spec.long_running or not is_running)
+            and any(task.phase is phase for task in stage.tasks)
         ),
         None,
     )
@@ -228,5 +254,6 @@
         "demand": msgspec.structs.asdict(stage.spec.demand),
         "image": stage.spec.image,
         "label": stage.spec.required_label,
-        "tasks": len(stage.list_pending()),
+        "pending": len(stage.list_pending()),
+        "assigned": len(stage.list_assigned()),
     }
--- a/tests/workflows/test_owner_service.py
+++ b/tests/workflows/test_owner_service.py
@@ -81,7 +81,8 @@
             self._report()
         self.service._send_orders()
         self.service._write_log()
-        self.assertEqual({"jobs_waiting_no_capacity": 1}, self.metrics.counters)
+        expected = {"jobs_waiting_no_capacity": 1, "jobs_waiting_order_pending": 1}
+        self.assertEqual(expected, self.metrics.counters)
 
     def test_orders_planned_before_a_suspension_are_not_sent_after_the_lease_has_run_out(self):
         # Guards against two owners: a process that is suspended between its check of the lease
--- a/tests/workflows/test_waiting_reasons.py
+++ b/tests/workflows/test_waiting_reasons.py
@@ -168,6 +168,39 @@
         self.assertEqual({"planning_error"}, list_reasons(self.system))
 
 
+class RunReasonTest(unittest.TestCase):
+    """Each reason why an assigned task is not running."""
+
+    def _find_reason(self, phase: fleet.AssignmentPhase | None, is_silent: bool) -> str:
+        system = world.World(1)
+        system.run(1.0)
+        (agent,) = system.agents.values()
+        agent.handle_orders = mock.Mock()
+        system.submit("j1", model.Stage(1, ONE_CORE))
+        system.run(0.2)
+        agent.is_connected = not is_silent
+        (view,) = system.owner.views.values()
+        (assignment,) = view.assignments.values()
+        if phase is None:
+            view.remove_assignment(assignment)
+        else:
+            assignment.phase = phase
+        with mock.patch.object(system.owner._report_handler, "_stop_absent"):
+            return list_waits(system, 4.0 if is_silent else 2.0)[-1]["reason"]
+
+    def test_reasons(self):
+        phases = fleet.AssignmentPhase
+        for phase, is_silent, reason in (
+            (phases.ORDERED, False, Reason.ORDER_PENDING),
+            (phases.CONFIRMED, False, Reason.START_PENDING),
+            (phases.STOPPING, False, Reason.STOP_PENDING),
+            (phases.CONFIRMED, True, Reason.AGENT_SILENT),
+            (None, False, Reason.RUN_MISSING),
+        ):
+            with self.subTest(reason):
+                self.assertEqual(reason.value, self._find_reason(phase, is_silent))
+
+
 class WaitingMonitorTest(unittest.TestCase):
     def setUp(self):
         self.system = world.World()
@@ -191,7 +224,7 @@
             agent.worker.duration = 60.0
         self.system.submit("j1", stage)
         (fields,) = list_waits(self.system)
-        self.assertEqual((1, {"no_capacity": 2}), (fields["tasks"], fields["workers"]))
+        self.assertEqual((1, {"no_capacity": 2}), (fields["pending"], fields["workers"]))
 
     def test_a_job_that_runs_or_is_not_due_has_no_line(self):
         for agent in self.system.agents.values():
