Reject a start that was planned before its worker's capacity shrank

A caller's task was started on a worker that had no capacity left for it, if an order was lost around a shrink: the owner repeats a start until it is confirmed, and gave each repetition the age of its newest report, so the check of an order's age never caught it. Rule LIMIT counts the earlier capacity for contactMs (2.0 s on some sites) and one heartbeat only.

A start now carries the time of the report on which it was planned. The agent rejects it with 'no-room' if the capacity has shrunk since, also when the order was in flight, and the owner plans the task again. The run certainly never starts, so nothing has to be stopped. A restarted agent does not know of earlier shrinks and rejects the starts planned before it started.

--- a/crocusrudder/wire/workflow_messages.py
+++ b/crocusrudder/wire/workflow_messages.py
@@ -89,6 +89,8 @@
     spec: str
     checkpoint: str = ""
     ticket: str = ""
+    planned_on: float = float("inf")
+    """``sent_at`` of the report on which the owner based the start; infinite if unknown."""
 
 
 class AgentOrders(messages.Message, frozen=True):
--- a/crocusrudder/workflows/agent_daemon.py
+++ b/crocusrudder/workflows/agent_daemon.py
@@ -24,7 +24,6 @@
 from crocusrudder.workflows import agent_state
 from crocusrudder.workflows import errors as workflow_errors
 from crocusrudder.workflows import inspection
-from crocusrudder.workflows import leases
 from crocusrudder.workflows import model
 from crocusrudder.workflows import rows
 from crocusrudder.workflows import settings
@@ -189,8 +188,11 @@
         self, orders: workflow_messages.AgentOrders, order: workflow_messages.StartOrder
     ) -> model.RejectReason | None:
         now = clocks.read_boot_time()
+        rejection = self._state.find_rejection(order, orders.echo, now)
+        if rejection is not None:
+            return rejection
         lease_end = self._state.get_lease_end_ms(now)
-        if lease_end is None or now - orders.echo > leases.ORDER_VALID_SECONDS:
+        if lease_end is None:
             return model.RejectReason.NOT_READY
         try:
             answer = await self._worker.start(orders.worker, order, orders.epoch, lease_end)
--- a/crocusrudder/workflows/agent_state.py
+++ b/crocusrudder/workflows/agent_state.py
@@ -8,6 +8,7 @@
 
 from crocusrudder.core import ids
 from crocusrudder.platform import worker
+from crocusrudder.wire import messages
 from crocusrudder.wire import workflow_messages
 from crocusrudder.workflows import leases
 from crocusrudder.workflows import model
@@ -33,6 +34,8 @@
         self._lease_seconds = min(leases.LEASE_SECONDS, lease_seconds)
         self._worker: workflow_messages.WorkerState | None = None
         self._sequence = -1
+        # An earlier agent process may have known of a greater capacity than this one.
+        self._capacity_shrunk_at = now
         self._epoch = 0
         self._listed_epoch = 0
         self._granted_at = float("-inf")
@@ -102,6 +105,8 @@
                 return False
             self._sequence = sequence
             self._worker = state
+            if _has_shrunk(known.capacity, state.capacity):
+                self._capacity_shrunk_at = now
             return known != state
         if known is not None and state.born_ms < known.born_ms:
             # A delayed heartbeat of an earlier incarnation.
@@ -167,6 +172,20 @@
             orders.acknowledged,
         )
 
+    def find_rejection(
+        self, order: workflow_messages.StartOrder, echo: float, now: float
+    ) -> model.RejectReason | None:
+        """Return why a start must not be sent to the worker any more; None if it may be.
+
+        The owner repeats a start that was lost. One that was planned before the worker's capacity
+        shrank may exceed it, and not all workers reject such a start themselves.
+        """
+        if now - echo > leases.ORDER_VALID_SECONDS:
+            return model.RejectReason.NOT_READY
+        if order.planned_on < self._capacity_shrunk_at:
+            return model.RejectReason.NO_CAPACITY
+        return None
+
     def record_start_sent(self, run: RunKey) -> None:
         self._starting.add(run)
 
@@ -326,3 +345,11 @@
         self._rejected = {}
         self._stopped = {}
         self._acknowledged = 0
+
+
+def _has_shrunk(known: messages.Resources, new: messages.Resources) -> bool:
+    return (
+        new.millicores < known.millicores
+        or new.memory_mb < known.memory_mb
+        or new.accelerators < known.accelerators
+    )
--- a/crocusrudder/workflows/fleet.py
+++ b/crocusrudder/workflows/fleet.py
@@ -31,6 +31,7 @@
         "checkpoint",
         "order_number",
         "phase",
+        "planned_on",
         "run",
         "task",
         "task_name",
@@ -47,6 +48,8 @@
         self.order_number = 0
         self.checkpoint = ""
         self.ticket = ""
+        self.planned_on = float("inf")
+        """``sent_at`` of the report on which the run was planned."""
         self.is_adopted = False
         """Whether an earlier owner ordered the run, so its CPU share on the worker is unknown."""
 
--- a/crocusrudder/workflows/owner.py
+++ b/crocusrudder/workflows/owner.py
@@ -355,6 +355,7 @@
                         assignment.task.record.job.spec,
                         assignment.checkpoint,
                         assignment.ticket,
+                        assignment.planned_on,
                     )
                 )
             elif assignment.phase is fleet.AssignmentPhase.STOPPING:
--- a/crocusrudder/workflows/planning.py
+++ b/crocusrudder/workflows/planning.py
@@ -160,6 +160,7 @@
         view = candidate.view
         assignment = fleet.Assignment(task.name, run, task, fleet.AssignmentPhase.ORDERED)
         assignment.checkpoint = task.checkpoint
+        assignment.planned_on = view.report_sent_at
         view.add_assignment(assignment)
         view.has_updates = True
         self._pool.reserve(candidate, task.stage.spec)
--- a/tests/workflows/test_agent_state.py
+++ b/tests/workflows/test_agent_state.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+import msgspec
+
 from crocusrudder.core import ids
 from crocusrudder.platform import worker
 from crocusrudder.wire import messages
@@ -60,6 +62,22 @@
         self.state.handle_heartbeat(make_worker(born_ms=9), 1, 100.0)
         self.assertIsNone(self.state.handle_orders(make_orders(1, 100.0), 100.0))
 
+    def test_a_start_planned_before_the_capacity_shrank_is_rejected(self):
+        # Guards against LIMIT: an order may arrive 2 s after the shrink, and an agent that was
+        # restarted does not know whether the capacity has shrunk.
+        order = msgspec.structs.replace(START, planned_on=100.4)
+        smaller = msgspec.structs.replace(make_worker(), capacity=messages.Resources(8_000, 50, 0))
+        self.assertIsNone(self.state.find_rejection(order, 100.4, 100.5))
+        self.state.handle_heartbeat(smaller, 2, 100.5)
+        self.assertIs(
+            model.RejectReason.NO_CAPACITY, self.state.find_rejection(order, 100.4, 100.6)
+        )
+        self.state.handle_heartbeat(make_worker(), 3, 100.7)
+        later = msgspec.structs.replace(START, planned_on=100.5)
+        self.assertIsNone(self.state.find_rejection(later, 100.5, 100.8))
+        restarted = agent_state.AgentState(6.0, 100.6)
+        self.assertIs(model.RejectReason.NO_CAPACITY, restarted.find_rejection(later, 100.5, 100.7))
+
     def test_a_repeated_order_is_executed_once(self):
         first = self.state.handle_orders(make_orders(1, 100.0, starts=(START,)), 100.0)
         second = self.state.handle_orders(make_orders(1, 100.0, starts=(START,)), 100.0)
--- /dev/null
+++ b/tests/workflows/test_capacity.py
@@ -0,0 +1,258 @@
+"""Workers whose capacity changes while they run; they do not reject a start that exceeds it."""
+
+import functools
+import itertools
+import random
+import unittest
+
+from crocusrudder.wire import messages
+from crocusrudder.workflows import job_registry
+from crocusrudder.workflows import model
+from tests.workflows import world
+
+ONE_CORE = messages.Resources(1_000, 100, 0)
+FULL = (8_000, 32_000, 4)
+GRACE_SECONDS = 2.0 + 0.5
+"""Time for which the earlier capacity counts after it has shrunk: the smallest ``contactMs`` of the
+users' sites and one heartbeat."""
+
+
+class LimitChecker:
+    """Record the starts that bring a worker over its capacity."""
+
+    def __init__(self, system: world.World) -> None:
+        self.violations: list[str] = []
+        self._system = system
+        self._history: dict[world.FakeWorker, list[tuple[float, messages.Resources]]] = {}
+        self._specs: dict[str, model.Stage] = {}
+        for agent in system.agents.values():
+            self.watch(agent.worker)
+
+    def watch(self, worker: world.FakeWorker) -> None:
+        """Check the starts on a worker from now on."""
+        self._history[worker] = [(self._system.now, worker.state.capacity)]
+        worker.start = functools.partial(self._check_start, worker, worker.start)
+        worker.set_capacity = functools.partial(self._set, worker, worker.set_capacity)
+
+    def _set(self, worker, set_capacity, *capacity: int) -> None:
+        set_capacity(*capacity)
+        self._history[worker].append((self._system.now, worker.state.capacity))
+
+    def _check_start(self, worker, start, now, order, epoch, lease):
+        rejected = start(now, order, epoch, lease)
+        for task, _ in worker.running:
+            found = self._system.owner.job_registry.find_task(task)
+            if found is not None:
+                self._specs[task] = found.stage.spec
+        specs = [self._specs[task] for task, _ in worker.running]
+        used = (
+            sum(spec.demand.millicores for spec in specs if not spec.best_effort),
+            sum(spec.demand.memory_mb for spec in specs),
+            sum(spec.demand.accelerators for spec in specs),
+        )
+        if rejected is None and any(
+            amount > limit for amount, limit in zip(used, self._get_limit(worker), strict=True)
+        ):
+            limit = self._get_limit(worker)
+            self.violations.append(
+                f"{now:.1f} {order.task} on {worker.state.worker}: {used} {limit}"
+            )
+        return rejected
+
+    def _get_limit(self, worker: world.FakeWorker) -> tuple[int, int, int]:
+        """Return the greatest capacity that counts now, by resource."""
+        history = self._history[worker]
+        ends = [at for at, _ in history[1:]] + [float("inf")]
+        counting = [
+            capacity
+            for (_, capacity), end in zip(history, ends, strict=True)
+            if end + GRACE_SECONDS >= self._system.now
+        ]
+        return (
+            max(capacity.millicores for capacity in counting),
+            max(capacity.memory_mb for capacity in counting),
+            max(capacity.accelerators for capacity in counting),
+        )
+
+
+class CapacityTestCase(unittest.TestCase):
+    """Base class: a world whose workers' starts are checked."""
+
+    def _make_world(self, agents: int = 1, duration: float = 60.0) -> world.World:
+        self.system = world.World(agents)
+        for agent in self.system.agents.values():
+            agent.worker.duration = duration
+            agent.worker.set_capacity(*FULL)
+        self.checker = LimitChecker(self.system)
+        self.system.run(1.0)
+        return self.system
+
+    def _set_all(self, *capacity: int) -> None:
+        for agent in self.system.agents.values():
+            agent.worker.set_capacity(*capacity)
+
+    def _check(self) -> None:
+        self.assertEqual([], self.checker.violations)
+
+
+class CapacityTest(CapacityTestCase):
+    def test_a_full_worker_that_shrinks_gets_no_starts_until_its_runs_fit(self):
+        system = self._make_world(duration=3.0)
+        system.submit("j1", model.Stage(20, ONE_CORE))
+        system.run(1.0)
+        self._set_all(4_000, 32_000, 4)
+        system.run(20.0)
+        self._check()
+        self.assertIs(model.JobState.COMPLETED, system.get_state("j1"))
+
+    def test_each_resource_limits_starts_after_a_shrink(self):
+        # Guards against memory or accelerators that are not updated with the processors.
+        demand = messages.Resources(100, 8_000, 1)
+        for capacity in ((8_000, 10_000, 4), (8_000, 32_000, 1)):
+            for best_effort in (False, True):
+                system = self._make_world()
+                self._set_all(*capacity)
+                system.run(0.2)
+                system.submit("j1", model.Stage(4, demand, best_effort=best_effort, image="i"))
+                system.run(4.0)
+                with self.subTest(capacity=capacity, best_effort=best_effort):
+                    self.assertEqual(1, len(system.agents["a0"].worker.started))
+
+    def test_a_worker_without_capacity_gets_starts_once_it_has_grown(self):
+        system = self._make_world()
+        self._set_all(0, 0, 0)
+        system.run(3.0)
+        system.submit("j1", model.Stage(4, ONE_CORE))
+        system.run(3.0)
+        self.assertEqual([], system.agents["a0"].worker.started)
+        self._set_all(2_000, 32_000, 4)
+        system.run(1.0)
+        self.assertEqual(2, len(system.agents["a0"].worker.started))
+        self._check()
+
+    def test_a_start_that_has_not_arrived_is_withdrawn_when_its_worker_shrinks(self):
+        # Guards against LIMIT: the owner repeated the start, based on each newer report.
+        system = self._make_world(agents=1)
+        agent = system.agents["a0"]
+        agent.is_receiving = False
+        system.submit("j1", model.Stage(8, ONE_CORE))
+        system.run(0.2)
+        self._set_all(2_000, 32_000, 4)
+        system.run(GRACE_SECONDS + 0.5)
+        agent.is_receiving = True
+        system.run(4.0)
+        self._check()
+        self.assertEqual(2, len(agent.worker.running))
+
+    def test_a_new_owner_places_nothing_on_a_worker_that_shrank_during_the_takeover(self):
+        system = self._make_world(agents=2)
+        system.submit("j1", model.Stage(12, ONE_CORE))
+        system.run(1.0)
+        self._set_all(3_000, 32_000, 4)
+        system.replace_owner(2)
+        system.submit("j2", model.Stage(8, ONE_CORE), version=10_000)
+        system.run(GRACE_SECONDS + 5.0)
+        self._check()
+        self.assertEqual(0, system.count_starts("j2.0.0.0"))
+
+    def test_a_worker_that_shrank_while_its_agent_was_silent_gets_no_starts(self):
+        system = self._make_world(agents=2)
+        system.submit("j1", model.Stage(12, ONE_CORE))
+        system.run(1.0)
+        silent = system.agents["a0"]
+        silent.is_connected = False
+        silent.worker.set_capacity(2_000, 32_000, 4)
+        system.run(4.0)
+        silent.is_connected = True
+        system.submit("j2", model.Stage(8, ONE_CORE))
+        system.run(4.0)
+        self._check()
+
+
+class CapacityHistoryTest(CapacityTestCase):
+    """Random histories of shrinks and growth with takeovers, cancellations and lost orders."""
+
+    SEEDS = range(30)
+    ACTIONS = 60
+
+    def test_no_start_exceeds_a_capacity_in_a_random_history(self):
+        for seed in self.SEEDS:
+            with self.subTest(seed=seed):
+                self._play(random.Random(seed))
+                self._check()
+
+    def _play(self, rng: random.Random) -> None:
+        system = self._make_world(agents=3, duration=1.5)
+        self._numbers = itertools.count()
+        self._epochs = itertools.count(2)
+        for agent in system.agents.values():
+            agent.worker.stop_seconds = rng.choice((0.2, 0.9))
+        actions = (self._shrink, self._shrink, self._submit, self._submit, self._cancel)
+        actions += (self._toggle_link, self._lose_orders, self._take_over, self._move)
+        for _ in range(self.ACTIONS):
+            rng.choice(actions)(rng)
+            system.run(rng.choice((0.1, 0.4, 1.5)))
+        self._set_all(*FULL)
+        for agent in system.agents.values():
+            agent.is_connected = agent.is_receiving = True
+        system.run(40.0)
+        unfinished = [
+            job
+            for job, record in system.owner.job_registry.records.items()
+            if record.visible_state not in model.FINAL_STATES
+        ]
+        self.assertEqual([], unfinished, "jobs that do not end once all workers are back")
+
+    def _pick_agent(self, rng: random.Random) -> world.FakeAgent:
+        return rng.choice(list(self.system.agents.values()))
+
+    def _shrink(self, rng: random.Random) -> None:
+        capacity = list(FULL)
+        shrunk = rng.randrange(len(FULL))
+        capacity[shrunk] = rng.choice((0, FULL[shrunk] // 4, FULL[shrunk]))
+        self._pick_agent(rng).worker.set_capacity(*capacity)
+
+    def _lose_orders(self, rng: random.Random) -> None:
+        """Shrink some workers while the orders of an agent are lost."""
+        agent = self._pick_agent(rng)
+        agent.is_receiving = False
+        self._submit(rng)
+        for _ in range(rng.randint(1, 4)):
+            self.system.run(rng.choice((0.3, 1.0)))
+            self._shrink(rng)
+        self.system.run(rng.choice((0.0, 2.0, 3.0)))
+        agent.is_receiving = True
+
+    def _submit(self, rng: random.Random) -> None:
+        demand = messages.Resources(
+            rng.choice((500, 1_000, 2_000)), rng.choice((100, 8_000)), rng.choice((0, 0, 1))
+        )
+        stage = model.Stage(
+            rng.randint(1, 24), demand, best_effort=rng.random() < 0.3, image=rng.choice("abc")
+        )
+        self.system.submit(f"j{next(self._numbers)}", stage, version=1_000_000)
+
+    def _cancel(self, rng: random.Random) -> None:
+        jobs = list(self.system.owner.job_registry.active)
+        if jobs:
+            wall_time = world.WALL_TIME_OFFSET + self.system.now
+            self.system.owner.apply_cancellation(rng.choice(jobs), wall_time)
+
+    def _toggle_link(self, rng: random.Random) -> None:
+        self._pick_agent(rng).is_connected = rng.random() < 0.8
+
+    def _take_over(self, _: random.Random) -> None:
+        self.system.replace_owner(next(self._epochs))
+
+    def _move(self, rng: random.Random) -> None:
+        views = [view for view in self.system.owner.views.values() if view.assignments]
+        if not views:
+            return
+        view = rng.choice(views)
+        run = next(iter(view.assignments.values()))
+        if run.task is not None and run.task.phase is job_registry.TaskPhase.ASSIGNED:
+            self.system.owner._report_handler.move_run(view, run)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/workflows/world.py
+++ b/tests/workflows/world.py
@@ -7,6 +7,8 @@
 import types
 from collections.abc import Mapping
 
+import msgspec
+
 from crocusrudder.core import ids
 from crocusrudder.platform import worker as worker_client
 from crocusrudder.wire import messages
@@ -47,6 +49,10 @@
         self.is_hung = False
         self.stopping: dict[tuple[str, int], float] = {}
 
+    def set_capacity(self, *capacity: int) -> None:
+        """Change the capacity: millicores, memory in MB and accelerators."""
+        self.state = msgspec.structs.replace(self.state, capacity=messages.Resources(*capacity))
+
     def start(self, now: float, order: workflow_messages.StartOrder, epoch: int, lease: float):
         """Start a run; return why it is rejected, or None."""
         if epoch < self.fence:
@@ -110,6 +116,8 @@
         self.state = agent_state.AgentState(6.0, now)
         self.worker = FakeWorker(f"w-{name}", 1_000)
         self.is_connected = True
+        self.is_receiving = True
+        """Whether orders reach the agent; its reports are sent regardless."""
         self.heartbeats = 0
 
     def step(self, now: float) -> None:
@@ -135,7 +143,8 @@
         for order in accepted.starts:
             run = (order.task, order.run)
             self.state.record_start_sent(run)
-            rejected = self.worker.start(now, order, orders.epoch, now + 6.0)
+            rejected = self.state.find_rejection(order, orders.echo, now)
+            rejected = rejected or self.worker.start(now, order, orders.epoch, now + 6.0)
             self.state.record_start_result(run, rejected, now)
         for run in accepted.stops:
             self.state.record_stop_result(run, self.worker.stop(now, run, orders.epoch), now)
@@ -191,7 +200,7 @@
                 self._report(agent)
         self.owner.tick(self.now, WALL_TIME_OFFSET + self.now)
         for process, orders in self.owner.make_orders(self.now):
-            if self.agents[process].is_connected:
+            if self.agents[process].is_connected and self.agents[process].is_receiving:
                 self.agents[process].handle_orders(orders, self.now)
         if self.is_store_available and self.owner.has_changes():
             self.commit()
