Place nothing beside runs whose demand is unknown

Starts could bring a worker over its capacity while runs of a job that the owner doesn't know (its row was removed or is unreadable) were still being stopped there: such runs take capacity, but the owner counted nothing for them. A stop takes up to stopTimeoutMs, and what is being stopped still counts.

A worker with such a run gets no starts until the run has ended.

--- a/crocusrudder/workflows/fleet.py
+++ b/crocusrudder/workflows/fleet.py
@@ -71,6 +71,8 @@
     """The best-effort runs that are not being stopped."""
     best_effort_by_image: dict[str, int] = {}
     """Millicores requested by the runs in ``best_effort``."""
+    has_unknown: bool = False
+    """Whether a run's task is unknown, and so is what it takes; such a run is being stopped."""
 
 
 class AgentView:
@@ -134,6 +136,7 @@
             and self.is_reachable
             and not self.worker.draining
             and not self.is_declared_lost
+            and not self.usage.has_unknown
             and now - self.received_at < AGENT_TIMEOUT_SECONDS
             and now >= self.blocked_until
         )
@@ -177,8 +180,10 @@
     targets_ms: dict[str, float] = {}
     best_effort = []
     by_image: dict[str, int] = {}
+    has_unknown = False
     for assignment in assignments:
         if assignment.task is None:
+            has_unknown = True
             continue
         spec = assignment.task.stage.spec
         demand = spec.demand
@@ -206,4 +211,5 @@
         targets_ms,
         tuple(best_effort),
         by_image,
+        has_unknown,
     )
--- a/tests/workflows/test_capacity.py
+++ b/tests/workflows/test_capacity.py
@@ -5,6 +5,7 @@
 import random
 import unittest
 
+from crocusrudder.core import ids
 from crocusrudder.wire import messages
 from crocusrudder.workflows import job_registry
 from crocusrudder.workflows import model
@@ -144,6 +145,22 @@
         self._check()
         self.assertEqual(2, len(agent.worker.running))
 
+    def test_runs_of_an_unknown_job_keep_their_worker_from_starts(self):
+        # Guards against LIMIT: what such a run takes is not known, so nothing may be added to it
+        # until it has ended.
+        system = self._make_world()
+        worker = system.agents["a0"].worker
+        system.submit("j1", model.Stage(8, ONE_CORE))
+        system.run(1.0)
+        worker.stop_seconds = 0.9
+        self.assertEqual(8, len(worker.running))
+        system.replace_owner(2)
+        system.owner.job_registry.remove(ids.JobId("j1"))
+        system.submit("j2", model.Stage(8, ONE_CORE), version=10_000)
+        system.run(4.0)
+        self._check()
+        self.assertEqual(1, system.count_starts("j2.0.0.0"))
+
     def test_a_new_owner_places_nothing_on_a_worker_that_shrank_during_the_takeover(self):
         system = self._make_world(agents=2)
         system.submit("j1", model.Stage(12, ONE_CORE))
