Place no best-effort task on a worker over its processors

After a worker's processors had shrunk below what its tasks reserve, it still got best-effort tasks: the share that latency-critical tasks leave idle was added to a free capacity below zero. What is left of such a worker belongs to the tasks that reserved it, and a start on a worker over its capacity may count against LIMIT.

Before the change (tests.workflows.test_capacity): test_a_best_effort_task_is_not_placed_on_a_worker_over_its_capacity AssertionError: 0 != 1 (starts of the best-effort task) After: the test passes.

--- a/crocusrudder/workflows/candidates.py
+++ b/crocusrudder/workflows/candidates.py
@@ -60,6 +60,10 @@
         if demand.memory_mb > self.memory_mb or demand.accelerators > self.accelerators:
             return False
         if spec.best_effort:
+            # The share of latency-critical tasks is idle only within the worker's capacity, which
+            # may have shrunk below what they reserve.
+            if self.millicores < 0:
+                return False
             return self.best_effort_millicores + demand.millicores <= self.idle_millicores
         return demand.millicores <= self.millicores
 
--- a/tests/workflows/test_capacity.py
+++ b/tests/workflows/test_capacity.py
@@ -145,6 +145,19 @@
         self._check()
         self.assertEqual(2, len(agent.worker.running))
 
+    def test_a_best_effort_task_is_not_placed_on_a_worker_over_its_capacity(self):
+        system = self._make_world()
+        system.submit(
+            "j1", model.Stage(8, ONE_CORE, image="a", latency_target_ms=100.0, long_running=True)
+        )
+        system.run(1.0)
+        self._set_all(7_500, 32_000, 4)
+        system.run(GRACE_SECONDS + 0.2)
+        system.submit("j2", model.Stage(1, ONE_CORE, image="b", best_effort=True))
+        system.run(3.0)
+        self.assertEqual(0, system.count_starts("j2.0.0.0"))
+        self._check()
+
     def test_runs_of_an_unknown_job_keep_their_worker_from_starts(self):
         # Guards against LIMIT: what such a run takes is not known, so nothing may be added to it
         # until it has ended.
