Refuse impossible numbers in what workers say of themselves

One heartbeat or list entry with an integer above 64 bits, such as a capacity, was accepted, and the agent's next report could not be encoded (msgspec raises OverflowError, which by reading ends the report task and with it the process; its runs then last until their lease ends). A negative capacity was taken for the worker's own.

Before the change (tests.platform.test_messages): MalformedInputError not raised for cpu -1, cpu 2**64 and born 2**64; entries with run 2**64 and percent 1e300 were taken.

--- a/crocusrudder/platform/heartbeats.py
+++ b/crocusrudder/platform/heartbeats.py
@@ -1,6 +1,7 @@
 """Decode the heartbeats that workers send to their agents."""
 
 import re
+from typing import Annotated
 from typing import Any
 
 import msgspec
@@ -13,23 +14,25 @@
 HEARTBEAT_PATH = re.compile(r"/crocusrudder/Workers\.Heartbeat/([^/?]+)")
 DEREGISTER_PATH = re.compile(r"/crocusrudder/Workers\.Deregister/([^/?]+)")
 
+_Count = Annotated[int, msgspec.Meta(ge=0, le=messages.MAX_INTEGER)]
+
 _DRAINING_BY_STATE = {"ready": False, "draining": True}
 
 
 class _WireCapacity(msgspec.Struct):
-    cpu: int
-    memory_mb: int = msgspec.field(name="memMb")
-    gpu: int = 0
+    cpu: _Count
+    memory_mb: _Count = msgspec.field(name="memMb")
+    gpu: _Count = 0
 
 
 class _WireHeartbeat(msgspec.Struct):
     service: str
     state: str
-    seq: int
+    seq: _Count
     capacity: _WireCapacity
     zone: str = ""
     labels: list[str] = []
-    born: int = 0
+    born: _Count = 0
 
 
 class Heartbeat(msgspec.Struct, frozen=True):
--- a/crocusrudder/platform/worker.py
+++ b/crocusrudder/platform/worker.py
@@ -1,6 +1,7 @@
 """Client of the worker on the machine of the agent: starts, stops, throttles and lists runs."""
 
 from collections.abc import Iterator
+from typing import Annotated
 from typing import Any
 from typing import TypeVar
 
@@ -10,6 +11,7 @@
 from crocusrudder.observability import logs
 from crocusrudder.platform import errors
 from crocusrudder.platform import http
+from crocusrudder.wire import messages
 from crocusrudder.wire import workflow_messages
 from crocusrudder.workflows import model
 
@@ -32,26 +34,29 @@
 }
 
 
+_Count = Annotated[int, msgspec.Meta(ge=0, le=messages.MAX_INTEGER)]
+
+
 class _WireResponse(msgspec.Struct):
-    clock_ms: int = msgspec.field(default=0, name="clockMs")
+    clock_ms: _Count = msgspec.field(default=0, name="clockMs")
     reason: str = ""
     running: list[Any] = []
     ended: list[Any] = []
-    born: int = 0
+    born: _Count = 0
 
 
 class _WireRunning(msgspec.Struct, array_like=True):
     task: str
-    run: int
+    run: _Count
     saved: str | None
-    percent: float
+    percent: Annotated[float, msgspec.Meta(ge=0, le=messages.MAX_INTEGER)]
     measure: float = -1.0
 
 
 class _WireEnded(msgspec.Struct, array_like=True):
-    number: int
+    number: _Count
     task: str
-    run: int
+    run: _Count
     how: model.EndKind
     saved: str | None
 
--- a/crocusrudder/wire/messages.py
+++ b/crocusrudder/wire/messages.py
@@ -13,6 +13,8 @@
 
 PROTOCOL_MAJOR = 1
 PROTOCOL_MINOR = 0
+MAX_INTEGER = 2**63 - 1
+"""Greatest integer that any field of a message can carry."""
 
 
 class Message(msgspec.Struct, frozen=True, tag=True, array_like=True):
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -60,6 +60,11 @@
             HEARTBEAT.replace(b'"ready"', b'"resting"'),
             HEARTBEAT.replace(b'"seq":4', b'"seq":"4"'),
             HEARTBEAT.replace(b'"capacity"', b'"room"'),
+            HEARTBEAT.replace(b'"cpu":16000', b'"cpu":-1'),
+            HEARTBEAT.replace(b'"cpu":16000', b'"cpu":"16000"'),
+            # Guards against the end of the agent's process: the report could not be encoded.
+            HEARTBEAT.replace(b'"cpu":16000', b'"cpu":%d' % 2**64),
+            HEARTBEAT.replace(b'"born":17', b'"born":%d' % 2**64),
         ):
             with self.subTest(body=body), self.assertRaises(errors.MalformedInputError):
                 heartbeats.decode_heartbeat("w1", body)
@@ -197,11 +202,13 @@
         # Guards against an agent that ends, and lets its leases expire, because of one entry.
         content = {
             "clockMs": 5,
-            "running": [["j.0.0.0", 2, "s1", 41, 12], ["j.0.0.1", 2, "", None], [7], ["a", "b"]],
+            "running": [["j.0.0.0", 2, "s1", 41, 12], ["j.0.0.1", 2, "", None], [7], ["a", "b"]]
+            + [["j.0.0.2", 2**64, "", 41], ["j.0.0.3", 2, "", 1e300]],
             "ended": [
                 [58, "j.0.0.9", 1, "done", ""],
                 ["59", "j.0.0.8", 1, "done", ""],
                 [60, "j.0.0.7", 1, "vanished", ""],
+                [2**64, "j.0.0.6", 1, "done", ""],
             ],
         }
         listed = curio.run(
