Stop the rest of a gang when a member is rejected

When the start of one gang member was rejected, for lack of capacity or by an unhealthy worker, the others kept their capacity and waited for it until they ended 'alone' after gangMs (3 s), which rule GANG forbids with no disruption near. The owner released the rejected member only, and a gang is planned again only when all its members are pending. Capacity that shrinks makes such rejections more frequent.

The owner now stops the other members as soon as a rejection is reported. They have not begun to work, so nothing is lost, and the gang is planned again once their ends are listed.

--- a/crocusrudder/workflows/owner.py
+++ b/crocusrudder/workflows/owner.py
@@ -152,6 +152,7 @@
         if report.sent_at <= view.report_sent_at:
             return
         self._report_handler.handle(view, report, now, wall_time)
+        self._report_handler.stop_incomplete_gangs(self._views.values())
         if view.is_reconciled or report.lapsed:
             self._awaited_agents.pop(agent, None)
         self._throttle_controller.adjust(view, now)
--- a/crocusrudder/workflows/reports.py
+++ b/crocusrudder/workflows/reports.py
@@ -33,6 +33,8 @@
         self._job_registry = jobs
         self._queues: dict[model.QueueName, model.Queue] = {}
         self._health: dict[ids.ProcessId, tuple[object, health.WorkerHealth]] = {}
+        self._incomplete_gangs: set[tuple[job_registry.StageRecord, int]] = set()
+        """Stages and run numbers of gangs of which a member was rejected."""
         self._logged: list[effects.LogChange] = []
 
     def set_configuration(self, configuration: model.Configuration) -> None:
@@ -85,6 +87,17 @@
                 if assignment.task is not None and assignment.task.record is record:
                     view.mark_stopping(assignment)
 
+    def stop_incomplete_gangs(self, views: Iterable[fleet.AgentView]) -> None:
+        """Stop the other members of gangs of which a member was rejected, as they cannot work."""
+        if not self._incomplete_gangs:
+            return
+        for view in views:
+            for run in view.assignments.values():
+                if run.task is not None and (run.task.stage, run.run) in self._incomplete_gangs:
+                    self._log_run("gang_incomplete", run, view)
+                    view.mark_stopping(run)
+        self._incomplete_gangs.clear()
+
     def move_run(self, view: fleet.AgentView, assignment: fleet.Assignment) -> None:
         """Stop a run so that its task is placed again, preferably on another worker."""
         assignment.task.avoided_agents.add(view.agent)
@@ -121,6 +134,8 @@
             block_seconds = _BLOCK_SECONDS.get(reason, 0.0)
             view.blocked_until = max(view.blocked_until, now + block_seconds)
             self._release(view, assignment, now, RETRY_DELAY_SECONDS)
+            if assignment.task is not None and assignment.task.stage.spec.gang:
+                self._incomplete_gangs.add((assignment.task.stage, assignment.run))
 
     def _apply_ends(
         self,
--- a/tests/workflows/test_owner.py
+++ b/tests/workflows/test_owner.py
@@ -75,6 +75,28 @@
         self.assertEqual(8, len(system.agents["a0"].worker.started))
         self.assertEqual(0, system.count_starts("j1.0.0.0"))
 
+    def test_a_gang_with_a_rejected_member_does_not_wait_for_it(self):
+        # Guards against GANG: the other members waited for 3 s and ended as alone.
+        system = world.World(agents=2)
+        system.run(1.0)
+        for agent in system.agents.values():
+            agent.worker.duration = 60.0
+        with mock.patch.object(
+            system.agents["a1"].worker, "start", return_value=model.RejectReason.NO_CAPACITY
+        ):
+            system.submit("j1", model.Stage(2, messages.Resources(5_000, 100, 0), gang=True))
+            system.run(0.2)
+            self.assertEqual(1, len(system.agents["a0"].worker.running))
+            system.run(0.4)
+        system.agents["a1"].worker.set_capacity(0, 0, 0)
+        system.run(1.0)
+        self.assertEqual({}, system.agents["a0"].worker.running)
+        system.agents["a1"].worker.set_capacity(8_000, 32_000, 0)
+        system.run(1.0)
+        runs = {run for agent in system.agents.values() for _, run in agent.worker.running}
+        self.assertEqual(1, len(runs))
+        self.assertEqual(1, len(system.agents["a1"].worker.running))
+
 
 class UnexpectedErrorTest(unittest.TestCase):
     """One job or report that cannot be handled does not keep others from being handled."""
