--- a/crocusrudder/workflows/agent_daemon.py
+++ b/crocusrudder/workflows/agent_daemon.py
@@ -118,6 +118,8 @@
                 born_ms=state.born_ms,
                 draining=state.draining,
                 capacity=state.capacity.millicores,
+                memory_mb=state.capacity.memory_mb,
+                accelerators=state.capacity.accelerators,
             )
             await self._updates.set()
 
--- a/crocusrudder/workflows/fleet.py
+++ b/crocusrudder/workflows/fleet.py
@@ -153,6 +153,18 @@
             self._usage = _compute_usage(self._assignments.values())
         return self._usage
 
+    @property
+    def is_over_capacity(self) -> bool:
+        """Return whether the runs take more than the capacity, which may have shrunk."""
+        if self.worker is None:
+            return False
+        used, capacity = self.usage, self.worker.capacity
+        return (
+            used.millicores > capacity.millicores
+            or used.memory_mb > capacity.memory_mb
+            or used.accelerators > capacity.accelerators
+        )
+
     def add_assignment(self, assignment: Assignment) -> None:
         self._assignments[(assignment.task_name, assignment.run)] = assignment
         self._usage = None
--- a/crocusrudder/workflows/owner.py
+++ b/crocusrudder/workflows/owner.py
@@ -281,6 +281,7 @@
                     "worker": view.worker and view.worker.worker,
                     "settled": view.is_reconciled,
                     "lost": view.is_declared_lost,
+                    "over_capacity": view.is_over_capacity,
                     "runs": [f"{a.task_name}#{a.run}" for a in view.assignments.values()],
                 }
                 for view in self._views.values()
--- a/crocusrudder/workflows/owner_service.py
+++ b/crocusrudder/workflows/owner_service.py
@@ -20,6 +20,7 @@
 from crocusrudder.workflows import model
 from crocusrudder.workflows import owner
 from crocusrudder.workflows import ownership
+from crocusrudder.workflows import reports
 from crocusrudder.workflows import rows
 
 COALESCE_SECONDS = 0.004
@@ -281,8 +282,13 @@
                 self._owner.set_configuration(configuration)
             planning_seconds = self._send_orders()
             await self._link.retry_unsent()
-            for change in self._owner.drain_log():
-                logs.write_change(change)
+            self._write_log()
+
+    def _write_log(self) -> None:
+        for change in self._owner.drain_log():
+            if change.name == reports.CAPACITY_EXCEEDED:
+                self._metrics.count("capacity_exceeded")
+            logs.write_change(change)
 
     def _send_orders(self) -> float:
         """Plan and send the orders that are due; return the duration of planning in seconds."""
--- a/crocusrudder/workflows/reports.py
+++ b/crocusrudder/workflows/reports.py
@@ -2,8 +2,11 @@
 
 from collections.abc import Iterable
 
+import msgspec
+
 from crocusrudder.core import effects
 from crocusrudder.core import ids
+from crocusrudder.wire import messages
 from crocusrudder.wire import workflow_messages
 from crocusrudder.workflows import fleet
 from crocusrudder.workflows import health
@@ -16,6 +19,8 @@
 UNHEALTHY_BLOCK_SECONDS = 1.0
 RETRY_DELAY_SECONDS = 0.2
 """Delay before a task whose run was rejected is placed again."""
+CAPACITY_EXCEEDED = "capacity_exceeded"
+"""Log event of a change after which the runs on a worker take more than its capacity."""
 
 _BLOCK_SECONDS = {
     model.RejectReason.NO_CAPACITY: NO_CAPACITY_BLOCK_SECONDS,
@@ -121,6 +126,8 @@
             view.cpu_shares_sent = {}
         if new != known:
             view.worker = new
+        if known.incarnation == new.incarnation and known.capacity != new.capacity:
+            self._log_capacity(view, known.capacity)
 
     def _apply_rejections(
         self, view: fleet.AgentView, report: workflow_messages.AgentReport, now: float
@@ -295,6 +302,20 @@
         task.checkpoint = assignment.checkpoint or task.checkpoint
         task.not_before = now + delay
 
+    def _log_capacity(self, view: fleet.AgentView, old: messages.Resources) -> None:
+        used = view.usage
+        self._log(
+            CAPACITY_EXCEEDED if view.is_over_capacity else "capacity_changed",
+            agent=view.agent,
+            worker=view.worker.worker,
+            old=msgspec.structs.asdict(old),
+            new=msgspec.structs.asdict(view.worker.capacity),
+            used=msgspec.structs.asdict(
+                messages.Resources(used.millicores, used.memory_mb, used.accelerators)
+            ),
+            runs=len(view.assignments),
+        )
+
     def _log_run(
         self,
         name: str,
--- a/tests/workflows/test_owner_service.py
+++ b/tests/workflows/test_owner_service.py
@@ -51,13 +51,13 @@
         stage = model.Stage(1, messages.Resources(1_000, 1, 0))
         self.owner.add_job(model.Job(ids.JobId("j"), QUEUE.name, "", (stage,), START), 6)
 
-    def _report(self) -> None:
+    def _report(self, millicores: int = 8_000) -> None:
         worker = workflow_messages.WorkerState(
             ids.WorkerId("w1"),
             1,
             SERVICE,
             ids.DataCentre("z"),
-            messages.Resources(8_000, 1_000, 0),
+            messages.Resources(millicores, 1_000, 0),
             ("a", "r1"),
         )
         report = workflow_messages.AgentReport(
@@ -94,6 +94,23 @@
         self.service._send_orders()
         self.assertEqual(["j.0.0.0"], self._list_started())
 
+    def test_a_capacity_that_shrinks_below_what_runs_is_logged_and_counted(self):
+        # Operators cannot tell otherwise why a worker gets no starts.
+        self.service._send_orders()
+        with mock.patch.object(owner_service.logs, "write_change") as write_change:
+            for millicores in (7_000, 500, 500):
+                self.now += 0.1
+                self._report(millicores)
+                self.service._write_log()
+        written = [call.args[0] for call in write_change.call_args_list]
+        lines = [line for line in written if line.name.startswith("capacity_")]
+        self.assertEqual(["capacity_changed", "capacity_exceeded"], [line.name for line in lines])
+        self.assertEqual(
+            [7_000, 500, 1_000],
+            [lines[1].fields[key]["millicores"] for key in ("old", "new", "used")],
+        )
+        self.assertEqual(1, self.metrics.counters["capacity_exceeded"])
+
 
 if __name__ == "__main__":
     unittest.main()
