Do not take a restarted worker's list for that of the earlier incarnation

A worker may start again under the same id, which is all that the header X-Crocusrudder-Expect-Worker is compared with. Until the first heartbeat of the new incarnation arrived, the agent took its list for the old one's: its runs disappeared, and ends of the new incarnation were reported under numbers that the owner had already processed, or were acknowledged unread.

The client compares 'born' of a list with that of the known incarnation and raises WrongWorkerError; the agent polls again until the heartbeat arrives. The stand-in sends 'born' as the users' workers do.

Before the change (tests.workflows.test_agent_daemon): test_a_list_of_another_incarnation_with_the_same_id_is_not_taken_for_the_known_one Lists differ: ['j.0.0.0'] != [] After: the test passes, as do those of tests.platform.test_messages.

--- a/crocusrudder/platform/worker.py
+++ b/crocusrudder/platform/worker.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from crocusrudder.core import effects
+from crocusrudder.core import ids
 from crocusrudder.observability import logs
 from crocusrudder.platform import errors
 from crocusrudder.platform import http
@@ -132,7 +133,7 @@
 
     async def poll_runs(
         self,
-        worker: str,
+        incarnation: tuple[ids.WorkerId, int],
         epoch: int,
         acknowledged: int,
         lease_until_ms: int | None,
@@ -140,12 +141,17 @@
     ) -> RunList | None:
         """Extend the lease, acknowledge ended runs and return the list; None if the epoch is stale.
 
-        The worker responds after ``wait_seconds`` or as soon as another run ends.
+        The worker responds after ``wait_seconds`` or as soon as another run ends. ``incarnation``
+        is the worker's id and time of birth. The worker itself checks the id only, which a
+        restarted worker may keep.
         """
+        worker, born_ms = incarnation
         content: dict[str, Any] = {"fenceToken": epoch, "lastSeen": acknowledged}
         content |= {"expiresMs": lease_until_ms} if lease_until_ms is not None else {}
         content |= {"waitMs": round(wait_seconds * 1_000)} if wait_seconds else {}
         status, response = await self._call("hold", worker, content, wait_seconds)
+        if born_ms and response.born and response.born != born_ms:
+            raise errors.WrongWorkerError(f"{worker} has restarted")
         if status == _STATUS_CONFLICT:
             return None
         if status != _STATUS_OK:
--- a/crocusrudder/workflows/agent_daemon.py
+++ b/crocusrudder/workflows/agent_daemon.py
@@ -265,7 +265,7 @@
         wait = 0.0 if state.is_list_due or lease_end is None else POLL_WAIT_SECONDS
         try:
             listed = await self._worker.poll_runs(
-                current.worker, epoch, state.acknowledged, lease_end, wait
+                current.incarnation, epoch, state.acknowledged, lease_end, wait
             )
         except errors.PlatformError as error:
             self._metrics.count("holds_failed")
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -193,7 +193,7 @@
             "ended": [[58, "j.0.0.9", 1, "done", ""]],
         }
         listed = curio.run(
-            self._client(make_response(200, content)).poll_runs("w1", 7, 57, 900, 0.5)
+            self._client(make_response(200, content)).poll_runs(("w1", 17), 7, 57, 900, 0.5)
         )
         self.assertEqual(12.0, listed.running[0].measure)
         self.assertEqual(58, listed.ended[0].number)
@@ -212,7 +212,7 @@
             ],
         }
         listed = curio.run(
-            self._client(make_response(200, content)).poll_runs("w1", 7, 57, 900, 0.5)
+            self._client(make_response(200, content)).poll_runs(("w1", 17), 7, 57, 900, 0.5)
         )
         self.assertEqual(["j.0.0.0"], [entry.task for entry in listed.running])
         self.assertEqual([58], [entry.number for entry in listed.ended])
@@ -221,6 +221,9 @@
         client = self._client(make_response(421, {}))
         with self.assertRaises(errors.WrongWorkerError):
             curio.run(client.stop("w1", "j.0.0.0", 1, 7))
+        client = self._client(make_response(200, {"clockMs": 5, "born": 18}))
+        with self.assertRaises(errors.WrongWorkerError):
+            curio.run(client.poll_runs(("w1", 17), 7, 57, 900, 0.5))
 
 
 if __name__ == "__main__":
--- a/tests/workflows/test_agent_daemon.py
+++ b/tests/workflows/test_agent_daemon.py
@@ -11,6 +11,7 @@
 from crocusrudder.wire import workflow_messages
 from crocusrudder.workflows import agent_daemon
 from crocusrudder.workflows import settings
+from tests.platform import test_messages
 
 ENDED = workflow_messages.EndedRun(1, "j.0.0.0", 1, "done")
 ROUNDS = 50
@@ -23,7 +24,7 @@
     def __init__(self) -> None:
         self.polls = 0
 
-    async def poll_runs(self, name, epoch, acknowledged, lease_until_ms, wait_seconds):
+    async def poll_runs(self, incarnation, epoch, acknowledged, lease_until_ms, wait_seconds):
         self.polls += 1
         if acknowledged >= ENDED.number:
             await curio.Event().wait()
@@ -91,6 +92,32 @@
         self.assertLessEqual(before, 2)
         self.assertEqual(before + 1, after)
 
+    def test_a_list_of_another_incarnation_with_the_same_id_is_not_taken_for_the_known_one(self):
+        # Guards against ends of the new incarnation that are taken for ends of the old one, whose
+        # numbers have already been acknowledged: the task of such an end runs again.
+        client = worker.WorkerClient("127.0.0.1:9")
+        self.agent._worker = client
+        self.agent._state.handle_heartbeat(self.worker, 1, 0.0)
+        listed = {"clockMs": 900_000, "born": 1, "running": [["j.0.0.0", 7, "", 5]], "ended": []}
+        restarted = {
+            "clockMs": 90,
+            "born": 2,
+            "running": [],
+            "ended": [[1, "k.0.0.0", 8, "done", ""]],
+        }
+        client._http = test_messages.FakeHttp(
+            *(test_messages.make_response(200, content) for content in (listed, restarted))
+        )
+
+        async def poll_twice() -> None:
+            for _ in range(2):
+                await self.agent._poll_runs(self.worker)
+
+        curio.run(poll_twice())
+        report = self.agent._state.make_report(ids.DataCentre("z"), 1.0)
+        self.assertEqual(["j.0.0.0"], [run.task for run in report.running])
+        self.assertEqual((), report.ended)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tools/standin/users/worker.py
+++ b/tools/standin/users/worker.py
@@ -161,4 +161,5 @@
         self._ended.append([self._last_end_number, *run, how, ""])
 
     def _respond(self, status: int, **fields: object) -> http_messages.Response:
-        return http_messages.make_json_response(status, {"clockMs": self.clock_ms, **fields})
+        content = {"clockMs": self.clock_ms, "born": self._born_ms, **fields}
+        return http_messages.make_json_response(status, content)
