Do not acknowledge ends to a worker that may have restarted

The agent sent the number of the last durable end of the known incarnation with each poll. A worker that had restarted under the same id would drop its own ends up to that number before the agent had read them, so a task that was done would run again (TWICE) or never count.

A restart breaks the poll in flight or a later one, so after a failed poll the agent acknowledges nothing until a list of the known incarnation has arrived; the poll after that acknowledges again.

--- a/crocusrudder/workflows/agent_daemon.py
+++ b/crocusrudder/workflows/agent_daemon.py
@@ -269,6 +269,7 @@
             )
         except errors.PlatformError as error:
             self._metrics.count("holds_failed")
+            state.record_poll_failure(clocks.read_boot_time())
             self._worker_log.record(False, str(error))
             return False
         self._worker_log.record(True)
--- a/crocusrudder/workflows/agent_state.py
+++ b/crocusrudder/workflows/agent_state.py
@@ -50,6 +50,7 @@
         self._listed_at = float("-inf")
         self._list_received_at = now
         self._listed_ends: tuple[int, ...] = ()
+        self._poll_failed_at = float("-inf")
         self._rejected: dict[RunKey, tuple[str, float]] = {}
         self._received: dict[RunKey, None] = {}
         self._stopped: dict[RunKey, float] = {}
@@ -71,8 +72,16 @@
 
     @property
     def acknowledged(self) -> int:
-        """Return the highest number of an end that is durable in the store."""
-        return self._acknowledged
+        """Return the number up to which ends may be acknowledged to the worker.
+
+        It is 0 until a list follows a failed poll: the worker may have restarted under its id, and
+        ends of the new incarnation that the agent has not read would be dropped.
+        """
+        return 0 if self._may_have_restarted else self._acknowledged
+
+    @property
+    def _may_have_restarted(self) -> bool:
+        return self._poll_failed_at > self._listed_at
 
     @property
     def is_list_due(self) -> bool:
@@ -255,6 +264,10 @@
         self._discard_old(now)
         return before != (tuple(self._running), tuple(self._ended), self._listed_epoch)
 
+    def record_poll_failure(self, now: float) -> None:
+        """Record that a poll had no usable response, as when the worker restarts meanwhile."""
+        self._poll_failed_at = now
+
     def record_response(self, clock_ms: int, now: float) -> None:
         """Record a response of the worker; ``clock_ms`` is 0 if it held no clock reading."""
         self._responded_at = now
--- a/tests/workflows/test_agent_daemon.py
+++ b/tests/workflows/test_agent_daemon.py
@@ -4,8 +4,10 @@
 import unittest
 
 import curio
+import msgspec
 
 from crocusrudder.core import ids
+from crocusrudder.platform import errors
 from crocusrudder.platform import worker
 from crocusrudder.wire import messages
 from crocusrudder.wire import workflow_messages
@@ -57,7 +59,7 @@
             (),
         )
 
-    def _deliver_orders(self, acknowledged: int) -> workflow_messages.AgentOrders:
+    def _make_orders(self, acknowledged: int) -> workflow_messages.AgentOrders:
         now = agent_daemon.clocks.read_boot_time()
         return workflow_messages.AgentOrders(
             1, acknowledged + 1, now, self.worker.worker, 1, acknowledged=acknowledged
@@ -77,12 +79,12 @@
 
         async def poll() -> tuple[int, int]:
             self.agent._state.handle_heartbeat(self.worker, 1, 0.0)
-            await self.agent._deliver(envelope, self._deliver_orders(0))
+            await self.agent._deliver(envelope, self._make_orders(0))
             polling = await curio.spawn(self.agent._poll_runs_forever)
             for _ in range(ROUNDS):
                 await curio.sleep(0)
             before = self.client.polls
-            await self.agent._deliver(envelope, self._deliver_orders(1))
+            await self.agent._deliver(envelope, self._make_orders(1))
             for _ in range(ROUNDS):
                 await curio.sleep(0)
             await polling.cancel()
@@ -118,6 +120,25 @@
         self.assertEqual(["j.0.0.0"], [run.task for run in report.running])
         self.assertEqual((), report.ended)
 
+    def test_ends_are_not_acknowledged_to_a_worker_that_may_have_restarted(self):
+        # Guards against an end that a new incarnation with the same id drops unread, because its
+        # number was acknowledged to the old one: the task runs again.
+        client = worker.WorkerClient("127.0.0.1:9")
+        self.agent._worker = client
+        listed = test_messages.make_response(200, {"clockMs": 900, "born": 1})
+        broken = errors.UnknownOutcomeError("connection reset")
+        client._http = test_messages.FakeHttp(listed, broken, listed, listed)
+
+        async def poll() -> None:
+            self.agent._state.handle_heartbeat(self.worker, 1, 0.0)
+            self.agent._state.handle_orders(self._make_orders(58), 0.0)
+            for _ in range(4):
+                await self.agent._poll_runs(self.worker)
+
+        curio.run(poll())
+        seen = [msgspec.json.decode(r.body)["lastSeen"] for r in client._http.requests]
+        self.assertEqual([58, 58, 0, 58], seen)
+
 
 if __name__ == "__main__":
     unittest.main()
