Send no starts to a worker that may have restarted

A start that reached a worker restarted under the same id, before the heartbeat of the new incarnation reached the agent, ran there. The owner then released all runs of the replaced incarnation and placed the task again: two runs of one task at a time.

After a failed poll, the agent rejects starts as unanswered until a list of the known incarnation, requested later, has arrived (it polls again after 0.1 s).

The simulated deployment lets the first heartbeat of an incarnation be late and precede its first list, as the agent reports at once.

--- a/crocusrudder/workflows/agent_state.py
+++ b/crocusrudder/workflows/agent_state.py
@@ -193,6 +193,10 @@
             return model.RejectReason.NOT_READY
         if order.planned_on < self._capacity_shrunk_at:
             return model.RejectReason.NO_CAPACITY
+        if self._may_have_restarted:
+            # The owner releases all runs of a replaced worker, so a run that the new incarnation
+            # started for the old one would soon run a second time elsewhere.
+            return model.RejectReason.NO_RESPONSE
         return None
 
     def record_start_sent(self, run: RunKey) -> None:
--- a/tests/workflows/test_agent_state.py
+++ b/tests/workflows/test_agent_state.py
@@ -78,6 +78,16 @@
         restarted = agent_state.AgentState(6.0, 100.6)
         self.assertIs(model.RejectReason.NO_CAPACITY, restarted.find_rejection(later, 100.5, 100.7))
 
+    def test_a_start_after_a_failed_poll_waits_for_a_list(self):
+        self.state.record_poll_failure(100.2)
+        self.assertIs(
+            model.RejectReason.NO_RESPONSE, self.state.find_rejection(START, 100.1, 100.3)
+        )
+        self._list(100.1)
+        self.assertIsNotNone(self.state.find_rejection(START, 100.1, 100.3))
+        self._list(100.4)
+        self.assertIsNone(self.state.find_rejection(START, 100.1, 100.5))
+
     def test_a_repeated_order_is_executed_once(self):
         first = self.state.handle_orders(make_orders(1, 100.0, starts=(START,)), 100.0)
         second = self.state.handle_orders(make_orders(1, 100.0, starts=(START,)), 100.0)
--- a/tests/workflows/test_owner.py
+++ b/tests/workflows/test_owner.py
@@ -288,6 +288,24 @@
         system.run(2.0)
         self.assertEqual(1, len(system.agents["a0"].worker.started))
 
+    def test_a_task_is_not_started_on_a_restarted_worker_that_is_taken_for_the_earlier_one(self):
+        # Guards against TWICE: the owner released the tasks of the replaced incarnation and placed
+        # them again, while the new one, which has the same id, already ran this one.
+        system = world.World(agents=2)
+        system.run(1.0)
+        agent = system.agents["a0"]
+        agent.worker = world.FakeWorker("w-a0", 2_000)
+        agent.worker.heartbeats_from = system.now + 0.6
+        for other in system.agents.values():
+            other.worker.duration = 60.0
+        agent.state.record_poll_failure(system.now)
+        system.submit("j1", model.Stage(1, ONE_CORE))
+        for _ in range(40):
+            system.step()
+            held = sum(len(agent.worker.running) for agent in system.agents.values())
+            self.assertLessEqual(held, 1, "two runs of one task")
+        self.assertEqual(1, system.count_starts("j1.0.0.0"))
+
     def test_a_task_of_a_lost_agent_starts_again_after_lease_expiry(self):
         system = world.World(agents=2)
         for agent in system.agents.values():
--- a/tests/workflows/world.py
+++ b/tests/workflows/world.py
@@ -47,6 +47,8 @@
         self.end_kind = "done"
         self.stop_seconds = 0.0
         self.is_hung = False
+        self.heartbeats_from = 0.0
+        """Time before which no heartbeat reaches the agent."""
         self.stopping: dict[tuple[str, int], float] = {}
 
     def set_capacity(self, *capacity: int) -> None:
@@ -127,7 +129,13 @@
         if not self.worker.is_responsive:
             self.state.get_lease_end_ms(now)
             return
-        self.state.handle_heartbeat(self.worker.state, self.heartbeats, now)
+        known = self.state.current_worker
+        if now >= self.worker.heartbeats_from:
+            self.state.handle_heartbeat(self.worker.state, self.heartbeats, now)
+        if known is not None and known.incarnation != self.worker.state.incarnation:
+            # The poll fails with WrongWorkerError; the report precedes the next one.
+            self.state.record_poll_failure(now)
+            return
         if self.state.epoch and self.state.epoch >= self.worker.fence:
             self.worker.fence = self.state.epoch
             lease = self.state.get_lease_end_ms(now)
