Restart workers and agents in the random histories of capacity

The histories now also restart workers under their id, with a heartbeat that is late, and agents, place gangs, and check that no task starts on two workers.

--- a/tests/workflows/test_capacity.py
+++ b/tests/workflows/test_capacity.py
@@ -7,6 +7,7 @@
 
 from crocusrudder.core import ids
 from crocusrudder.wire import messages
+from crocusrudder.workflows import agent_state
 from crocusrudder.workflows import job_registry
 from crocusrudder.workflows import model
 from tests.workflows import world
@@ -18,8 +19,8 @@
 users' sites and one heartbeat."""
 
 
-class LimitChecker:
-    """Record the starts that bring a worker over its capacity."""
+class StartChecker:
+    """Record the starts that bring a worker over its capacity, or a task to a second worker."""
 
     def __init__(self, system: world.World) -> None:
         self.violations: list[str] = []
@@ -41,6 +42,11 @@
 
     def _check_start(self, worker, start, now, order, epoch, lease):
         rejected = start(now, order, epoch, lease)
+        others = [a.worker for a in self._system.agents.values() if a.worker is not worker]
+        if rejected is None and any(
+            task == order.task for other in others for task, _ in other.running
+        ):
+            self.violations.append(f"{now:.1f} {order.task} runs on two workers")
         for task, _ in worker.running:
             found = self._system.owner.job_registry.find_task(task)
             if found is not None:
@@ -84,7 +90,7 @@
         for agent in self.system.agents.values():
             agent.worker.duration = duration
             agent.worker.set_capacity(*FULL)
-        self.checker = LimitChecker(self.system)
+        self.checker = StartChecker(self.system)
         self.system.run(1.0)
         return self.system
 
@@ -219,6 +225,7 @@
             agent.worker.stop_seconds = rng.choice((0.2, 0.9))
         actions = (self._shrink, self._shrink, self._submit, self._submit, self._cancel)
         actions += (self._toggle_link, self._lose_orders, self._take_over, self._move)
+        actions += (self._restart_worker, self._restart_agent)
         for _ in range(self.ACTIONS):
             rng.choice(actions)(rng)
             system.run(rng.choice((0.1, 0.4, 1.5)))
@@ -257,10 +264,15 @@
         demand = messages.Resources(
             rng.choice((500, 1_000, 2_000)), rng.choice((100, 8_000)), rng.choice((0, 0, 1))
         )
+        gang = rng.random() < 0.2
+        count = rng.randint(2, 3) if gang else rng.randint(1, 24)
+        best_effort = rng.random() < 0.3
         stage = model.Stage(
-            rng.randint(1, 24), demand, best_effort=rng.random() < 0.3, image=rng.choice("abc")
+            count, demand, gang=gang, best_effort=best_effort, image=rng.choice("abc")
         )
-        self.system.submit(f"j{next(self._numbers)}", stage, version=1_000_000)
+        # A later owner takes the job for one that was stored before its takeover.
+        version = self.system.owner.epoch * 100 + 1
+        self.system.submit(f"j{next(self._numbers)}", stage, version=version)
 
     def _cancel(self, rng: random.Random) -> None:
         jobs = list(self.system.owner.job_registry.active)
@@ -271,6 +283,22 @@
     def _toggle_link(self, rng: random.Random) -> None:
         self._pick_agent(rng).is_connected = rng.random() < 0.8
 
+    def _restart_worker(self, rng: random.Random) -> None:
+        """Replace a worker by an incarnation with the same id, which is heard of later."""
+        agent = self._pick_agent(rng)
+        old = agent.worker
+        agent.worker = world.FakeWorker(old.state.worker, old.state.born_ms + 1)
+        agent.worker.duration, agent.worker.stop_seconds = old.duration, old.stop_seconds
+        agent.worker.heartbeats_from = self.system.now + rng.choice((0.0, 0.5))
+        agent.worker.set_capacity(*FULL)
+        self.checker.watch(agent.worker)
+        agent.state.record_poll_failure(self.system.now)
+
+    def _restart_agent(self, rng: random.Random) -> None:
+        agent = self._pick_agent(rng)
+        agent.state = agent_state.AgentState(6.0, self.system.now)
+        self.system.owner.handle_agent_start(agent.process, f"{agent.process}:{self.system.now}")
+
     def _take_over(self, _: random.Random) -> None:
         self.system.replace_owner(next(self._epochs))
 
