--- a/crocusrudder/platform/worker.py
+++ b/crocusrudder/platform/worker.py
@@ -1,15 +1,18 @@
 """Client of the worker on the machine of the agent: starts, stops, throttles and lists runs."""
 
 from collections.abc import Iterator
+from typing import Annotated
 from typing import Any
 from typing import TypeVar
 
 import msgspec
 
 from crocusrudder.core import effects
+from crocusrudder.core import ids
 from crocusrudder.observability import logs
 from crocusrudder.platform import errors
 from crocusrudder.platform import http
+from crocusrudder.wire import messages
 from crocusrudder.wire import workflow_messages
 from crocusrudder.workflows import model
 
@@ -32,26 +35,29 @@
 }
 
 
+_Count = Annotated[int, msgspec.Meta(ge=0, le=messages.MAX_INTEGER)]
+
+
 class _WireResponse(msgspec.Struct):
-    clock_ms: int = msgspec.field(default=0, name="clockMs")
+    clock_ms: _Count = msgspec.field(default=0, name="clockMs")
     reason: str = ""
     running: list[Any] = []
     ended: list[Any] = []
-    born: int = 0
+    born: _Count = 0
 
 
 class _WireRunning(msgspec.Struct, array_like=True):
     task: str
-    run: int
+    run: _Count
     saved: str | None
-    percent: float
+    percent: Annotated[float, msgspec.Meta(ge=0, le=messages.MAX_INTEGER)]
     measure: float = -1.0
 
 
 class _WireEnded(msgspec.Struct, array_like=True):
-    number: int
+    number: _Count
     task: str
-    run: int
+    run: _Count
     how: model.EndKind
     saved: str | None
 
@@ -127,7 +133,7 @@
 
     async def poll_runs(
         self,
-        worker: str,
+        incarnation: tuple[ids.WorkerId, int],
         epoch: int,
         acknowledged: int,
         lease_until_ms: int | None,
@@ -135,12 +141,17 @@
     ) -> RunList | None:
         """Extend the lease, acknowledge ended runs and return the list; None if the epoch is stale.
 
-        The worker responds after ``wait_seconds`` or as soon as another run ends.
+        The worker responds after ``wait_seconds`` or as soon as another run ends. ``incarnation``
+        is the worker's id and time of birth. The worker itself checks the id only, which a
+        restarted worker may keep.
         """
+        worker, born_ms = incarnation
         content: dict[str, Any] = {"fenceToken": epoch, "lastSeen": acknowledged}
         content |= {"expiresMs": lease_until_ms} if lease_until_ms is not None else {}
         content |= {"waitMs": round(wait_seconds * 1_000)} if wait_seconds else {}
         status, response = await self._call("hold", worker, content, wait_seconds)
+        if born_ms and response.born and response.born != born_ms:
+            raise errors.WrongWorkerError(f"{worker} has restarted")
         if status == _STATUS_CONFLICT:
             return None
         if status != _STATUS_OK:
--- a/crocusrudder/workflows/agent_state.py
+++ b/crocusrudder/workflows/agent_state.py
@@ -8,6 +8,7 @@
 
 from crocusrudder.core import ids
 from crocusrudder.platform import worker
+from crocusrudder.wire import messages
 from crocusrudder.wire import workflow_messages
 from crocusrudder.workflows import leases
 from crocusrudder.workflows import model
@@ -33,6 +34,8 @@
         self._lease_seconds = min(leases.LEASE_SECONDS, lease_seconds)
         self._worker: workflow_messages.WorkerState | None = None
         self._sequence = -1
+        # An earlier agent process may have known of a greater capacity than this one.
+        self._capacity_shrunk_at = now
         self._epoch = 0
         self._listed_epoch = 0
         self._granted_at = float("-inf")
@@ -47,6 +50,7 @@
         self._listed_at = float("-inf")
         self._list_received_at = now
         self._listed_ends: tuple[int, ...] = ()
+        self._poll_failed_at = float("-inf")
         self._rejected: dict[RunKey, tuple[str, float]] = {}
         self._received: dict[RunKey, None] = {}
         self._stopped: dict[RunKey, float] = {}
@@ -68,8 +72,16 @@
 
     @property
     def acknowledged(self) -> int:
-        """Return the highest number of an end that is durable in the store."""
-        return self._acknowledged
+        """Return the number up to which ends may be acknowledged to the worker.
+
+        It is 0 until a list follows a failed poll: the worker may have restarted under its id, and
+        ends of the new incarnation that the agent has not read would be dropped.
+        """
+        return 0 if self._may_have_restarted else self._acknowledged
+
+    @property
+    def _may_have_restarted(self) -> bool:
+        return self._poll_failed_at > self._listed_at
 
     @property
     def is_list_due(self) -> bool:
@@ -106,6 +118,8 @@
                 return False
             self._sequence = sequence
             self._worker = state
+            if _has_shrunk(known.capacity, state.capacity):
+                self._capacity_shrunk_at = now
             return known != state
         if known is not None and state.born_ms < known.born_ms:
             # A delayed heartbeat of an earlier incarnation.
@@ -171,6 +185,24 @@
             orders.acknowledged,
         )
 
+    def find_rejection(
+        self, order: workflow_messages.StartOrder, echo: float, now: float
+    ) -> model.RejectReason | None:
+        """Return why a start must not be sent to the worker any more; None if it may be.
+
+        The owner repeats a start that was lost. One that was planned before the worker's capacity
+        shrank may exceed it, and not all workers reject such a start themselves.
+        """
+        if now - echo > leases.ORDER_VALID_SECONDS:
+            return model.RejectReason.NOT_READY
+        if order.planned_on < self._capacity_shrunk_at:
+            return model.RejectReason.NO_CAPACITY
+        if self._may_have_restarted:
+            # The owner releases all runs of a replaced worker, so a run that the new incarnation
+            # started for the old one would soon run a second time elsewhere.
+            return model.RejectReason.NO_RESPONSE
+        return None
+
     def record_start_sent(self, run: RunKey) -> None:
         self._starting.add(run)
 
@@ -240,6 +272,10 @@
         self._discard_old(now)
         return before != (tuple(self._running), tuple(self._ended), self._listed_epoch)
 
+    def record_poll_failure(self, now: float) -> None:
+        """Record that a poll had no usable response, as when the worker restarts meanwhile."""
+        self._poll_failed_at = now
+
     def record_response(self, clock_ms: int, now: float) -> None:
         """Record a response of the worker; ``clock_ms`` is 0 if it held no clock reading."""
         self._responded_at = now
@@ -330,3 +366,11 @@
         self._rejected = {}
         self._stopped = {}
         self._acknowledged = 0
+
+
+def _has_shrunk(known: messages.Resources, new: messages.Resources) -> bool:
+    return (
+        new.millicores < known.millicores
+        or new.memory_mb < known.memory_mb
+        or new.accelerators < known.accelerators
+    )
--- a/crocusrudder/workflows/candidates.py
+++ b/crocusrudder/workflows/candidates.py
@@ -64,9 +64,17 @@
         return demand.millicores <= self.millicores
 
     def fits_beside_cpu(self, spec: model.Stage) -> bool:
-        """Return whether the worker has enough of all resources but processors."""
+        """Return whether the worker has enough of all resources but processors.
+
+        A worker whose capacity has shrunk below the processors that its tasks reserve has not: the
+        idle share of latency-critical tasks is idle only within the capacity.
+        """
         demand = spec.demand
-        return demand.memory_mb <= self.memory_mb and demand.accelerators <= self.accelerators
+        return (
+            self.millicores >= 0
+            and demand.memory_mb <= self.memory_mb
+            and demand.accelerators <= self.accelerators
+        )
 
     def count_fitting(self, spec: model.Stage) -> int:
         """Return how many tasks of a stage fit; 0 also for a stage that demands no resources."""
--- a/crocusrudder/workflows/fleet.py
+++ b/crocusrudder/workflows/fleet.py
@@ -32,6 +32,7 @@
         "checkpoint",
         "order_number",
         "phase",
+        "planned_on",
         "run",
         "task",
         "task_name",
@@ -48,6 +49,8 @@
         self.order_number = 0
         self.checkpoint = ""
         self.ticket = ""
+        self.planned_on = float("inf")
+        """``sent_at`` of the report on which the run was planned."""
         self.is_adopted = False
         """Whether an earlier owner ordered the run, so its CPU share on the worker is unknown."""
 
@@ -69,6 +72,8 @@
     """The best-effort runs that are not being stopped."""
     best_effort_by_image: dict[str, int] = {}
     """Millicores requested by the runs in ``best_effort``."""
+    has_unknown: bool = False
+    """Whether a run's task is unknown, and so is what it takes; such a run is being stopped."""
 
 
 class AgentView:
@@ -144,6 +149,8 @@
             return reasons.DRAINING
         if self.is_declared_lost:
             return reasons.DECLARED_LOST
+        if self.usage.has_unknown:
+            return reasons.UNKNOWN_RUN
         if now - self.received_at >= AGENT_TIMEOUT_SECONDS:
             return reasons.NO_RECENT_REPORT
         return reasons.BLOCKED if now < self.blocked_until else None
@@ -174,6 +181,18 @@
             self._usage = _compute_usage(self._assignments.values())
         return self._usage
 
+    @property
+    def is_over_capacity(self) -> bool:
+        """Return whether the runs take more than the capacity, which may have shrunk."""
+        if self.worker is None:
+            return False
+        used, capacity = self.usage, self.worker.capacity
+        return (
+            used.millicores > capacity.millicores
+            or used.memory_mb > capacity.memory_mb
+            or used.accelerators > capacity.accelerators
+        )
+
     def add_assignment(self, assignment: Assignment) -> None:
         self._assignments[(assignment.task_name, assignment.run)] = assignment
         self._usage = None
@@ -201,8 +220,10 @@
     targets_ms: dict[str, float] = {}
     best_effort = []
     by_image: dict[str, int] = {}
+    has_unknown = False
     for assignment in assignments:
         if assignment.task is None:
+            has_unknown = True
             continue
         spec = assignment.task.stage.spec
         demand = spec.demand
@@ -230,4 +251,5 @@
         targets_ms,
         tuple(best_effort),
         by_image,
+        has_unknown,
     )
--- a/crocusrudder/workflows/owner.py
+++ b/crocusrudder/workflows/owner.py
@@ -152,6 +152,7 @@
         if report.sent_at <= view.report_sent_at:
             return
         self._report_handler.handle(view, report, now, wall_time)
+        self._report_handler.stop_incomplete_gangs(self._views.values())
         if view.is_reconciled or report.lapsed:
             self._awaited_agents.pop(agent, None)
         self._throttle_controller.adjust(view, now)
@@ -280,6 +281,7 @@
                     "worker": view.worker and view.worker.worker,
                     "settled": view.is_reconciled,
                     "lost": view.is_declared_lost,
+                    "over_capacity": view.is_over_capacity,
                     "runs": [f"{a.task_name}#{a.run}" for a in view.assignments.values()],
                 }
                 for view in self._views.values()
@@ -356,6 +358,7 @@
                         assignment.task.record.job.spec,
                         assignment.checkpoint,
                         assignment.ticket,
+                        assignment.planned_on,
                     )
                 )
             elif assignment.phase is fleet.AssignmentPhase.STOPPING:
--- a/crocusrudder/workflows/owner_service.py
+++ b/crocusrudder/workflows/owner_service.py
@@ -20,6 +20,7 @@
 from crocusrudder.workflows import model
 from crocusrudder.workflows import owner
 from crocusrudder.workflows import ownership
+from crocusrudder.workflows import reports
 from crocusrudder.workflows import rows
 from crocusrudder.workflows import waiting_reasons
 
@@ -289,6 +290,8 @@
             logs.write_change(change)
             if change.name == waiting_reasons.EVENT:
                 self._metrics.count(f"jobs_waiting_{change.fields['reason']}")
+            elif change.name == reports.CAPACITY_EXCEEDED:
+                self._metrics.count("capacity_exceeded")
 
     def _send_orders(self) -> float:
         """Plan and send the orders that are due; return the duration of planning in seconds."""
--- a/crocusrudder/workflows/reports.py
+++ b/crocusrudder/workflows/reports.py
@@ -2,8 +2,11 @@
 
 from collections.abc import Iterable
 
+import msgspec
+
 from crocusrudder.core import effects
 from crocusrudder.core import ids
+from crocusrudder.wire import messages
 from crocusrudder.wire import workflow_messages
 from crocusrudder.workflows import fleet
 from crocusrudder.workflows import health
@@ -16,6 +19,8 @@
 UNHEALTHY_BLOCK_SECONDS = 1.0
 RETRY_DELAY_SECONDS = 0.2
 """Delay before a task whose run was rejected is placed again."""
+CAPACITY_EXCEEDED = "capacity_exceeded"
+"""Log event of a change after which the runs on a worker take more than its capacity."""
 
 _BLOCK_SECONDS = {
     model.RejectReason.NO_CAPACITY: NO_CAPACITY_BLOCK_SECONDS,
@@ -33,6 +38,8 @@
         self._job_registry = jobs
         self._queues: dict[model.QueueName, model.Queue] = {}
         self._health: dict[ids.ProcessId, tuple[object, health.WorkerHealth]] = {}
+        self._incomplete_gangs: set[tuple[job_registry.StageRecord, int]] = set()
+        """Stages and run numbers of gangs of which a member was rejected."""
         self._logged: list[effects.LogChange] = []
 
     def set_configuration(self, configuration: model.Configuration) -> None:
@@ -85,6 +92,17 @@
                 if assignment.task is not None and assignment.task.record is record:
                     view.mark_stopping(assignment)
 
+    def stop_incomplete_gangs(self, views: Iterable[fleet.AgentView]) -> None:
+        """Stop the other members of gangs of which a member was rejected, as they cannot work."""
+        if not self._incomplete_gangs:
+            return
+        for view in views:
+            for run in view.assignments.values():
+                if run.task is not None and (run.task.stage, run.run) in self._incomplete_gangs:
+                    self._log_run("gang_incomplete", run, view)
+                    view.mark_stopping(run)
+        self._incomplete_gangs.clear()
+
     def move_run(self, view: fleet.AgentView, assignment: fleet.Assignment) -> None:
         """Stop a run so that its task is placed again, preferably on another worker."""
         assignment.task.avoided_agents.add(view.agent)
@@ -109,6 +127,8 @@
             view.cpu_shares_sent = {}
         if new != known:
             view.worker = new
+        if known.incarnation == new.incarnation and known.capacity != new.capacity:
+            self._log_capacity(view, known.capacity)
 
     def _apply_rejections(
         self, view: fleet.AgentView, report: workflow_messages.AgentReport, now: float
@@ -122,6 +142,8 @@
             block_seconds = _BLOCK_SECONDS.get(reason, 0.0)
             view.blocked_until = max(view.blocked_until, now + block_seconds)
             self._release(view, assignment, now, RETRY_DELAY_SECONDS)
+            if assignment.task is not None and assignment.task.stage.spec.gang:
+                self._incomplete_gangs.add((assignment.task.stage, assignment.run))
 
     def _apply_ends(
         self,
@@ -282,6 +304,20 @@
         task.checkpoint = assignment.checkpoint or task.checkpoint
         task.not_before = now + delay
 
+    def _log_capacity(self, view: fleet.AgentView, old: messages.Resources) -> None:
+        used = view.usage
+        self._log(
+            CAPACITY_EXCEEDED if view.is_over_capacity else "capacity_changed",
+            agent=view.agent,
+            worker=view.worker.worker,
+            old=msgspec.structs.asdict(old),
+            new=msgspec.structs.asdict(view.worker.capacity),
+            used=msgspec.structs.asdict(
+                messages.Resources(used.millicores, used.memory_mb, used.accelerators)
+            ),
+            runs=len(view.assignments),
+        )
+
     def _log_run(
         self,
         name: str,
--- a/crocusrudder/workflows/waiting_reasons.py
+++ b/crocusrudder/workflows/waiting_reasons.py
@@ -41,6 +41,8 @@
     UNREACHABLE = "unreachable"
     DRAINING = "draining"
     DECLARED_LOST = "declared_lost"
+    UNKNOWN_RUN = "unknown_run"
+    """A run of an unknown job is being stopped there, and what it takes is unknown."""
     NO_RECENT_REPORT = "no_recent_report"
     BLOCKED = "blocked"
     """The worker gets no starts for a time, such as after one that it rejected."""
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -60,6 +60,11 @@
             HEARTBEAT.replace(b'"ready"', b'"resting"'),
             HEARTBEAT.replace(b'"seq":4', b'"seq":"4"'),
             HEARTBEAT.replace(b'"capacity"', b'"room"'),
+            HEARTBEAT.replace(b'"cpu":16000', b'"cpu":-1'),
+            HEARTBEAT.replace(b'"cpu":16000', b'"cpu":"16000"'),
+            # Guards against the end of the agent's process: the report could not be encoded.
+            HEARTBEAT.replace(b'"cpu":16000', b'"cpu":%d' % 2**64),
+            HEARTBEAT.replace(b'"born":17', b'"born":%d' % 2**64),
         ):
             with self.subTest(body=body), self.assertRaises(errors.MalformedInputError):
                 heartbeats.decode_heartbeat("w1", body)
@@ -188,7 +193,7 @@
             "ended": [[58, "j.0.0.9", 1, "done", ""]],
         }
         listed = curio.run(
-            self._client(make_response(200, content)).poll_runs("w1", 7, 57, 900, 0.5)
+            self._client(make_response(200, content)).poll_runs(("w1", 17), 7, 57, 900, 0.5)
         )
         self.assertEqual(12.0, listed.running[0].measure)
         self.assertEqual(58, listed.ended[0].number)
@@ -197,15 +202,17 @@
         # Guards against an agent that ends, and lets its leases expire, because of one entry.
         content = {
             "clockMs": 5,
-            "running": [["j.0.0.0", 2, "s1", 41, 12], ["j.0.0.1", 2, "", None], [7], ["a", "b"]],
+            "running": [["j.0.0.0", 2, "s1", 41, 12], ["j.0.0.1", 2, "", None], [7], ["a", "b"]]
+            + [["j.0.0.2", 2**64, "", 41], ["j.0.0.3", 2, "", 1e300]],
             "ended": [
                 [58, "j.0.0.9", 1, "done", ""],
                 ["59", "j.0.0.8", 1, "done", ""],
                 [60, "j.0.0.7", 1, "vanished", ""],
+                [2**64, "j.0.0.6", 1, "done", ""],
             ],
         }
         listed = curio.run(
-            self._client(make_response(200, content)).poll_runs("w1", 7, 57, 900, 0.5)
+            self._client(make_response(200, content)).poll_runs(("w1", 17), 7, 57, 900, 0.5)
         )
         self.assertEqual(["j.0.0.0"], [entry.task for entry in listed.running])
         self.assertEqual([58], [entry.number for entry in listed.ended])
@@ -214,6 +221,9 @@
         client = self._client(make_response(421, {}))
         with self.assertRaises(errors.WrongWorkerError):
             curio.run(client.stop("w1", "j.0.0.0", 1, 7))
+        client = self._client(make_response(200, {"clockMs": 5, "born": 18}))
+        with self.assertRaises(errors.WrongWorkerError):
+            curio.run(client.poll_runs(("w1", 17), 7, 57, 900, 0.5))
 
 
 if __name__ == "__main__":
--- a/tests/workflows/test_agent_daemon.py
+++ b/tests/workflows/test_agent_daemon.py
@@ -13,6 +13,7 @@
 from crocusrudder.wire import workflow_messages
 from crocusrudder.workflows import agent_daemon
 from crocusrudder.workflows import settings
+from tests.platform import test_messages
 
 ENDED = workflow_messages.EndedRun(1, "j.0.0.0", 1, "done")
 ROUNDS = 50
@@ -25,7 +26,7 @@
     def __init__(self) -> None:
         self.polls = 0
 
-    async def poll_runs(self, name, epoch, acknowledged, lease_until_ms, wait_seconds):
+    async def poll_runs(self, incarnation, epoch, acknowledged, lease_until_ms, wait_seconds):
         self.polls += 1
         if acknowledged >= ENDED.number:
             await curio.Event().wait()
@@ -73,7 +74,7 @@
             (),
         )
 
-    def _deliver_orders(self, acknowledged: int) -> workflow_messages.AgentOrders:
+    def _make_orders(self, acknowledged: int) -> workflow_messages.AgentOrders:
         now = agent_daemon.clocks.read_boot_time()
         return workflow_messages.AgentOrders(
             1, acknowledged + 1, now, self.worker.worker, 1, acknowledged=acknowledged
@@ -98,7 +99,7 @@
             now = agent_daemon.clocks.read_boot_time()
             state.handle_heartbeat(self.worker, 1, now)
             orders = state.handle_orders(
-                msgspec.structs.replace(self._deliver_orders(0), starts=(order,)), now
+                msgspec.structs.replace(self._make_orders(0), starts=(order,)), now
             )
             state.handle_list(worker.RunList(1, (), ()), 1, now, now)
             state.record_start_sent((order.task, order.run))
@@ -127,12 +128,12 @@
 
         async def poll() -> tuple[int, int]:
             self.agent._state.handle_heartbeat(self.worker, 1, 0.0)
-            await self.agent._deliver(envelope, self._deliver_orders(0))
+            await self.agent._deliver(envelope, self._make_orders(0))
             polling = await curio.spawn(self.agent._poll_runs_forever)
             for _ in range(ROUNDS):
                 await curio.sleep(0)
             before = self.client.polls
-            await self.agent._deliver(envelope, self._deliver_orders(1))
+            await self.agent._deliver(envelope, self._make_orders(1))
             for _ in range(ROUNDS):
                 await curio.sleep(0)
             await polling.cancel()
@@ -142,6 +143,51 @@
         self.assertLessEqual(before, 2)
         self.assertEqual(before + 1, after)
 
+    def test_a_list_of_another_incarnation_with_the_same_id_is_not_taken_for_the_known_one(self):
+        # Guards against ends of the new incarnation that are taken for ends of the old one, whose
+        # numbers have already been acknowledged: the task of such an end runs again.
+        client = worker.WorkerClient("127.0.0.1:9")
+        self.agent._worker = client
+        self.agent._state.handle_heartbeat(self.worker, 1, 0.0)
+        listed = {"clockMs": 900_000, "born": 1, "running": [["j.0.0.0", 7, "", 5]], "ended": []}
+        restarted = {
+            "clockMs": 90,
+            "born": 2,
+            "running": [],
+            "ended": [[1, "k.0.0.0", 8, "done", ""]],
+        }
+        client._http = test_messages.FakeHttp(
+            *(test_messages.make_response(200, content) for content in (listed, restarted))
+        )
+
+        async def poll_twice() -> None:
+            for _ in range(2):
+                await self.agent._poll_runs(self.worker)
+
+        curio.run(poll_twice())
+        report = self.agent._state.make_report(ids.DataCentre("z"), 1.0)
+        self.assertEqual(["j.0.0.0"], [run.task for run in report.running])
+        self.assertEqual((), report.ended)
+
+    def test_ends_are_not_acknowledged_to_a_worker_that_may_have_restarted(self):
+        # Guards against an end that a new incarnation with the same id drops unread, because its
+        # number was acknowledged to the old one: the task runs again.
+        client = worker.WorkerClient("127.0.0.1:9")
+        self.agent._worker = client
+        listed = test_messages.make_response(200, {"clockMs": 900, "born": 1})
+        broken = errors.UnknownOutcomeError("connection reset")
+        client._http = test_messages.FakeHttp(listed, broken, listed, listed)
+
+        async def poll() -> None:
+            self.agent._state.handle_heartbeat(self.worker, 1, 0.0)
+            self.agent._state.handle_orders(self._make_orders(58), 0.0)
+            for _ in range(4):
+                await self.agent._poll_runs(self.worker)
+
+        curio.run(poll())
+        seen = [msgspec.json.decode(r.body)["lastSeen"] for r in client._http.requests]
+        self.assertEqual([58, 58, 0, 58], seen)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/workflows/test_owner.py
+++ b/tests/workflows/test_owner.py
@@ -76,6 +76,28 @@
         self.assertEqual(8, len(system.agents["a0"].worker.started))
         self.assertEqual(0, system.count_starts("j1.0.0.0"))
 
+    def test_a_gang_with_a_rejected_member_does_not_wait_for_it(self):
+        # Guards against GANG: the other members waited for 3 s and ended as alone.
+        system = world.World(agents=2)
+        system.run(1.0)
+        for agent in system.agents.values():
+            agent.worker.duration = 60.0
+        with mock.patch.object(
+            system.agents["a1"].worker, "start", return_value=model.RejectReason.NO_CAPACITY
+        ):
+            system.submit("j1", model.Stage(2, messages.Resources(5_000, 100, 0), gang=True))
+            system.run(0.2)
+            self.assertEqual(1, len(system.agents["a0"].worker.running))
+            system.run(0.4)
+        system.agents["a1"].worker.set_capacity(0, 0, 0)
+        system.run(1.0)
+        self.assertEqual({}, system.agents["a0"].worker.running)
+        system.agents["a1"].worker.set_capacity(8_000, 32_000, 0)
+        system.run(1.0)
+        runs = {run for agent in system.agents.values() for _, run in agent.worker.running}
+        self.assertEqual(1, len(runs))
+        self.assertEqual(1, len(system.agents["a1"].worker.running))
+
 
 class UnexpectedErrorTest(unittest.TestCase):
     """One job or report that cannot be handled does not keep others from being handled."""
@@ -306,6 +328,24 @@
         system.run(2.0)
         self.assertEqual(1, len(system.agents["a0"].worker.started))
 
+    def test_a_task_is_not_started_on_a_restarted_worker_that_is_taken_for_the_earlier_one(self):
+        # Guards against TWICE: the owner released the tasks of the replaced incarnation and placed
+        # them again, while the new one, which has the same id, already ran this one.
+        system = world.World(agents=2)
+        system.run(1.0)
+        agent = system.agents["a0"]
+        agent.worker = world.FakeWorker("w-a0", 2_000)
+        agent.worker.heartbeats_from = system.now + 0.6
+        for other in system.agents.values():
+            other.worker.duration = 60.0
+        agent.state.record_poll_failure(system.now)
+        system.submit("j1", model.Stage(1, ONE_CORE))
+        for _ in range(40):
+            system.step()
+            held = sum(len(agent.worker.running) for agent in system.agents.values())
+            self.assertLessEqual(held, 1, "two runs of one task")
+        self.assertEqual(1, system.count_starts("j1.0.0.0"))
+
     def test_a_task_of_a_lost_agent_starts_again_after_lease_expiry(self):
         system = world.World(agents=2)
         for agent in system.agents.values():
