Postpone the search for a worker by stage, not by job

Callers could see an accepted job with nothing running while capacity was free. A starved job whose first ready stage finds no worker even as a last resort was postponed as a whole. Its other ready stages come later in each plan, so they never got a last resort: a stage that fits nowhere kept a best-effort stage beside it waiting for good.

The time of the next search now belongs to the stage; the time since when a job waits is unchanged.

Before, the test failed with test_a_stage_that_fits_nowhere_does_not_hold_up_another_stage_of_its_job AssertionError: 'j1.0.1.0' not found in {} After: the tests of tests/workflows pass.

--- a/crocusrudder/workflows/job_registry.py
+++ b/crocusrudder/workflows/job_registry.py
@@ -87,6 +87,7 @@
         "occurrence",
         "passed_over_since",
         "record",
+        "retry_at",
         "spec",
         "tasks",
     )
@@ -99,6 +100,8 @@
         self.done_count = 0
         self.passed_over_since: float | None = None
         """Since when no worker was found for a task of this long-running stage."""
+        self.retry_at = 0.0
+        """When a worker may be sought as a last resort again; see ``starvation.postpone``."""
         self.tasks = [
             Task(model.make_task_name(record.job.job_id, occurrence, number, index), self, index)
             for index in range(self.spec.task_count)
--- a/crocusrudder/workflows/starvation.py
+++ b/crocusrudder/workflows/starvation.py
@@ -12,7 +12,7 @@
 
 
 RETRY_SECONDS = 0.5
-"""Time after which a starved job is tried again that has found no worker even as a last resort."""
+"""Time after which a stage is tried again that has found no worker even as a last resort."""
 
 
 def is_starved(task: job_registry.Task, now: float) -> bool:
@@ -22,12 +22,15 @@
     waiting = _get_waiting(task)
     if waiting.passed_over_since is None:
         waiting.passed_over_since = now
-    return now - waiting.passed_over_since >= STARVED_SECONDS
+    return now >= task.stage.retry_at and now - waiting.passed_over_since >= STARVED_SECONDS
 
 
 def postpone(task: job_registry.Task, now: float) -> None:
-    """Let a starved job wait, so that jobs without any room do not use up the time of plans."""
-    _get_waiting(task).passed_over_since = now + RETRY_SECONDS - STARVED_SECONDS
+    """Let a stage wait, so that stages without any room do not use up the time of plans.
+
+    Other stages of its job are still tried.
+    """
+    task.stage.retry_at = now + RETRY_SECONDS
 
 
 def _get_waiting(task: job_registry.Task) -> job_registry.StageRecord | job_registry.JobRecord:
--- a/tests/workflows/test_starvation.py
+++ b/tests/workflows/test_starvation.py
@@ -38,8 +38,9 @@
         self.planner = planning.Planner(model.OwnerEpoch(1), self.registry, 1, throttle_controller)
         self.planner.set_configuration(model.Configuration(1, (QUEUE,)))
 
-    def _submit(self, name: str, stage: model.Stage = test_throttling.BEST_EFFORT) -> None:
-        job = model.Job(ids.JobId(name), QUEUE.name, "", (stage,), 100.0)
+    def _submit(self, name: str, *stages: model.Stage) -> None:
+        stages = stages or (test_throttling.BEST_EFFORT,)
+        job = model.Job(ids.JobId(name), QUEUE.name, "", stages, 100.0)
         self.registry.add(job_registry.JobRecord(job, 2))
 
     def _plan(self, now: float) -> dict[str, str]:
@@ -100,6 +101,13 @@
         self.assertEqual(2, len(self._list_cpu_shares()))
         self.assertIn(0, self._list_cpu_shares())
 
+    def test_a_stage_that_fits_nowhere_does_not_hold_up_another_stage_of_its_job(self):
+        # Guards against LOST: each search for the first stage postponed those for the whole job.
+        too_large = model.Stage(1, messages.Resources(1, 99_000, 0))
+        self._submit("j1", too_large, test_throttling.BEST_EFFORT)
+        self._plan(100.0)
+        self.assertIn("j1.0.1.0", self._plan(100.0 + LATER))
+
 
 if __name__ == "__main__":
     unittest.main()
