Let a starved best-effort gang share processors as single tasks do

Callers could see an accepted gang of best-effort tasks with nothing running while most capacity was free. As a last resort, a best-effort task is placed beside others that have requested the processors, but the check whether a gang can fit still counted idle processors only, so that the members were never tried.

The check counts memory and accelerators only where the members may share processors.

Before, the test failed with test_a_gang_shares_processors_after_a_bounded_wait_while_most_capacity_is_free AssertionError: {'j1.0.0.0', 'j1.0.0.1'} not less than or equal to {'fill-a20.0.0.0', ...} After: the 165 tests of tests/workflows pass.

--- a/crocusrudder/workflows/candidates.py
+++ b/crocusrudder/workflows/candidates.py
@@ -76,8 +76,11 @@
             and demand.accelerators <= self.accelerators
         )
 
-    def count_fitting(self, spec: model.Stage) -> int:
-        """Return how many tasks of a stage fit; 0 also for a stage that demands no resources."""
+    def count_fitting(self, spec: model.Stage, shares_cpu: bool = False) -> int:
+        """Return how many tasks of a stage fit; 0 also for a stage that demands no resources.
+
+        If ``shares_cpu``, the tasks need no free processors.
+        """
         demand = spec.demand
         free_millicores = (
             self.idle_millicores - self.best_effort_millicores
@@ -85,7 +88,7 @@
             else self.millicores
         )
         resources = (
-            (free_millicores, demand.millicores),
+            (free_millicores, 0 if shares_cpu else demand.millicores),
             (self.memory_mb, demand.memory_mb),
             (self.accelerators, demand.accelerators),
         )
--- a/crocusrudder/workflows/placement.py
+++ b/crocusrudder/workflows/placement.py
@@ -158,11 +158,13 @@
         """Return the worker of an agent; None if plans may not assign tasks to it."""
         return self._usable.get(agent)
 
-    def count_fitting(self, spec: model.Stage, service: ids.ServiceName) -> int:
+    def count_fitting(
+        self, spec: model.Stage, service: ids.ServiceName, shares_cpu: bool = False
+    ) -> int:
         """Return an upper bound of how many tasks of a stage fit on all workers together."""
         usable = self._by_service.get(service, ())
         return sum(
-            candidate.count_fitting(spec)
+            candidate.count_fitting(spec, shares_cpu)
             for candidate in itertools.chain(usable, self._set_aside.get(service, ()))
             if _has_label(candidate, spec)
         )
--- a/crocusrudder/workflows/planning.py
+++ b/crocusrudder/workflows/planning.py
@@ -207,10 +207,14 @@
         """Assign all members of the gang or none."""
         if any(now < task.not_before for task in stage.tasks):
             return
-        if self._place_gang(stage, service, now, self._pool.choose):
+        if self._can_fit(stage, service) and self._place_gang(
+            stage, service, now, self._pool.choose
+        ):
             return
         if self._may_use_last_resort(stage.tasks[0], now):
-            placed = self._place_gang(stage, service, now, self._pool.choose_last_resort)
+            placed = []
+            if self._can_fit(stage, service, shares_cpu=stage.spec.best_effort):
+                placed = self._place_gang(stage, service, now, self._pool.choose_last_resort)
             for task, candidate in placed:
                 self._limit_cpu_share(task, candidate, now)
             if not placed:
@@ -224,8 +228,6 @@
         choose: placement.ChooseFunction,
     ) -> list[tuple[job_registry.Task, candidates.CandidateWorker]]:
         """Assign all members with ``choose``, or none; return those assigned."""
-        if not self._can_fit(stage, service):
-            return []
         run = next(self._run_numbers)
         checkpoint = max(task.checkpoint for task in stage.tasks)
         placed: list[tuple[job_registry.Task, candidates.CandidateWorker]] = []
@@ -240,12 +242,15 @@
             placed.append((task, candidate))
         return placed
 
-    def _can_fit(self, stage: job_registry.StageRecord, service: ids.ServiceName) -> bool:
+    def _can_fit(
+        self, stage: job_registry.StageRecord, service: ids.ServiceName, shares_cpu: bool = False
+    ) -> bool:
         """Return False if a gang certainly has no room, which saves placing and undoing it."""
         demand = stage.spec.demand
-        if not (demand.millicores or demand.memory_mb or demand.accelerators):
+        millicores = 0 if shares_cpu else demand.millicores
+        if not (millicores or demand.memory_mb or demand.accelerators):
             return True
-        return self._pool.count_fitting(stage.spec, service) >= len(stage.tasks)
+        return self._pool.count_fitting(stage.spec, service, shares_cpu) >= len(stage.tasks)
 
     def _assign(
         self, task: job_registry.Task, candidate: candidates.CandidateWorker, run: int, now: float
--- a/tests/workflows/test_starvation.py
+++ b/tests/workflows/test_starvation.py
@@ -73,6 +73,14 @@
         self.assertEqual(14, len(self._plan(100.0)))
         self.assertIn("j1.0.0.0", self._plan(100.0 + LATER))
 
+    def test_a_gang_shares_processors_after_a_bounded_wait_while_most_capacity_is_free(self):
+        # Guards against LOST: the count of members that fit required idle processors.
+        self._fill_processors(memory_mb=500)
+        gang = msgspec.structs.replace(test_throttling.BEST_EFFORT, task_count=2, gang=True)
+        self._submit("j1", gang)
+        self.assertEqual(14, len(self._plan(100.0)))
+        self.assertLessEqual({"j1.0.0.0", "j1.0.0.1"}, set(self._plan(100.0 + LATER)))
+
     def test_a_starved_job_waits_for_processors_while_most_capacity_is_reserved(self):
         self._fill_processors(memory_mb=700)
         self._submit("j1")
