Plan a job again after an unexpected error

After an exception while a job was planned, the job was planned again only once one of its tasks had ended. With nothing running none does, so the accepted job never ran, although the error may have been due to a passing state of the workers.

The job is now planned again after 1 s.

--- a/crocusrudder/workflows/job_registry.py
+++ b/crocusrudder/workflows/job_registry.py
@@ -119,6 +119,7 @@
         self.is_started = self.progress.state is not model.JobState.QUEUED
         self.needs_planning = True
         """Whether a task may have become ready to start since the job was last planned."""
+        self.planned_not_before = 0.0
         self.passed_over_since: float | None = None
         """Since when no worker was found for a ready task while nothing was running."""
         self.registry: JobRegistry | None = None
--- a/crocusrudder/workflows/planning.py
+++ b/crocusrudder/workflows/planning.py
@@ -19,6 +19,10 @@
 START_EARLY_SECONDS = 0.0
 """How long before its due time an occurrence may start; the requirement is at most 0.25 s."""
 
+ERROR_RETRY_SECONDS = 1.0
+"""Time after which a job is planned again whose planning failed unexpectedly; each failure writes a
+log line."""
+
 
 class Planner:
     """Assign pending tasks to workers."""
@@ -69,7 +73,8 @@
             if queue is None:
                 continue
             selected += self._moves.select(record, queue.service, now)
-            if record.needs_planning and (is_reconciled or record.version > self._version):
+            is_known_idle = is_reconciled or record.version > self._version
+            if record.needs_planning and is_known_idle and now >= record.planned_not_before:
                 self._plan_job(record, queue, now, wall_time)
         return selected
 
@@ -85,6 +90,8 @@
             fields = {"job": record.job.job_id, "error": repr(error)}
             code = errors.PlanningError.code
             self._logged.append(effects.LogChange("job_not_planned", {"code": code, **fields}))
+            record.needs_planning = True
+            record.planned_not_before = now + ERROR_RETRY_SECONDS
 
     def _sort_jobs(self, wall_time: float) -> list[job_registry.JobRecord]:
         """Return the jobs with tasks to place or move in the order in which they get room."""
--- a/tests/workflows/test_owner.py
+++ b/tests/workflows/test_owner.py
@@ -89,6 +89,18 @@
         system.run(2.0)
         self.assertIs(model.JobState.COMPLETED, system.get_state("j2"))
 
+    def test_a_job_whose_planning_failed_is_planned_again(self):
+        # Guards against LOST: after an error the job was planned again only once one of its tasks
+        # had ended, and with nothing running none did.
+        system = world.World()
+        system.run(1.0)
+        system.submit("j1", model.Stage(1, ONE_CORE))
+        record = system.owner.job_registry.get(ids.JobId("j1"))
+        with mock.patch.object(record, "iterate_ready", side_effect=ValueError("unexpected")):
+            system.run(0.2)
+        system.run(2.5)
+        self.assertIs(model.JobState.COMPLETED, system.get_state("j1"))
+
 
 class TakeoverTest(unittest.TestCase):
     """A new owner takes over the running tasks and waits for the leases of unreachable workers."""
