Report crashes of workers with the runs that may have caused them

Nothing uses the evidence yet.

Errors of HTTP calls now say whether the peer's machine closed the connection, as opposed to a response that did not arrive in time.

--- a/crocusrudder/platform/errors.py
+++ b/crocusrudder/platform/errors.py
@@ -8,6 +8,18 @@
 
     code = "CR-PLT-000"
 
+    def __init__(self, message: str, hint: str = "", is_connection_closed: bool = False) -> None:
+        super().__init__(message, hint)
+        self._is_connection_closed = is_connection_closed
+
+    @property
+    def is_connection_closed(self) -> bool:
+        """Return whether the peer's machine refused, reset or closed the connection.
+
+        False if there was no response in time: the peer may be suspended or unreachable.
+        """
+        return self._is_connection_closed
+
 
 class NotExecutedError(PlatformError):
     """The request had no effect.
--- a/crocusrudder/platform/http.py
+++ b/crocusrudder/platform/http.py
@@ -87,10 +87,9 @@
     def __init__(self) -> None:
         self.bytes_sent = 0
 
-    def make_error(self, text: str) -> errors.PlatformError:
-        return (
-            errors.UnknownOutcomeError(text) if self.bytes_sent else errors.NotExecutedError(text)
-        )
+    def make_error(self, text: str, is_connection_closed: bool = False) -> errors.PlatformError:
+        type_ = errors.UnknownOutcomeError if self.bytes_sent else errors.NotExecutedError
+        return type_(text, is_connection_closed=is_connection_closed)
 
 
 class _Connection:
@@ -102,8 +101,14 @@
         self._parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=config.max_header_bytes)
         self._used_at = time.monotonic()
         self._send_failed = False
+        self._has_peer_closed = False
         self._method = ""
 
+    @property
+    def has_peer_closed(self) -> bool:
+        """Return whether the end of the peer's data has been received."""
+        return self._has_peer_closed
+
     @property
     def used_at(self) -> float:
         """Return the monotonic time of the last use."""
@@ -226,7 +231,9 @@
             event = self._parser.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            self._parser.receive_data(await self._stream.recv(RECEIVE_BYTES))
+            data = await self._stream.recv(RECEIVE_BYTES)
+            self._has_peer_closed = not data
+            self._parser.receive_data(data)
 
 
 class _AddressPool:
@@ -276,7 +283,8 @@
             response = await connection.exchange(data, progress)
         except (OSError, h11.ProtocolError, UnicodeError) as error:
             await connection.close()
-            raise progress.make_error(str(error)) from error
+            is_closed = isinstance(error, ConnectionError) or connection.has_peer_closed
+            raise progress.make_error(str(error), is_closed) from error
         except curio.CancelledError:
             await connection.close()
             raise
@@ -316,7 +324,8 @@
             stream.setsockopt(curio.socket.IPPROTO_TCP, curio.socket.TCP_NODELAY, 1)
         except (OSError, OverflowError) as error:
             await stream.close()
-            raise errors.NotExecutedError(str(error)) from error
+            is_closed = isinstance(error, ConnectionError)
+            raise errors.NotExecutedError(str(error), is_connection_closed=is_closed) from error
         except curio.CancelledError:
             await stream.close()
             raise
--- a/crocusrudder/wire/workflow_messages.py
+++ b/crocusrudder/wire/workflow_messages.py
@@ -57,6 +57,23 @@
     reason: str
 
 
+class SuspectRun(msgspec.Struct, frozen=True, array_like=True):
+    """A run that started shortly before its worker crashed."""
+
+    task: str
+    run: int
+    age_seconds: float
+    """Time from the start of the run to the crash."""
+
+
+class WorkerCrash(msgspec.Struct, frozen=True, array_like=True):
+    """End of a worker's process that was neither announced nor preceded by silence."""
+
+    worker: ids.WorkerId
+    born_ms: int
+    suspects: tuple[SuspectRun, ...] = ()
+
+
 class AgentReport(messages.Message, frozen=True):
     """Complete state of a worker and its runs as of ``sent_at``."""
 
@@ -79,6 +96,8 @@
     """The worker has deregistered and ended, and no other has registered since."""
     list_age_seconds: float = 0.0
     """Time since the worker made the list that the report repeats."""
+    crashes: tuple[WorkerCrash, ...] = ()
+    """Crashes of recent incarnations of the worker, oldest first."""
 
 
 class StartOrder(msgspec.Struct, frozen=True, array_like=True):
--- a/crocusrudder/workflows/agent_daemon.py
+++ b/crocusrudder/workflows/agent_daemon.py
@@ -143,7 +143,7 @@
         if self._state.has_ends_to_acknowledge:
             await self._acknowledgements.set()
         for order in orders.starts:
-            self._state.record_start_sent((order.task, order.run))
+            self._state.record_start_sent((order.task, order.run), now)
             await curio.spawn(self._start, orders, order, daemon=True)
         for run in orders.stops:
             await curio.spawn(self._stop, orders, run, daemon=True)
@@ -168,6 +168,7 @@
             async with self._calls:
                 rejected = await self._call_start(orders, order)
         except errors.UnknownOutcomeError as error:
+            self._record_call_failure(orders.worker, error)
             self._log("start_unanswered", task=order.task, run=order.run, error=str(error))
             await self._block(orders, run)
             return
@@ -194,7 +195,8 @@
             return model.RejectReason.NOT_READY
         try:
             answer = await self._worker.start(orders.worker, order, orders.epoch, lease_end)
-        except (errors.NotExecutedError, errors.WrongWorkerError):
+        except (errors.NotExecutedError, errors.WrongWorkerError) as error:
+            self._record_call_failure(orders.worker, error)
             return model.RejectReason.UNHEALTHY
         self._state.record_response(answer.clock_ms, clocks.read_boot_time())
         return answer.rejected
@@ -213,6 +215,7 @@
             async with self._calls:
                 accepted = await self._worker.stop(orders.worker, *run, orders.epoch)
         except errors.PlatformError as error:
+            self._record_call_failure(orders.worker, error)
             self._log("stop_unanswered", task=run[0], run=run[1], error=str(error))
         else:
             self._log("run_stopped", task=run[0], run=run[1], taken=accepted, epoch=orders.epoch)
@@ -230,10 +233,15 @@
                     orders.worker, task, run, percent, orders.epoch
                 )
         except errors.PlatformError as error:
+            self._record_call_failure(orders.worker, error)
             self._log("pace_unanswered", task=task, run=run, error=str(error))
             return
         self._log("run_paced", task=task, run=run, percent=percent, taken=accepted)
 
+    def _record_call_failure(self, worker_id: ids.WorkerId, error: errors.PlatformError) -> None:
+        now = clocks.read_boot_time()
+        self._state.record_call_failure(worker_id, error.is_connection_closed, now)
+
     # Leases and lists
 
     async def _poll_runs_forever(self) -> None:
@@ -264,6 +272,7 @@
                 current.worker, epoch, state.acknowledged, lease_end, wait
             )
         except errors.PlatformError as error:
+            self._record_call_failure(current.worker, error)
             self._metrics.count("holds_failed")
             self._worker_log.record(False, str(error))
             return False
--- a/crocusrudder/workflows/agent_state.py
+++ b/crocusrudder/workflows/agent_state.py
@@ -9,6 +9,7 @@
 from crocusrudder.core import ids
 from crocusrudder.platform import worker
 from crocusrudder.wire import workflow_messages
+from crocusrudder.workflows import crash_evidence
 from crocusrudder.workflows import leases
 from crocusrudder.workflows import model
 
@@ -55,6 +56,7 @@
         self._acknowledged = 0
         self._owner_heard_at = float("-inf")
         self._deregistered_at: float | None = None
+        self._crash_monitor = crash_evidence.CrashMonitor()
 
     @property
     def current_worker(self) -> workflow_messages.WorkerState | None:
@@ -109,6 +111,8 @@
         self._worker = state
         self._sequence = sequence
         if known is not None:
+            has_deregistered = self._deregistered_at is not None
+            self._crash_monitor.handle_replacement(known, has_deregistered, now)
             self._start_incarnation(now)
         return True
 
@@ -167,13 +171,15 @@
             orders.acknowledged,
         )
 
-    def record_start_sent(self, run: RunKey) -> None:
+    def record_start_sent(self, run: RunKey, now: float) -> None:
         self._starting.add(run)
+        self._crash_monitor.record_start_sent(run, now)
 
     def record_start_result(
         self, run: RunKey, rejected: model.RejectReason | None, now: float
     ) -> None:
         self._starting.discard(run)
+        self._crash_monitor.record_start_answered(run, rejected is None, now)
         if rejected is None:
             self._started[run] = now
         else:
@@ -188,6 +194,7 @@
         self._starting.discard(run)
         if accepted:
             self._blocked[run] = now
+            self._crash_monitor.record_start_blocked(run)
         else:
             self._stopped.pop(run, None)
 
@@ -232,6 +239,8 @@
             if at > requested_at and not self._is_listed_as_ended(run)
         }
         self._running = listed_runs
+        ended_runs = {(entry.task, entry.run) for entry in listed.ended}
+        self._crash_monitor.record_list(set(listed_runs), ended_runs, requested_at, now)
         self._resolve_blocked(requested_at, now)
         self._discard_old(now)
         return before != (tuple(self._running), tuple(self._ended), self._listed_epoch)
@@ -239,9 +248,18 @@
     def record_response(self, clock_ms: int, now: float) -> None:
         """Record a response of the worker; ``clock_ms`` is 0 if it held no clock reading."""
         self._responded_at = now
+        self._crash_monitor.record_response(now)
         if clock_ms:
             self._clock = (clock_ms, now)
 
+    def record_call_failure(
+        self, worker_id: ids.WorkerId, is_connection_closed: bool, now: float
+    ) -> None:
+        """Record that a call to a worker failed, and whether its machine closed the connection."""
+        known = self._worker
+        if is_connection_closed and known is not None and known.worker == worker_id:
+            self._crash_monitor.record_connection_closed(now)
+
     def make_report(self, data_centre: ids.DataCentre, now: float) -> workflow_messages.AgentReport:
         """Return the complete state; forgets the runs if their leases have expired."""
         has_ended = self._has_worker_ended(now)
@@ -270,6 +288,7 @@
             ),
             has_ended,
             now - self._list_received_at,
+            self._crash_monitor.list_crashes(now),
         )
 
     def _resolve_blocked(self, requested_at: float, now: float) -> None:
--- a/tests/platform/test_pool.py
+++ b/tests/platform/test_pool.py
@@ -6,6 +6,7 @@
 import curio
 
 from crocusrudder.core import events
+from crocusrudder.platform import errors
 from tests.platform import support
 
 PORT = 29_520
@@ -106,6 +107,35 @@
         self.assertEqual(first.response.body, b"a")
 
 
+class FailureCauseTest(unittest.TestCase):
+    """Guards against taking a suspended peer for one whose process has ended, and vice versa."""
+
+    def _call(self, script, port=PORT, seconds=support.LONG_TIMEOUT_SECONDS):
+        async def call():
+            async with support.run_script(PORT, script) as (client, _):
+                await client.call(support.HOST, port, support.POST, seconds)
+
+        with self.assertRaises(errors.PlatformError) as caught:
+            curio.run(call)
+        return caught.exception.is_connection_closed
+
+    def test_refused_reset_and_closed_connections_are_told_from_missing_responses(self):
+        async def reset(peer):
+            await peer.read_request()
+            peer.reset_on_close()
+
+        async def close(peer):
+            await peer.read_request()
+
+        async def hang(peer):
+            await peer.hang()
+
+        self.assertTrue(self._call(reset))
+        self.assertTrue(self._call(close))
+        self.assertTrue(self._call(close, port=CLOSED_PORT))
+        self.assertFalse(self._call(hang, seconds=0.05))
+
+
 class ConnectionLimitTest(unittest.TestCase):
     """Guards against exceeding the connection limit and against leaking slots."""
 
--- a/tests/workflows/test_agent_state.py
+++ b/tests/workflows/test_agent_state.py
@@ -67,7 +67,7 @@
 
     def test_a_stopped_start_counts_as_rejected_only_after_a_later_list(self):
         self.state.handle_orders(make_orders(1, 100.0, starts=(START,)), 100.0)
-        self.state.record_start_sent(RUN)
+        self.state.record_start_sent(RUN, 100.0)
         self.state.record_stop_result(RUN, True, 100.5)
         self._list(100.4)
         self.assertEqual((), self._report(100.6).rejected)
@@ -77,14 +77,14 @@
         self.assertEqual(model.RejectReason.NO_RESPONSE.value, reason)
 
     def test_a_stopped_start_that_was_executed_is_listed_until_it_ends(self):
-        self.state.record_start_sent(RUN)
+        self.state.record_start_sent(RUN, 100.4)
         self.state.record_stop_result(RUN, True, 100.5)
         self._list(100.7, RUN)
         report = self._report(100.8)
         self.assertEqual(((), 1), (report.rejected, len(report.running)))
 
     def test_a_started_run_stays_listed_until_a_list_from_after_its_start(self):
-        self.state.record_start_sent(RUN)
+        self.state.record_start_sent(RUN, 100.4)
         self.state.record_start_result(RUN, None, 100.5)
         self._list(100.4)
         self.assertEqual(1, len(self._report(100.6).running))
@@ -107,7 +107,7 @@
         self.state.handle_orders(make_orders(1, 101.0, starts=(START,)), 101.0)
         self._list(101.0)
         self.state.get_lease_end_ms(101.0)
-        self.state.record_start_sent(RUN)
+        self.state.record_start_sent(RUN, 101.0)
         report = self._report(101.0 + leases.LEASE_EXPIRY_SECONDS + 0.1)
         self.assertTrue(report.lapsed)
         self.assertEqual(((), ()), (report.starting, report.running))
--- a/tests/workflows/world.py
+++ b/tests/workflows/world.py
@@ -16,6 +16,8 @@
 from crocusrudder.workflows import owner
 
 TICK = 0.1
+RESTART_SECONDS = 3.0
+"""Time from the crash of a worker to the first heartbeat of the next incarnation."""
 WALL_TIME_OFFSET = 1_000_000.0
 SERVICE = ids.ServiceName("dispatch")
 QUEUE = model.QueueName("confirm")
@@ -45,6 +47,9 @@
         self.end_kind = "done"
         self.stop_seconds = 0.0
         self.is_hung = False
+        self.deadly: set[str] = set()
+        """Tasks or jobs that crash the worker when they start."""
+        self.crashed_at: float | None = None
         self.stopping: dict[tuple[str, int], float] = {}
 
     def start(self, now: float, order: workflow_messages.StartOrder, epoch: int, lease: float):
@@ -57,9 +62,16 @@
         self.last_blocked_run[order.task] = order.run
         self.running[(order.task, order.run)] = now + self.duration
         self.started.append((now, order.task, order.run))
+        if {order.task, order.task.partition(".")[0]} & self.deadly:
+            self.crash(now)
         self.lease_until = max(self.lease_until, lease)
         return None
 
+    def crash(self, now: float) -> None:
+        """End the worker's process and all its runs without a notice."""
+        self.crashed_at = now
+        self.running.clear()
+
     def stop(self, now: float, run: tuple[str, int], epoch: int) -> bool:
         """Begin to stop a run; return False if the epoch is fenced off."""
         if epoch < self.fence:
@@ -111,10 +123,17 @@
         self.worker = FakeWorker(f"w-{name}", 1_000)
         self.is_connected = True
         self.heartbeats = 0
+        self.earlier_starts: list[tuple[float, str, int]] = []
+        """Starts on earlier incarnations of the worker."""
 
     def step(self, now: float) -> None:
         """Handle a heartbeat of the worker, and extend its lease."""
         self.heartbeats += 1
+        if self.worker.crashed_at is not None:
+            self.state.record_call_failure(self.worker.state.worker, True, now)
+            if now - self.worker.crashed_at < RESTART_SECONDS:
+                return
+            self._restart_worker()
         self.worker.advance(now)
         if not self.worker.is_responsive:
             self.state.get_lease_end_ms(now)
@@ -134,12 +153,25 @@
             return
         for order in accepted.starts:
             run = (order.task, order.run)
-            self.state.record_start_sent(run)
+            self.state.record_start_sent(run, now)
+            if self.worker.crashed_at is not None:
+                self.state.record_start_result(run, model.RejectReason.UNHEALTHY, now)
+                continue
             rejected = self.worker.start(now, order, orders.epoch, now + 6.0)
             self.state.record_start_result(run, rejected, now)
-        for run in accepted.stops:
+        for run in accepted.stops if self.worker.crashed_at is None else ():
             self.state.record_stop_result(run, self.worker.stop(now, run, orders.epoch), now)
 
+    def _restart_worker(self) -> None:
+        """Start the next incarnation of the worker, under another id."""
+        old = self.worker
+        born_ms = old.state.born_ms + 1
+        self.earlier_starts += old.started
+        self.worker = FakeWorker(f"w-{self.process}-{born_ms}", born_ms)
+        self.worker.duration = old.duration
+        self.worker.end_kind = old.end_kind
+        self.worker.deadly = old.deadly
+
 
 class World:
     """A simulated deployment of one owner, and agents with a worker each."""
@@ -203,7 +235,9 @@
     def count_starts(self, task: str) -> int:
         """Return how often a task was started on any worker."""
         return sum(
-            name == task for agent in self.agents.values() for _, name, _ in agent.worker.started
+            name == task
+            for agent in self.agents.values()
+            for _, name, _ in (*agent.earlier_starts, *agent.worker.started)
         )
 
     def get_state(self, job: str) -> model.JobState:
