Count crashes of workers under a task and give up its job

Each run that had just started when its worker crashed is a suspect. The run numbers are stored with the job's progress, so that a repeated report changes nothing and a new owner counts on. A crash under suspects of earlier crashes is charged to these only. A crash weighs 1, or 2 if the start of the task coincides with it and no start of another job does; at a weight of 4 the job fails, after two to four crashes.

--- /dev/null
+++ b/crocusrudder/workflows/crashes.py
@@ -0,0 +1,174 @@
+"""Count the crashes of workers under a task, and give up jobs whose tasks keep causing them.
+
+All runs on a worker end with it, and most of them are harmless. So each run that had just started
+is a suspect only, and a job fails when the same task is a suspect again and again. A run that stays
+alive clears its task.
+"""
+
+from collections.abc import Iterable
+
+from crocusrudder.core import effects
+from crocusrudder.core import ids
+from crocusrudder.wire import workflow_messages
+from crocusrudder.workflows import crash_evidence
+from crocusrudder.workflows import fleet
+from crocusrudder.workflows import job_registry
+from crocusrudder.workflows import model
+
+MAX_WEIGHT = 4
+"""Sum of the weights of the crashes under a task at which its job fails. Four crashes at most, as a
+task must not be started three times more after three; one or two may be faults of machines."""
+CONCLUSIVE_WEIGHT = 2
+"""Weight of a crash right after the start of the task while all runs of other jobs had outlived
+theirs; other crashes have the weight 1."""
+PROMPT_SECONDS = 0.1
+"""Greatest age of the suspect at a conclusive crash. A deadly task crashes its worker within some
+milliseconds, and the agent notices the closed connection as fast; faults of machines rarely hit
+this moment."""
+OUTLIVED_SECONDS = 0.3
+"""Least age of the runs of other jobs at a conclusive crash."""
+MAX_LOGGED_SUSPECTS = 20
+
+
+class CrashRegister:
+    """Apply the crashes that agents report to the jobs of the suspects."""
+
+    def __init__(self, epoch: model.OwnerEpoch, jobs: job_registry.JobRegistry) -> None:
+        self._epoch = epoch
+        self._job_registry = jobs
+        self._known: set[tuple[ids.ProcessId, ids.WorkerId, int]] = set()
+        self._alive_since: dict[tuple[str, int], float] = {}
+        """Time of the first list with a run of a suspected task, by task and run."""
+        self._logged: list[effects.LogChange] = []
+
+    def drain_log(self) -> list[effects.LogChange]:
+        """Return the decisions logged since the last call, and clear them."""
+        logged, self._logged = self._logged, []
+        return logged
+
+    def handle(
+        self, view: fleet.AgentView, report: workflow_messages.AgentReport, wall_time: float
+    ) -> None:
+        """Apply the crashes in a report; a repeated crash changes nothing."""
+        for crash in report.crashes:
+            suspects = self._list_suspects(crash)
+            charged = select_charged(suspects)
+            for task, suspect in charged:
+                task.record.record_crash(
+                    task,
+                    suspect.run,
+                    crash.worker,
+                    suspect.age_seconds <= PROMPT_SECONDS,
+                    is_conclusive(suspect, crash.suspects),
+                )
+            self._log_crash(view, crash, suspects)
+            for task, _ in charged:
+                self._check_limit(task, wall_time)
+
+    def record_running(self, report: workflow_messages.AgentReport, now: float) -> None:
+        """Clear the suspected tasks whose runs have stayed alive."""
+        for running in report.running:
+            task = self._job_registry.find_task(running.task)
+            if task is None or not task.record.is_suspect(task):
+                continue
+            key = (running.task, running.run)
+            listed_at = now - report.list_age_seconds
+            since = self._alive_since.setdefault(key, listed_at)
+            if listed_at - since >= crash_evidence.CRASH_WINDOW_SECONDS:
+                self._check_survival(task, running.run, listed_at)
+
+    def _check_survival(self, task: job_registry.Task, run: int, listed_at: float) -> None:
+        members = task.stage.tasks if task.stage.spec.gang else [task]
+        latest = listed_at - crash_evidence.CRASH_WINDOW_SECONDS
+        if all(
+            self._alive_since.get((member.name, run), listed_at) <= latest for member in members
+        ):
+            task.record.record_survival(task, run)
+            for member in members:
+                del self._alive_since[(member.name, run)]
+
+    def _list_suspects(
+        self, crash: workflow_messages.WorkerCrash
+    ) -> list[tuple[job_registry.Task, workflow_messages.SuspectRun]]:
+        """Return the suspects whose tasks are known and have not outlived a later start."""
+        found = ((self._job_registry.find_task(run.task), run) for run in crash.suspects)
+        return [
+            (task, run)
+            for task, run in found
+            if task is not None
+            and task.phase is not job_registry.TaskPhase.DONE
+            and run.run >= task.record.get_crashes(task).survived_run
+        ]
+
+    def _check_limit(self, task: job_registry.Task, wall_time: float) -> None:
+        """Fail the job of a task whose crashes weigh enough."""
+        record = task.record
+        history = record.get_crashes(task)
+        if record.is_final or compute_weight(history) < MAX_WEIGHT:
+            return
+        record.finish(model.JobState.FAILED, wall_time)
+        self._log(
+            "job_failed",
+            job=record.job.job_id,
+            task=task.name,
+            cause="crashes",
+            runs=list(history.runs),
+            workers=list(history.workers),
+        )
+
+    def _log_crash(
+        self,
+        view: fleet.AgentView,
+        crash: workflow_messages.WorkerCrash,
+        suspects: list[tuple[job_registry.Task, workflow_messages.SuspectRun]],
+    ) -> None:
+        key = (view.agent, crash.worker, crash.born_ms)
+        if key in self._known:
+            return
+        self._known.add(key)
+        self._log(
+            "worker_crashed",
+            agent=view.agent,
+            worker=crash.worker,
+            suspect_count=len(suspects),
+            suspects=[
+                {
+                    "task": task.name,
+                    "run": run.run,
+                    "age_s": run.age_seconds,
+                    "crashes": len(task.record.get_crashes(task).runs),
+                }
+                for task, run in suspects[:MAX_LOGGED_SUSPECTS]
+            ],
+        )
+
+    def _log(self, name: str, **fields: object) -> None:
+        self._logged.append(effects.LogChange(name, {"epoch": self._epoch, **fields}))
+
+
+def compute_weight(history: model.CrashHistory) -> int:
+    """Return how strongly the crashes under a task speak against it."""
+    return len(history.runs) + (CONCLUSIVE_WEIGHT - 1) * len(history.conclusive_runs)
+
+
+def select_charged(
+    suspects: list[tuple[job_registry.Task, workflow_messages.SuspectRun]],
+) -> list[tuple[job_registry.Task, workflow_messages.SuspectRun]]:
+    """Return the suspects to which a crash is charged: those of earlier crashes, else all."""
+    repeated = [
+        (task, suspect)
+        for task, suspect in suspects
+        if any(run < suspect.run for run in task.record.get_crashes(task).runs)
+    ]
+    return repeated or suspects
+
+
+def is_conclusive(
+    suspect: workflow_messages.SuspectRun, suspects: Iterable[workflow_messages.SuspectRun]
+) -> bool:
+    """Return whether a run's start coincides with the crash, and no run of another job's does."""
+    return suspect.age_seconds <= PROMPT_SECONDS and all(
+        other.age_seconds > OUTLIVED_SECONDS
+        for other in suspects
+        if model.get_job(other.task) != model.get_job(suspect.task)
+    )
--- a/crocusrudder/workflows/model.py
+++ b/crocusrudder/workflows/model.py
@@ -71,6 +71,20 @@
     interval_seconds: float = 0.0
 
 
+class CrashHistory(msgspec.Struct, frozen=True, array_like=True):
+    """Crashes of workers under a task, since a run of it last stayed alive."""
+
+    runs: tuple[int, ...] = ()
+    """Numbers of the runs that had just started when their workers crashed."""
+    workers: tuple[ids.WorkerId, ...] = ()
+    conclusive_runs: tuple[int, ...] = ()
+    """Those of ``runs`` whose start alone coincided with the crash."""
+    survived_run: int = 0
+    """Number of the last run that stayed alive; crashes under earlier runs no longer count."""
+    prompt_runs: tuple[int, ...] = ()
+    """Those of ``runs`` whose start coincided with the crash, alone or not."""
+
+
 class Progress(msgspec.Struct, array_like=True):
     """Progress of a job that is stored so that a new owner can continue it."""
 
@@ -81,6 +95,8 @@
     """Failed run numbers by ``OCCURRENCE.STAGE.INDEX``; by ``OCCURRENCE.STAGE`` for a gang."""
     finished_at: float = 0.0
     """Unix time in seconds at which the job reached a final state; 0 until then."""
+    crashes: dict[str, CrashHistory] = {}
+    """Crashes of workers, by the same keys as ``failures``."""
 
 
 class Queue(msgspec.Struct, frozen=True):
@@ -152,5 +168,10 @@
     NOT_READY = "not-ready"
 
 
+def get_job(task_name: str) -> ids.JobId:
+    """Return the id of the job of a task."""
+    return ids.JobId(task_name.partition(".")[0])
+
+
 def make_task_name(job: ids.JobId, occurrence: int, stage: int, index: int) -> TaskName:
     return TaskName(f"{job}.{occurrence}.{stage}.{index}")
--- a/crocusrudder/workflows/owner_service.py
+++ b/crocusrudder/workflows/owner_service.py
@@ -282,8 +282,15 @@
             planning_seconds = self._send_orders()
             await self._link.retry_unsent()
             for change in self._owner.drain_log():
+                self._count_crash(change)
                 logs.write_change(change)
 
+    def _count_crash(self, change: effects.LogChange) -> None:
+        if change.name == "worker_crashed":
+            self._metrics.count("workers_crashed")
+        elif change.name == "job_failed" and change.fields.get("cause") == "crashes":
+            self._metrics.count("jobs_failed_by_crashes")
+
     def _send_orders(self) -> float:
         """Plan and send the orders that are due; return the duration of planning in seconds."""
         now = clocks.read_boot_time()
--- a/crocusrudder/workflows/reports.py
+++ b/crocusrudder/workflows/reports.py
@@ -5,6 +5,7 @@
 from crocusrudder.core import effects
 from crocusrudder.core import ids
 from crocusrudder.wire import workflow_messages
+from crocusrudder.workflows import crashes
 from crocusrudder.workflows import fleet
 from crocusrudder.workflows import health
 from crocusrudder.workflows import job_registry
@@ -32,6 +33,7 @@
         self._epoch = epoch
         self._job_registry = jobs
         self._queues: dict[model.QueueName, model.Queue] = {}
+        self._crash_register = crashes.CrashRegister(epoch, jobs)
         self._health: dict[ids.ProcessId, tuple[object, health.WorkerHealth]] = {}
         self._logged: list[effects.LogChange] = []
 
@@ -42,7 +44,7 @@
     def drain_log(self) -> list[effects.LogChange]:
         """Return the decisions logged since the last call, and clear them."""
         logged, self._logged = self._logged, []
-        return logged
+        return logged + self._crash_register.drain_log()
 
     def handle(
         self,
@@ -53,6 +55,7 @@
     ) -> None:
         """Apply one report; the caller passes reports of one agent in the order of sending."""
         self._update_worker(view, report, now)
+        self._crash_register.handle(view, report, wall_time)
         view.report_sent_at = report.sent_at
         view.received_at = now
         view.data_centre = report.data_centre
@@ -70,6 +73,7 @@
         self._apply_rejections(view, report, now)
         self._apply_ends(view, report, now, wall_time)
         self._apply_running(view, report, now)
+        self._crash_register.record_running(report, now)
         self._check_stall(view, now, report.list_age_seconds)
 
     def release_all(self, view: fleet.AgentView, now: float, reason: str) -> None:
--- /dev/null
+++ b/tests/workflows/test_crashes.py
@@ -0,0 +1,190 @@
+"""Tests of tasks that crash the workers that start them.
+
+Guards against BUDGET, where a task crashes worker after worker, and against LOST, where a job fails
+because of a neighbour or of a fault of machines.
+"""
+
+import random
+import unittest
+
+from crocusrudder.core import ids
+from crocusrudder.wire import messages
+from crocusrudder.workflows import model
+from crocusrudder.workflows import rows
+from tests.workflows import world
+
+ONE_CORE = messages.Resources(1_000, 100, 0)
+HISTORIES = 25
+
+
+def make_world(*deadly: str, agents: int = 6) -> world.World:
+    """Return a deployment in which the given tasks or jobs crash their workers."""
+    system = world.World(agents)
+    system.run(1.0)
+    for agent in system.agents.values():
+        agent.worker.deadly = set(deadly)
+    return system
+
+
+def crash(system: world.World, *names: str, delay: float = 0.0) -> None:
+    """Crash workers through no fault of their tasks, ``delay`` seconds after the last tick."""
+    for name in names:
+        system.agents[ids.ProcessId(name)].worker.crash(system.now + delay)
+
+
+def submit_load(system: world.World, count: int, tasks: int = 3, prefix: str = "h") -> list[str]:
+    """Submit harmless jobs; return their names."""
+    names = [f"{prefix}{number}" for number in range(count)]
+    for name in names:
+        system.submit(name, model.Stage(tasks, ONE_CORE))
+    return names
+
+
+def break_gang(system: world.World, job: str) -> None:
+    """End the members of a gang on other workers while a worker is down."""
+    workers = [agent.worker for agent in system.agents.values()]
+    if any(worker.crashed_at is not None for worker in workers):
+        for worker in workers:
+            for run in list(worker.running):
+                if model.get_job(run[0]) == job:
+                    worker.end(run, "broken")
+
+
+class CrashTest(unittest.TestCase):
+    def _assert_states(self, system, expected: model.JobState, *jobs: str) -> None:
+        self.assertEqual(
+            dict.fromkeys(jobs, expected), {job: system.get_state(job) for job in jobs}
+        )
+
+    def test_a_deadly_task_alone_is_started_twice_and_its_job_fails(self):
+        system = make_world("d.0.0.0")
+        system.submit("d", model.Stage(1, ONE_CORE))
+        system.run(20.0)
+        self._assert_states(system, model.JobState.FAILED, "d")
+        self.assertEqual(2, system.count_starts("d.0.0.0"))
+
+    def test_the_neighbours_of_a_deadly_task_complete(self):
+        system = make_world("d.0.0.0")
+        healthy = submit_load(system, 10)
+        system.submit("d", model.Stage(1, ONE_CORE))
+        system.run(30.0)
+        self._assert_states(system, model.JobState.FAILED, "d")
+        self._assert_states(system, model.JobState.COMPLETED, *healthy)
+        self.assertLessEqual(system.count_starts("d.0.0.0"), 3)
+
+    def test_a_new_owner_continues_the_count(self):
+        for seconds in (0.2, 1.0, 3.0, 3.3, 4.0, 5.0):
+            with self.subTest(seconds=seconds):
+                system = make_world("d.0.0.0")
+                healthy = submit_load(system, 6)
+                system.submit("d", model.Stage(1, ONE_CORE))
+                system.run(seconds)
+                system.replace_owner(2)
+                system.run(30.0)
+                self._assert_states(system, model.JobState.FAILED, "d")
+                self._assert_states(system, model.JobState.COMPLETED, *healthy)
+                self.assertLessEqual(system.count_starts("d.0.0.0"), 3)
+
+    def test_evidence_counts_although_its_first_reports_are_lost(self):
+        system = make_world("d.0.0.0")
+        system.submit("d", model.Stage(1, ONE_CORE))
+        system.run(0.5)
+        (agent,) = [a for a in system.agents.values() if a.worker.crashed_at is not None]
+        agent.is_connected = False
+        system.run(5.0)
+        agent.is_connected = True
+        system.run(25.0)
+        self._assert_states(system, model.JobState.FAILED, "d")
+        self.assertEqual(2, system.count_starts("d.0.0.0"))
+
+    def test_faults_of_machines_fail_no_job(self):
+        for seed in range(HISTORIES):
+            with self.subTest(seed=seed):
+                rng = random.Random(seed)
+                system = make_world(agents=9)
+                healthy = submit_load(system, 12, tasks=6)
+                for number in range(3):
+                    system.run(rng.uniform(0.1, 4.0))
+                    healthy += submit_load(system, 4, tasks=6, prefix=f"h{number}-")
+                    system.run(0.3)
+                    names = rng.sample(list(system.agents), rng.randint(1, 3))
+                    crash(system, *names, delay=rng.uniform(0.0, world.TICK))
+                system.run(40.0)
+                self._assert_states(system, model.JobState.COMPLETED, *healthy)
+
+    def test_two_deadly_jobs_on_one_worker_both_fail(self):
+        system = make_world("d.0.0.0", "e.0.0.0")
+        healthy = submit_load(system, 6)
+        system.submit("d", model.Stage(1, ONE_CORE))
+        system.submit("e", model.Stage(1, ONE_CORE))
+        system.run(40.0)
+        self._assert_states(system, model.JobState.FAILED, "d", "e")
+        self._assert_states(system, model.JobState.COMPLETED, *healthy)
+        for task in ("d.0.0.0", "e.0.0.0"):
+            self.assertLessEqual(system.count_starts(task), 3)
+
+    def test_a_job_of_deadly_tasks_fails(self):
+        system = make_world("d")
+        system.submit("d", model.Stage(24, ONE_CORE))
+        system.run(30.0)
+        self._assert_states(system, model.JobState.FAILED, "d")
+        for index in range(24):
+            self.assertLessEqual(system.count_starts(f"d.0.0.{index}"), 3)
+
+    def test_a_gang_with_a_deadly_member_fails(self):
+        system = make_world("g.0.0.1")
+        healthy = submit_load(system, 6)
+        system.submit("g", model.Stage(3, messages.Resources(5_000, 100, 0), gang=True))
+        for _ in range(400):
+            system.step()
+            break_gang(system, "g")
+        self._assert_states(system, model.JobState.FAILED, "g")
+        self._assert_states(system, model.JobState.COMPLETED, *healthy)
+        self.assertLessEqual(system.count_starts("g.0.0.1"), 3)
+
+    def test_a_deadly_task_that_lasts_fails_beside_healthy_ones(self):
+        system = make_world("d.0.0.0")
+        for agent in system.agents.values():
+            agent.worker.duration = 1_000.0
+        for name in ("d", "s"):
+            system.submit(name, model.Stage(3, ONE_CORE, long_running=True))
+        system.run(30.0)
+        self._assert_states(system, model.JobState.FAILED, "d")
+        self._assert_states(system, model.JobState.RUNNING, "s")
+        running = [run for a in system.agents.values() for run, _ in a.worker.running]
+        self.assertEqual(["s.0.0.0", "s.0.0.1", "s.0.0.2"], sorted(running))
+
+    def test_a_worker_that_was_cut_off_and_reborn_charges_nobody(self):
+        system = make_world()
+        (agent,) = list(system.agents.values())[:1]
+        system.submit("j", model.Stage(30, ONE_CORE))
+        system.run(0.3)
+        agent.worker.is_responsive = False
+        system.run(2.0)
+        agent.worker.crash(system.now)
+        system.run(4.0)
+        record = system.owner.job_registry.get(ids.JobId("j"))
+        self.assertEqual({}, record.progress.crashes)
+
+    def test_a_run_that_stays_alive_clears_its_task(self):
+        system = make_world()
+        for agent in system.agents.values():
+            agent.worker.duration = 4.0
+        system.submit("j", model.Stage(4, ONE_CORE))
+        system.run(0.3)
+        crash(system, "a0", "a1")
+        system.run(3.4)
+        record = system.owner.job_registry.get(ids.JobId("j"))
+        self.assertTrue(any(record.is_suspect(task) for task in record.iterate_tasks()))
+        system.run(15.0)
+        self.assertFalse(any(record.is_suspect(task) for task in record.iterate_tasks()))
+        self._assert_states(system, model.JobState.COMPLETED, "j")
+
+    def test_progress_of_an_older_version_can_be_decoded(self):
+        old = rows.encode(model.Progress())
+        progress = rows.decode_progress(old[:1].replace(b"\x95", b"\x94") + old[1:-1])
+        self.assertEqual({}, progress.crashes)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/workflows/world.py
+++ b/tests/workflows/world.py
@@ -18,6 +18,8 @@
 TICK = 0.1
 RESTART_SECONDS = 3.0
 """Time from the crash of a worker to the first heartbeat of the next incarnation."""
+NOTICE_SECONDS = 0.01
+"""Time after which an agent notices that the connections of its worker were closed."""
 WALL_TIME_OFFSET = 1_000_000.0
 SERVICE = ids.ServiceName("dispatch")
 QUEUE = model.QueueName("confirm")
@@ -86,11 +88,11 @@
         """End the runs that are complete, stopped or without a lease at this time."""
         for run, at in list(self.running.items()):
             if self.stopping.get(run, float("inf")) <= now:
-                self._end(run, "stopped")
+                self.end(run, "stopped")
             elif at <= now and not self.is_hung:
-                self._end(run, self.end_kind)
+                self.end(run, self.end_kind)
             elif self.lease_until < now:
-                self._end(run, "lapsed")
+                self.end(run, "lapsed")
 
     def extend_lease(self, now: float, acknowledged: int, lease: float) -> worker_client.RunList:
         """Extend the lease, drop acknowledged ends, and return the running and ended runs."""
@@ -107,7 +109,8 @@
             return 0
         return max(0, round(100 * (1 - (end - now) / self.duration)))
 
-    def _end(self, run: tuple[str, int], how: str) -> None:
+    def end(self, run: tuple[str, int], how: str) -> None:
+        """End a run and list its end."""
         del self.running[run]
         self.stopping.pop(run, None)
         self.last_end_number += 1
@@ -130,7 +133,8 @@
         """Handle a heartbeat of the worker, and extend its lease."""
         self.heartbeats += 1
         if self.worker.crashed_at is not None:
-            self.state.record_call_failure(self.worker.state.worker, True, now)
+            closed_at = self.worker.crashed_at + NOTICE_SECONDS
+            self.state.record_call_failure(self.worker.state.worker, True, closed_at)
             if now - self.worker.crashed_at < RESTART_SECONDS:
                 return
             self._restart_worker()
@@ -157,6 +161,8 @@
             if self.worker.crashed_at is not None:
                 self.state.record_start_result(run, model.RejectReason.UNHEALTHY, now)
                 continue
+            # Renewals must cover the new run, as those of the agent's process do.
+            self.state.get_lease_end_ms(now)
             rejected = self.worker.start(now, order, orders.epoch, now + 6.0)
             self.state.record_start_result(run, rejected, now)
         for run in accepted.stops if self.worker.crashed_at is None else ():
