Start suspects of crashes on workers without other fresh starts

After a crash of a worker, all its runs started again at once, on few workers: the task at fault was hidden among the fresh starts of others and took their runs with it a second and third time.

A task that started right when a worker crashed, or under which several have crashed, now starts on the worker with the fewest runs that has had no other start for 0.35 s. Until the run has stayed alive for 1 s, nothing else starts there, nor another such task of the job. At most a third of the workers of a service hold such a trial. A task that has waited 1.5 s starts without one.

--- a/crocusrudder/workflows/job_registry.py
+++ b/crocusrudder/workflows/job_registry.py
@@ -221,6 +221,16 @@
         """Return whether workers have crashed under a task and no run has stayed alive since."""
         return bool(self.progress.crashes) and bool(self.get_crashes(task).runs)
 
+    def needs_trial(self, task: Task) -> bool:
+        """Return whether the next run of a task is likely to crash its worker.
+
+        A run that was merely recent at one crash starts like any other.
+        """
+        if not self.progress.crashes:
+            return False
+        history = self.get_crashes(task)
+        return bool(history.prompt_runs) or len(history.runs) > 1
+
     def record_crash(
         self,
         task: Task,
--- a/crocusrudder/workflows/placement.py
+++ b/crocusrudder/workflows/placement.py
@@ -33,6 +33,7 @@
         self._changes: list[candidates.CandidateWorker] = []
         self._testing: dict[tuple[str, str], set[ids.ProcessId]] = {}
         """Agents on which the interference of an untested pair of images is being measured."""
+        self._withheld: set[ids.ProcessId] = set()
         self._unplaceable: dict[tuple, list[messages.Resources]] = {}
         """Demands that no worker could meet, by service and the other constraints of placement."""
 
@@ -45,6 +46,7 @@
         self._changes = []
         self._unplaceable = {}
         self._testing = {}
+        self._withheld = set()
         for view in views.values():
             for image in view.usage.best_effort_by_image:
                 # A paused run does not interfere, so its worker measures nothing.
@@ -98,9 +100,32 @@
         return sum(
             candidate.count_fitting(spec)
             for candidate in self._by_service.get(service, ())
-            if _has_label(candidate, spec)
+            if _has_label(candidate, spec) and candidate.view.agent not in self._withheld
         )
 
+    def count_workers(self, service: ids.ServiceName) -> int:
+        """Return the number of workers of a service to which plans may assign tasks."""
+        return len(self._by_service.get(service, ()))
+
+    def withhold(self, agent: ids.ProcessId) -> None:
+        """Choose a worker for no further task of this plan."""
+        self._withheld.add(agent)
+
+    def is_allowed(self, candidate: candidates.CandidateWorker, task: job_registry.Task) -> bool:
+        """Return whether a task may run on a worker, withheld or not."""
+        spec = task.stage.spec
+        return self._is_allowed(candidate, task.stage) and self._may_test(candidate, spec)
+
+    def list_allowed(
+        self, task: job_registry.Task, service: ids.ServiceName
+    ) -> list[candidates.CandidateWorker]:
+        """Return the workers on which a task may run and that are not withheld."""
+        return [
+            candidate
+            for candidate in self._by_service.get(service, ())
+            if candidate.view.agent not in self._withheld and self.is_allowed(candidate, task)
+        ]
+
     def _find_best(
         self, task: job_registry.Task, service: ids.ServiceName
     ) -> candidates.CandidateWorker | None:
@@ -112,7 +137,12 @@
                 functools.partial(self._score, task.stage, shape),
                 self._changes,
             )
-        return ranking.find_best(lambda candidate: self._may_test(candidate, task.stage.spec))
+        return ranking.find_best(
+            lambda candidate: (
+                candidate.view.agent not in self._withheld
+                and self._may_test(candidate, task.stage.spec)
+            )
+        )
 
     def _make_shape(self, task: job_registry.Task, service: ids.ServiceName) -> candidates.Shape:
         spec = task.stage.spec
--- a/crocusrudder/workflows/planning.py
+++ b/crocusrudder/workflows/planning.py
@@ -13,6 +13,7 @@
 from crocusrudder.workflows import moves
 from crocusrudder.workflows import placement
 from crocusrudder.workflows import throttling
+from crocusrudder.workflows import trials
 from crocusrudder.workflows import waiting
 
 START_EARLY_SECONDS = 0.0
@@ -34,6 +35,7 @@
         self._version = version
         self._pool = placement.CandidatePool(throttle_controller)
         self._moves = moves.MovePlanner(self._pool, throttle_controller)
+        self._trials = trials.TrialPlanner(self._pool)
         self._run_numbers = itertools.count(epoch * job_registry.RUNS_PER_EPOCH + 1)
         self._queues: dict[model.QueueName, model.Queue] = {}
         self._logged: list[effects.LogChange] = []
@@ -60,6 +62,7 @@
         on a worker that has not reported yet.
         """
         self._pool.refresh(views, now)
+        self._trials.begin(views)
         self._moves.begin(views, now)
         selected = []
         for record in self._sort_jobs(wall_time):
@@ -118,10 +121,16 @@
             if now < task.not_before:
                 continue
             self._moves.release_room(task)
-            candidate = self._pool.choose(task, service)
-            if candidate is None:
-                return
+            if task.record.needs_trial(task):
+                candidate = self._trials.choose(task, service, now)
+                if candidate is None:
+                    continue
+            else:
+                candidate = self._pool.choose(task, service)
+                if candidate is None:
+                    return
             self._assign(task, candidate, next(self._run_numbers), now)
+            self._trials.record_assignment(task, candidate, now)
 
     def _plan_gang(
         self,
@@ -146,6 +155,8 @@
             task.checkpoint = checkpoint
             self._assign(task, candidate, run, now)
             placed.append((task, candidate))
+        for task, candidate in placed:
+            self._trials.record_assignment(task, candidate, now)
 
     def _can_fit(self, stage: job_registry.StageRecord, service: ids.ServiceName) -> bool:
         """Return False if a gang certainly has no room, which saves placing and undoing it."""
--- /dev/null
+++ b/crocusrudder/workflows/trials.py
@@ -0,0 +1,157 @@
+"""Start tasks under which workers have crashed on workers of their own, one at a time.
+
+Load pattern: the crash of a busy worker leaves dozens of suspects, most of them harmless. Started
+together again, they would hide which of them is at fault, and the one that is would take all the
+others with it once more. On a worker with few runs and no other fresh start, a crash costs little
+and points to one task.
+"""
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from crocusrudder.core import ids
+from crocusrudder.workflows import candidates
+from crocusrudder.workflows import fleet
+from crocusrudder.workflows import job_registry
+from crocusrudder.workflows import placement
+
+QUIET_SECONDS = 0.35
+"""Time without an assignment to a worker before a trial starts there, so that the other runs are
+older than at a conclusive crash (``crashes.OUTLIVED_SECONDS``)."""
+MAX_WAIT_SECONDS = 1.5
+"""Time after which a suspect starts without a trial; a job must not wait beside room for 3 s."""
+MAX_TRIAL_SECONDS = 5.0
+"""Time for which a trial holds back the other suspects of its job; the next incarnation of a
+crashed worker registers after about 3 s."""
+TRIAL_SHARE = 3
+"""One worker in so many of a service may hold a trial, at least one."""
+
+
+class _Trial(NamedTuple):
+    record: job_registry.JobRecord
+    service: ids.ServiceName
+    started_at: float
+    runs: frozenset[tuple[str, int]]
+
+
+class TrialPlanner:
+    """Choose workers for suspects, and withhold these workers from other tasks."""
+
+    def __init__(self, pool: placement.CandidatePool) -> None:
+        self._pool = pool
+        self._trials: dict[ids.ProcessId, _Trial] = {}
+        self._reserved: dict[job_registry.Task, ids.ProcessId] = {}
+        """Workers on which a trial starts once they have been quiet, by task."""
+        self._waiting: dict[job_registry.Task, float] = {}
+        self._assigned_at: dict[ids.ProcessId, float] = {}
+
+    def begin(self, views: Mapping[ids.ProcessId, fleet.AgentView]) -> None:
+        """Begin a plan: forget what has ended, and withhold the workers of the others."""
+        self._trials = {
+            agent: trial
+            for agent, trial in self._trials.items()
+            if agent in views and any(map(_is_on_trial, _list_runs(views[agent], trial)))
+        }
+        self._waiting = {
+            task: since for task, since in self._waiting.items() if is_waiting_suspect(task)
+        }
+        self._reserved = {
+            task: agent for task, agent in self._reserved.items() if task in self._waiting
+        }
+        for agent in (*self._trials, *self._reserved.values()):
+            self._pool.withhold(agent)
+
+    def choose(
+        self, task: job_registry.Task, service: ids.ServiceName, now: float
+    ) -> candidates.CandidateWorker | None:
+        """Return the worker for a suspect; None if it has to wait."""
+        since = self._waiting.setdefault(task, now)
+        if self._is_held_back(task, now):
+            return None
+        candidate = self._find_reserved(task)
+        if candidate is None and now - since >= MAX_WAIT_SECONDS:
+            return self._pool.choose(task, service)
+        candidate = candidate or self._reserve(task, service)
+        if candidate is None or not self._is_quiet(candidate, now):
+            return None
+        return candidate
+
+    def record_assignment(
+        self, task: job_registry.Task, candidate: candidates.CandidateWorker, now: float
+    ) -> None:
+        """Record that a run was assigned, and begin its trial if its task is a suspect."""
+        agent = candidate.view.agent
+        service = candidate.view.worker.service
+        self._assigned_at[agent] = now
+        self._waiting.pop(task, None)
+        self._reserved.pop(task, None)
+        if not task.record.needs_trial(task):
+            return
+        known = self._trials.get(agent)
+        if known is None and self._count_held(service) >= self._get_limit(service):
+            return
+        runs = frozenset({(task.name, task.run)}) | (known.runs if known else frozenset())
+        self._trials[agent] = _Trial(task.record, service, now, runs)
+        self._pool.withhold(agent)
+
+    def _is_held_back(self, task: job_registry.Task, now: float) -> bool:
+        """Return whether another task of the same job is on trial or about to be."""
+        return any(
+            trial.record is task.record and now - trial.started_at < MAX_TRIAL_SECONDS
+            for trial in self._trials.values()
+        ) or any(other.record is task.record and other is not task for other in self._reserved)
+
+    def _find_reserved(self, task: job_registry.Task) -> candidates.CandidateWorker | None:
+        agent = self._reserved.get(task)
+        candidate = None if agent is None else self._pool.find(agent)
+        if candidate is not None and self._pool.is_allowed(candidate, task):
+            return candidate
+        self._reserved.pop(task, None)
+        return None
+
+    def _reserve(
+        self, task: job_registry.Task, service: ids.ServiceName
+    ) -> candidates.CandidateWorker | None:
+        if self._count_held(service) >= self._get_limit(service):
+            return None
+        candidate = min(
+            self._pool.list_allowed(task, service),
+            key=lambda candidate: len(candidate.view.assignments),
+            default=None,
+        )
+        if candidate is not None:
+            self._reserved[task] = candidate.view.agent
+            self._pool.withhold(candidate.view.agent)
+        return candidate
+
+    def _is_quiet(self, candidate: candidates.CandidateWorker, now: float) -> bool:
+        assigned_at = self._assigned_at.get(candidate.view.agent, float("-inf"))
+        return now - assigned_at >= QUIET_SECONDS
+
+    def _count_held(self, service: ids.ServiceName) -> int:
+        reserved = (self._pool.find(agent) for agent in self._reserved.values())
+        return sum(trial.service == service for trial in self._trials.values()) + sum(
+            candidate is not None and candidate.view.worker.service == service
+            for candidate in reserved
+        )
+
+    def _get_limit(self, service: ids.ServiceName) -> int:
+        return max(self._pool.count_workers(service) // TRIAL_SHARE, 1)
+
+
+def is_waiting_suspect(task: job_registry.Task) -> bool:
+    """Return whether a task waits for a start that may crash its worker."""
+    return (
+        task.phase is job_registry.TaskPhase.PENDING
+        and not task.record.is_final
+        and task.record.needs_trial(task)
+    )
+
+
+def _list_runs(view: fleet.AgentView, trial: _Trial) -> list[fleet.Assignment]:
+    return [view.assignments[run] for run in trial.runs if run in view.assignments]
+
+
+def _is_on_trial(assignment: fleet.Assignment) -> bool:
+    task = assignment.task
+    return task is not None and not task.record.is_final and task.record.needs_trial(task)
--- a/tests/workflows/test_crashes.py
+++ b/tests/workflows/test_crashes.py
@@ -166,6 +166,22 @@
         record = system.owner.job_registry.get(ids.JobId("j"))
         self.assertEqual({}, record.progress.crashes)
 
+    def test_no_other_run_starts_on_the_worker_of_a_trial(self):
+        system = make_world()
+        system.submit("j", model.Stage(1, ONE_CORE))
+        system.step()
+        (first,) = [a for a in system.agents.values() if a.worker.started]
+        first.worker.crash(system.now)
+        for number in range(30):
+            submit_load(system, 2, tasks=3, prefix=f"h{number}-")
+            system.run(0.2)
+        starts = [a.worker.started for a in system.agents.values()]
+        (trial,) = [found for found in starts if any(task == "j.0.0.0" for _, task, _ in found)]
+        (tried_at,) = [at for at, task, _ in trial if task == "j.0.0.0"]
+        others = [at - tried_at for at, task, _ in trial if task != "j.0.0.0"]
+        self.assertFalse([seconds for seconds in others if -0.3 < seconds < 1.0])
+        self.assertTrue([seconds for seconds in others if seconds >= 1.0])
+
     def test_a_run_that_stays_alive_clears_its_task(self):
         system = make_world()
         for agent in system.agents.values():
@@ -186,5 +202,40 @@
         self.assertEqual({}, progress.crashes)
 
 
+class HistoryTest(unittest.TestCase):
+    """Random crashes, deadly jobs and changes of the owner."""
+
+    def test_deadly_tasks_stop_in_time_and_no_healthy_job_fails(self):
+        for seed in range(HISTORIES):
+            with self.subTest(seed=seed):
+                self._play(random.Random(seed))
+
+    def _play(self, rng: random.Random) -> None:
+        deadly = {f"d{number}.0.0.{rng.randrange(3)}" for number in range(rng.randint(1, 3))}
+        system = make_world(*deadly, agents=9)
+        healthy = []
+        jobs = sorted(task.partition(".")[0] for task in deadly)
+        epoch = 1
+        for number in range(30):
+            healthy += submit_load(system, rng.randint(0, 3), prefix=f"h{number}-")
+            if jobs and rng.random() < 0.3:
+                system.submit(jobs.pop(), model.Stage(3, ONE_CORE))
+            if rng.random() < 0.07:
+                delay = rng.uniform(0.0, world.TICK)
+                crash(system, rng.choice(list(system.agents)), delay=delay)
+            if rng.random() < 0.07:
+                epoch += 1
+                system.replace_owner(epoch)
+            system.run(0.7)
+        for name in jobs:
+            system.submit(name, model.Stage(3, ONE_CORE))
+        system.run(40.0)
+        for name in healthy:
+            self.assertIs(model.JobState.COMPLETED, system.get_state(name), name)
+        for task in deadly:
+            self.assertIs(model.JobState.FAILED, system.get_state(task.partition(".")[0]), task)
+            self.assertLessEqual(system.count_starts(task), 5, task)
+
+
 if __name__ == "__main__":
     unittest.main()
