--- a/crocusrudder/workflows/owner_service.py
+++ b/crocusrudder/workflows/owner_service.py
@@ -292,6 +292,14 @@
                 self._metrics.count(f"jobs_waiting_{change.fields['reason']}")
             elif change.name == reports.CAPACITY_EXCEEDED:
                 self._metrics.count("capacity_exceeded")
+            else:
+                self._count_crash(change)
+
+    def _count_crash(self, change: effects.LogChange) -> None:
+        if change.name == "worker_crashed":
+            self._metrics.count("workers_crashed")
+        elif change.name == "job_failed" and change.fields.get("cause") == "crashes":
+            self._metrics.count("jobs_failed_by_crashes")
 
     def _send_orders(self) -> float:
         """Plan and send the orders that are due; return the duration of planning in seconds."""
--- a/crocusrudder/workflows/placement.py
+++ b/crocusrudder/workflows/placement.py
@@ -50,6 +50,7 @@
         self._changes: list[candidates.CandidateWorker] = []
         self._testing: dict[tuple[str, str], set[ids.ProcessId]] = {}
         """Agents on which the interference of an untested pair of images is being measured."""
+        self._withheld: set[ids.ProcessId] = set()
         self._unplaceable: dict[tuple, list[messages.Resources]] = {}
         """Demands that no worker could meet, by service and the other constraints of placement."""
         self._last_resort_rankings: dict[candidates.Shape, candidates.Ranking] = {}
@@ -69,6 +70,7 @@
         self._last_resort_scores = 0
         self._reserved_shares = {}
         self._testing = {}
+        self._withheld = set()
         schedulable = [view for view in views.values() if view.is_schedulable(now)]
         set_aside = health.select_set_aside(schedulable, now)
         for view in views.values():
@@ -139,7 +141,7 @@
                 functools.partial(self._score_last_resort, task.stage, shape),
                 self._changes,
             )
-        return ranking.find_best(lambda _: True)
+        return ranking.find_best(lambda candidate: candidate.view.agent not in self._withheld)
 
     def reserve(self, candidate: candidates.CandidateWorker, spec: model.Stage) -> None:
         """Reserve capacity of a worker for a task of the stage."""
@@ -166,9 +168,32 @@
         return sum(
             candidate.count_fitting(spec, shares_cpu)
             for candidate in itertools.chain(usable, self._set_aside.get(service, ()))
-            if _has_label(candidate, spec)
+            if _has_label(candidate, spec) and candidate.view.agent not in self._withheld
         )
 
+    def count_workers(self, service: ids.ServiceName) -> int:
+        """Return the number of workers of a service to which plans may assign tasks."""
+        return len(self._by_service.get(service, ()))
+
+    def withhold(self, agent: ids.ProcessId) -> None:
+        """Choose a worker for no further task of this plan."""
+        self._withheld.add(agent)
+
+    def is_allowed(self, candidate: candidates.CandidateWorker, task: job_registry.Task) -> bool:
+        """Return whether a task may run on a worker, withheld or not."""
+        is_hindered = self._find_obstacle(candidate, task.stage) is not None
+        return not is_hindered and self._may_test(candidate, task.stage.spec)
+
+    def list_allowed(
+        self, task: job_registry.Task, service: ids.ServiceName
+    ) -> list[candidates.CandidateWorker]:
+        """Return the workers on which a task may run and that are not withheld."""
+        return [
+            candidate
+            for candidate in self._by_service.get(service, ())
+            if candidate.view.agent not in self._withheld and self.is_allowed(candidate, task)
+        ]
+
     def explain(
         self, stage: job_registry.StageRecord, service: ids.ServiceName, now: float
     ) -> collections.Counter[waiting_reasons.WaitReason]:
@@ -196,6 +221,8 @@
         candidate = self._usable.get(view.agent)
         if candidate is None:
             return waiting_reasons.WaitReason.SET_ASIDE
+        if view.agent in self._withheld:
+            return waiting_reasons.WaitReason.TRIAL
         reason = self._find_obstacle(candidate, stage)
         if reason is waiting_reasons.WaitReason.NO_CAPACITY:
             # Only the room that is kept for moved runs is reserved without an assignment.
@@ -216,7 +243,12 @@
                 functools.partial(self._score, task.stage, shape),
                 self._changes,
             )
-        return ranking.find_best(lambda candidate: self._may_test(candidate, task.stage.spec))
+        return ranking.find_best(
+            lambda candidate: (
+                candidate.view.agent not in self._withheld
+                and self._may_test(candidate, task.stage.spec)
+            )
+        )
 
     def _make_shape(self, task: job_registry.Task, service: ids.ServiceName) -> candidates.Shape:
         spec = task.stage.spec
--- a/crocusrudder/workflows/planning.py
+++ b/crocusrudder/workflows/planning.py
@@ -14,6 +14,7 @@
 from crocusrudder.workflows import placement
 from crocusrudder.workflows import starvation
 from crocusrudder.workflows import throttling
+from crocusrudder.workflows import trials
 from crocusrudder.workflows import waiting
 from crocusrudder.workflows import waiting_reasons
 
@@ -40,6 +41,7 @@
         self._throttle_controller = throttle_controller
         self._pool = placement.CandidatePool(throttle_controller)
         self._moves = moves.MovePlanner(self._pool, throttle_controller)
+        self._trials = trials.TrialPlanner(self._pool)
         self._run_numbers = itertools.count(epoch * job_registry.RUNS_PER_EPOCH + 1)
         self._queues: dict[model.QueueName, model.Queue] = {}
         self._is_reconciled = False
@@ -70,6 +72,7 @@
         on a worker that has not reported yet.
         """
         self._pool.refresh(views, now)
+        self._trials.begin(views, now)
         self._moves.begin(views, now)
         self._is_reconciled = is_reconciled
         self._left_pending.clear()
@@ -166,13 +169,22 @@
             if now < task.not_before:
                 continue
             self._moves.release_room(task)
-            candidate = self._pool.choose(task, service)
+            is_suspect = task.record.needs_trial(task)
+            choose = self._trials.choose if is_suspect else self._pool.choose
+            candidate = choose(task, service)
             if candidate is not None:
                 task.stage.passed_over_since = None
-                self._assign(task, candidate, next(self._run_numbers), now)
-            elif not self._assign_starved(task, service, now):
+                self._assign_single(task, candidate, now)
+            elif not self._assign_starved(task, service, now) and not is_suspect:
                 return
 
+    def _assign_single(
+        self, task: job_registry.Task, candidate: candidates.CandidateWorker, now: float
+    ) -> None:
+        """Assign a task that is not a member of a gang."""
+        self._assign(task, candidate, next(self._run_numbers), now)
+        self._trials.record_assignment(task, candidate)
+
     def _assign_starved(
         self, task: job_registry.Task, service: ids.ServiceName, now: float
     ) -> bool:
@@ -183,12 +195,16 @@
         if candidate is None:
             starvation.postpone(task, now)
             return False
-        self._assign(task, candidate, next(self._run_numbers), now)
+        self._assign_single(task, candidate, now)
         self._limit_cpu_share(task, candidate, now)
         return True
 
     def _may_use_last_resort(self, task: job_registry.Task, now: float) -> bool:
-        return starvation.is_starved(task, now) and self._pool.may_search_last_resort
+        return (
+            starvation.is_starved(task, now)
+            and self._pool.may_search_last_resort
+            and not self._trials.is_held_back(task)
+        )
 
     def _limit_cpu_share(
         self, task: job_registry.Task, candidate: candidates.CandidateWorker, now: float
@@ -240,6 +256,8 @@
             task.checkpoint = checkpoint
             self._assign(task, candidate, run, now)
             placed.append((task, candidate))
+        for task, candidate in placed:
+            self._trials.record_assignment(task, candidate)
         return placed
 
     def _can_fit(
--- a/crocusrudder/workflows/waiting_reasons.py
+++ b/crocusrudder/workflows/waiting_reasons.py
@@ -48,6 +48,8 @@
     """The worker gets no starts for a time, such as after one that it rejected."""
     SET_ASIDE = "set_aside"
     """The pool leaves the worker out although its agent may get starts, as it seems faulty."""
+    TRIAL = "trial"
+    """A task under which a worker has crashed is on trial there, or about to be."""
     MISSING_LABEL = "missing_label"
     NO_CAPACITY = "no_capacity"
     KEPT_ROOM = "kept_room"
--- a/tests/workflows/test_agent_daemon.py
+++ b/tests/workflows/test_agent_daemon.py
@@ -102,7 +102,7 @@
                 msgspec.structs.replace(self._make_orders(0), starts=(order,)), now
             )
             state.handle_list(worker.RunList(1, (), ()), 1, now, now)
-            state.record_start_sent((order.task, order.run))
+            state.record_start_sent((order.task, order.run), now)
             await self.agent._start(orders, order)
             now = agent_daemon.clocks.read_boot_time()
             state.handle_list(worker.RunList(1, (), ()), 1, now, now)
--- a/tests/workflows/world.py
+++ b/tests/workflows/world.py
@@ -18,6 +18,10 @@
 from crocusrudder.workflows import owner
 
 TICK = 0.1
+RESTART_SECONDS = 3.0
+"""Time from the crash of a worker to the first heartbeat of the next incarnation."""
+NOTICE_SECONDS = 0.01
+"""Time after which an agent notices that the connections of its worker were closed."""
 WALL_TIME_OFFSET = 1_000_000.0
 SERVICE = ids.ServiceName("dispatch")
 QUEUE = model.QueueName("confirm")
@@ -49,6 +53,9 @@
         self.is_hung = False
         self.heartbeats_from = 0.0
         """Time before which no heartbeat reaches the agent."""
+        self.deadly: set[str] = set()
+        """Tasks or jobs that crash the worker when they start."""
+        self.crashed_at: float | None = None
         self.stopping: dict[tuple[str, int], float] = {}
 
     def set_capacity(self, *capacity: int) -> None:
@@ -65,9 +72,16 @@
         self.last_blocked_run[order.task] = order.run
         self.running[(order.task, order.run)] = now + self.duration
         self.started.append((now, order.task, order.run))
+        if {order.task, order.task.partition(".")[0]} & self.deadly:
+            self.crash(now)
         self.lease_until = max(self.lease_until, lease)
         return None
 
+    def crash(self, now: float) -> None:
+        """End the worker's process and all its runs without a notice."""
+        self.crashed_at = now
+        self.running.clear()
+
     def stop(self, now: float, run: tuple[str, int], epoch: int) -> bool:
         """Begin to stop a run; return False if the epoch is fenced off."""
         if epoch < self.fence:
@@ -82,11 +96,11 @@
         """End the runs that are complete, stopped or without a lease at this time."""
         for run, at in list(self.running.items()):
             if self.stopping.get(run, float("inf")) <= now:
-                self._end(run, "stopped")
+                self.end(run, "stopped")
             elif at <= now and not self.is_hung:
-                self._end(run, self.end_kind)
+                self.end(run, self.end_kind)
             elif self.lease_until < now:
-                self._end(run, "lapsed")
+                self.end(run, "lapsed")
 
     def extend_lease(self, now: float, acknowledged: int, lease: float) -> worker_client.RunList:
         """Extend the lease, drop acknowledged ends, and return the running and ended runs."""
@@ -103,7 +117,8 @@
             return 0
         return max(0, round(100 * (1 - (end - now) / self.duration)))
 
-    def _end(self, run: tuple[str, int], how: str) -> None:
+    def end(self, run: tuple[str, int], how: str) -> None:
+        """End a run and list its end."""
         del self.running[run]
         self.stopping.pop(run, None)
         self.last_end_number += 1
@@ -121,10 +136,18 @@
         self.is_receiving = True
         """Whether orders reach the agent; its reports are sent regardless."""
         self.heartbeats = 0
+        self.earlier_starts: list[tuple[float, str, int]] = []
+        """Starts on earlier incarnations of the worker."""
 
     def step(self, now: float) -> None:
         """Handle a heartbeat of the worker, and extend its lease."""
         self.heartbeats += 1
+        if self.worker.crashed_at is not None:
+            closed_at = self.worker.crashed_at + NOTICE_SECONDS
+            self.state.record_call_failure(self.worker.state.worker, True, closed_at)
+            if now - self.worker.crashed_at < RESTART_SECONDS:
+                return
+            self._restart_worker()
         self.worker.advance(now)
         if not self.worker.is_responsive:
             self.state.get_lease_end_ms(now)
@@ -150,13 +173,28 @@
             return
         for order in accepted.starts:
             run = (order.task, order.run)
-            self.state.record_start_sent(run)
+            self.state.record_start_sent(run, now)
+            if self.worker.crashed_at is not None:
+                self.state.record_start_result(run, model.RejectReason.UNHEALTHY, now)
+                continue
+            # Renewals must cover the new run, as those of the agent's process do.
+            self.state.get_lease_end_ms(now)
             rejected = self.state.find_rejection(order, orders.echo, now)
             rejected = rejected or self.worker.start(now, order, orders.epoch, now + 6.0)
             self.state.record_start_result(run, rejected, now)
-        for run in accepted.stops:
+        for run in accepted.stops if self.worker.crashed_at is None else ():
             self.state.record_stop_result(run, self.worker.stop(now, run, orders.epoch), now)
 
+    def _restart_worker(self) -> None:
+        """Start the next incarnation of the worker, under another id."""
+        old = self.worker
+        born_ms = old.state.born_ms + 1
+        self.earlier_starts += old.started
+        self.worker = FakeWorker(f"w-{self.process}-{born_ms}", born_ms)
+        self.worker.duration = old.duration
+        self.worker.end_kind = old.end_kind
+        self.worker.deadly = old.deadly
+
 
 class World:
     """A simulated deployment of one owner, and agents with a worker each."""
@@ -220,7 +258,9 @@
     def count_starts(self, task: str) -> int:
         """Return how often a task was started on any worker."""
         return sum(
-            name == task for agent in self.agents.values() for _, name, _ in agent.worker.started
+            name == task
+            for agent in self.agents.values()
+            for _, name, _ in (*agent.earlier_starts, *agent.worker.started)
         )
 
     def get_state(self, job: str) -> model.JobState:
