Repeat a stop that was not answered as soon as the worker responds

Callers could see a task that is neither started again nor running for over 5 s after one lost call, and a cancelled or moved run that works on for as long. The agent recognises repeated stop orders for 5 s, and counted an order as repeated also if its call had got no answer, so the owner's further orders for that run did nothing.

After a call without an answer, the next list, which shows that the worker responds, lets the stop be repeated.

Before, the test failed with test_a_stop_without_an_answer_is_repeated_as_soon_as_the_worker_responds AssertionError: Tuples differ: (('j.0.0.0', 1),) != () After: the 167 tests of tests/workflows pass.

--- a/crocusrudder/workflows/agent_state.py
+++ b/crocusrudder/workflows/agent_state.py
@@ -227,6 +227,10 @@
         else:
             self._stopped.pop(run, None)
 
+    def record_stop_failure(self, run: RunKey) -> None:
+        """Record that a stop was not answered; it may be repeated after the next list."""
+        self._stopped[run] = float("-inf")
+
     def get_lease_end_ms(self, now: float) -> int | None:
         """Return the end of the lease on the worker's clock; None if it cannot be renewed.
 
--- a/tests/workflows/test_agent_daemon.py
+++ b/tests/workflows/test_agent_daemon.py
@@ -114,6 +114,24 @@
         self.assertEqual((), report.starting)
         self.assertEqual(["j.0.0.0"], [rejected.task for rejected in report.rejected])
 
+    def test_a_stop_without_an_answer_is_repeated_as_soon_as_the_worker_responds(self):
+        # Guards against a run that is held for 5 s after one lost call: the repeated orders of the
+        # owner counted as carried out.
+        self.agent._worker = RefusingWorkerClient(refused_stops=1)
+        run = ("j.0.0.0", 1)
+
+        async def stop() -> workflow_messages.AgentOrders:
+            state = self.agent._state
+            now = agent_daemon.clocks.read_boot_time()
+            state.handle_heartbeat(self.worker, 1, now)
+            orders = msgspec.structs.replace(self._make_orders(0), stops=(run,))
+            await self.agent._stop(state.handle_orders(orders, now), run)
+            self.assertEqual((), state.handle_orders(orders, now).stops)
+            state.handle_list(worker.RunList(1, (), ()), 1, now, now)
+            return state.handle_orders(orders, now)
+
+        self.assertEqual((run,), curio.run(stop()).stops)
+
 
 class PollTest(AgentTestCase):
     def setUp(self):
