Place a rejected task on another worker where one fits

Callers could see accepted jobs with nothing running while capacity was free. A worker that rejects starts with an unexpected status, such as 500, or as stale, late or not ready, gets further starts 0.2 s later at the latest. That is when the task is placed again, and with nothing running there, the worker still has the most free capacity: the same task went to it again and again, for good.

The task, or each member of its gang, now avoids that worker as after a failed run, which is a preference only. Rejections for lack of capacity, by an unhealthy worker or without an answer are as before: they block the worker for longer than the task waits. The worker is not blocked for the other reasons, as a job that all workers reject would then block them in turn.

Before, the test failed with test_while_a_worker_rejects_all_starts (reason=<RejectReason.MALFORMED: 'malformed'>) AssertionError: 0 is not true and in the same way for STALE_OWNER, STALE_RUN, NO_TICKET and NOT_READY. After: the 168 tests of tests/workflows pass.

--- a/crocusrudder/workflows/reports.py
+++ b/crocusrudder/workflows/reports.py
@@ -142,8 +142,15 @@
             block_seconds = _BLOCK_SECONDS.get(reason, 0.0)
             view.blocked_until = max(view.blocked_until, now + block_seconds)
             self._release(view, assignment, now, RETRY_DELAY_SECONDS)
-            if assignment.task is not None and assignment.task.stage.spec.gang:
-                self._incomplete_gangs.add((assignment.task.stage, assignment.run))
+            if assignment.task is None:
+                continue
+            stage = assignment.task.stage
+            if block_seconds <= RETRY_DELAY_SECONDS:
+                # The worker may get starts again by the time the task is placed.
+                for task in stage.tasks if stage.spec.gang else [assignment.task]:
+                    task.avoided_agents.add(view.agent)
+            if stage.spec.gang:
+                self._incomplete_gangs.add((stage, assignment.run))
 
     def _apply_ends(
         self,
--- a/tests/workflows/test_waiting_bounds.py
+++ b/tests/workflows/test_waiting_bounds.py
@@ -71,6 +71,16 @@
         self.system.run(2.0)
         self._check_start(model.Stage(1, ONE_CORE))
 
+    def test_while_a_worker_rejects_all_starts(self):
+        # Guards against a task that goes to the same worker again and again: of equal workers, the
+        # first is preferred.
+        for reason in model.RejectReason:
+            with self.subTest(reason=reason):
+                self.workers[0].start = lambda *_, reason=reason: reason
+                self.system.submit(reason.name, model.Stage(1, ONE_CORE))
+                self.system.run(MAX_WAIT_SECONDS)
+                self.assertTrue(self.system.count_starts(f"{reason.name}.0.0.0"))
+
     def test_while_tests_of_the_image_do_not_end_for_want_of_a_latency(self):
         self._serve()
         self.system.submit("testing", msgspec.structs.replace(FILLING, task_count=2))
