Assign no member of a gang whose planning fails halfway

Callers could see a gang with some members that wait on workers for the others, and end as alone, at each try. An unexpected error while the members are placed left those before it assigned; only a member without room undid them. The guard of a job's planning logs the error and goes on, so the orders for these members were sent.

All members are now undone whenever not all are placed.

--- a/crocusrudder/workflows/planning.py
+++ b/crocusrudder/workflows/planning.py
@@ -235,15 +235,19 @@
         run = next(self._run_numbers)
         checkpoint = max(task.checkpoint for task in stage.tasks)
         placed: list[tuple[job_registry.Task, candidates.CandidateWorker]] = []
-        for task in stage.tasks:
-            candidate = choose(task, service)
-            if candidate is None:
+        try:
+            for task in stage.tasks:
+                candidate = choose(task, service)
+                if candidate is None:
+                    break
+                task.checkpoint = checkpoint
+                self._assign(task, candidate, run, now)
+                placed.append((task, candidate))
+        finally:
+            if len(placed) < len(stage.tasks):
                 for member, member_candidate in placed:
                     self._undo_assignment(member, member_candidate)
-                return []
-            task.checkpoint = checkpoint
-            self._assign(task, candidate, run, now)
-            placed.append((task, candidate))
+                placed.clear()
         return placed
 
     def _can_fit(
--- a/tests/workflows/test_owner.py
+++ b/tests/workflows/test_owner.py
@@ -11,6 +11,7 @@
 from crocusrudder.workflows import leases
 from crocusrudder.workflows import model
 from crocusrudder.workflows import owner
+from crocusrudder.workflows import placement
 from tests.workflows import world
 
 ONE_CORE = messages.Resources(1_000, 100, 0)
@@ -138,6 +139,24 @@
         _, logged = self._fail_planning(*jobs)
         self.assertEqual({"j0": 4, "j1": 4}, collections.Counter(logged))
 
+    def test_a_gang_whose_planning_fails_halfway_starts_no_member(self):
+        # Guards against members that wait on workers for others that were never assigned.
+        system = world.World()
+        system.run(1.0)
+        choose = placement.CandidatePool.choose
+
+        def fail_second(pool, task, service):
+            if task.index:
+                raise RuntimeError("unexpected")
+            return choose(pool, task, service)
+
+        with mock.patch.object(placement.CandidatePool, "choose", fail_second):
+            system.submit("gang", model.Stage(2, ONE_CORE, gang=True))
+            system.run(0.5)
+        self.assertEqual(0, system.count_starts("gang.0.0.0"))
+        system.run(1.0)
+        self.assertEqual([1, 1], [system.count_starts(f"gang.0.0.{n}") for n in range(2)])
+
 
 class TakeoverTest(unittest.TestCase):
     """A new owner takes over the running tasks and waits for the leases of unreachable workers."""
