--- a/crocusrudder/workflows/agent_daemon.py
+++ b/crocusrudder/workflows/agent_daemon.py
@@ -220,6 +220,7 @@
         except errors.PlatformError as error:
             self._record_call_failure(orders.worker, error)
             self._log("stop_unanswered", task=run[0], run=run[1], error=str(error))
+            self._state.record_stop_failure(run)
         else:
             self._log("run_stopped", task=run[0], run=run[1], taken=accepted, epoch=orders.epoch)
             self._state.record_stop_result(run, accepted, clocks.read_boot_time())
--- a/crocusrudder/workflows/planning.py
+++ b/crocusrudder/workflows/planning.py
@@ -40,6 +40,7 @@
         self._version = version
         self._throttle_controller = throttle_controller
         self._pool = placement.CandidatePool(throttle_controller)
+        self._searches = starvation.SearchQueue()
         self._moves = moves.MovePlanner(self._pool, throttle_controller)
         self._trials = trials.TrialPlanner(self._pool)
         self._run_numbers = itertools.count(epoch * job_registry.RUNS_PER_EPOCH + 1)
@@ -72,6 +73,7 @@
         on a worker that has not reported yet.
         """
         self._pool.refresh(views, now)
+        self._searches.begin_plan()
         self._trials.begin(views, now)
         self._moves.begin(views, now)
         self._is_reconciled = is_reconciled
@@ -202,8 +204,8 @@
     def _may_use_last_resort(self, task: job_registry.Task, now: float) -> bool:
         return (
             starvation.is_starved(task, now)
-            and self._pool.may_search_last_resort
             and not self._trials.is_held_back(task)
+            and self._searches.may_search(task.stage, self._pool.may_search_last_resort)
         )
 
     def _limit_cpu_share(
@@ -247,15 +249,19 @@
         run = next(self._run_numbers)
         checkpoint = max(task.checkpoint for task in stage.tasks)
         placed: list[tuple[job_registry.Task, candidates.CandidateWorker]] = []
-        for task in stage.tasks:
-            candidate = choose(task, service)
-            if candidate is None:
+        try:
+            for task in stage.tasks:
+                candidate = choose(task, service)
+                if candidate is None:
+                    break
+                task.checkpoint = checkpoint
+                self._assign(task, candidate, run, now)
+                placed.append((task, candidate))
+        finally:
+            if len(placed) < len(stage.tasks):
                 for member, member_candidate in placed:
                     self._undo_assignment(member, member_candidate)
-                return []
-            task.checkpoint = checkpoint
-            self._assign(task, candidate, run, now)
-            placed.append((task, candidate))
+                placed.clear()
         for task, candidate in placed:
             self._trials.record_assignment(task, candidate)
         return placed
