Store a job's queue with the job, so that a new owner can run it

Callers could see an accepted job that is never started, or never continued, after a change of the owner, with all workers free. A configuration may remove a queue. The owner of that time keeps it for the jobs that were accepted before, but a later owner sees only configurations without it, and skipped these jobs in each plan.

The entry now stores the queue as configured with the job, and an owner that loads the job uses it unless a configuration has the queue. Rows without it are read as before; their jobs are started by an owner that has seen the queue only.

--- a/crocusrudder/workflows/entry_http.py
+++ b/crocusrudder/workflows/entry_http.py
@@ -5,6 +5,8 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 
+import msgspec
+
 from crocusrudder.core import effects
 from crocusrudder.core import ids
 from crocusrudder.hosting import http_messages
@@ -72,10 +74,11 @@
         row = b""
         if kind == "submit":
             try:
-                row = rows.encode(operator.decode_job(job, queue.name, request.body, time.time()))
+                decoded = operator.decode_job(job, queue.name, request.body, time.time())
             except errors.MalformedInputError as error:
                 self._log("job_malformed", job=job, **error.to_dict())
                 return _make_error_response(400, error.code, error.message)
+            row = rows.encode(msgspec.structs.replace(decoded, accepted_queue=queue))
         started_at = time.monotonic()
         outcome = await self._execute(kind, job, row, _get_timeout(request))
         if outcome not in _STATE_OUTCOMES:
--- a/crocusrudder/workflows/model.py
+++ b/crocusrudder/workflows/model.py
@@ -69,6 +69,8 @@
     first_due_at: float = 0.0
     """Unix time in seconds."""
     interval_seconds: float = 0.0
+    accepted_queue: "Queue | None" = None
+    """The queue as configured when the job was accepted; a later configuration may remove it."""
 
 
 class Progress(msgspec.Struct, array_like=True):
--- a/crocusrudder/workflows/owner.py
+++ b/crocusrudder/workflows/owner.py
@@ -129,6 +129,9 @@
     def add_job(self, job: model.Job, version: int, progress: model.Progress | None = None) -> None:
         """Add an accepted job; a job that is already known is ignored."""
         if self._job_registry.get(job.job_id) is None:
+            if job.accepted_queue is not None:
+                self._planner.add_queue(job.accepted_queue)
+                self._report_handler.add_queue(job.accepted_queue)
             self._job_registry.add(job_registry.JobRecord(job, version, progress))
 
     def apply_cancellation(self, job: ids.JobId, wall_time: float) -> None:
--- a/crocusrudder/workflows/planning.py
+++ b/crocusrudder/workflows/planning.py
@@ -53,6 +53,10 @@
         """Apply a newer configuration; removed queues are retained for their remaining jobs."""
         self._queues |= {queue.name: queue for queue in configuration.queues}
 
+    def add_queue(self, queue: model.Queue) -> None:
+        """Add a job's queue that no configuration known here has; a known one is left alone."""
+        self._queues.setdefault(queue.name, queue)
+
     def drain_log(self) -> list[effects.LogChange]:
         """Return the decisions logged since the last call, and clear them."""
         logged, self._logged = self._logged, []
