Do not report a run as started that has already ended

Callers could see a task wait for over 1 s after a run that ended at once. Responses on different connections may overtake each other, so a list with a run's end may arrive before the response to its start. The agent then reported the run as started until the next list. The owner had processed the end, took the run for one that it did not know and its task for assigned, and had to stop the run first.

A start is now resolved by a list that has the run's end, and the later response changes nothing.

--- a/crocusrudder/workflows/agent_state.py
+++ b/crocusrudder/workflows/agent_state.py
@@ -209,10 +209,11 @@
     def record_start_result(
         self, run: RunKey, rejected: model.RejectReason | None, now: float
     ) -> None:
+        is_open = run in self._starting
         self._starting.discard(run)
-        if rejected is None:
+        if rejected is None and is_open:
             self._started[run] = now
-        else:
+        elif rejected is not None:
             self._rejected[run] = (rejected.value, now)
 
     def record_stop_result(self, run: RunKey, accepted: bool, now: float) -> None:
@@ -271,6 +272,8 @@
             for run, at in self._started.items()
             if at > requested_at and not self._is_listed_as_ended(run)
         }
+        # The response to the start of a run that has ended may arrive after the end.
+        self._starting.difference_update((entry.task, entry.run) for entry in listed.ended)
         self._running = listed_runs
         self._resolve_blocked(requested_at, now)
         self._discard_old(now)
--- a/tests/workflows/test_agent_state.py
+++ b/tests/workflows/test_agent_state.py
@@ -119,6 +119,13 @@
         self._list(100.6)
         self.assertEqual(0, len(self._report(100.7).running))
 
+    def test_a_run_that_was_listed_as_ended_is_not_reported_as_started(self):
+        # Guards against a task that the owner takes for assigned again after its run has ended.
+        self.state.record_start_sent(RUN)
+        self._list(100.4, ended=(workflow_messages.EndedRun(1, *RUN, "failed"),))
+        self.state.record_start_result(RUN, None, 100.5)
+        self.assertEqual((), self._report(100.6).running)
+
     def test_an_older_list_that_arrives_late_is_ignored(self):
         self._list(100.6)
         self._list(100.2, RUN)
