Ignore resources that a starved job does not demand in the reserved share

Callers could see a best-effort job with nothing running while most processors and memory were free. A starved job shares processors only while less than half of the service's capacity is reserved, and the scarcest resource decided. Where a few workers have accelerators and all of these are in use, that share is 1 for good, also for jobs that need none.

Only processors and the resources in the task's demand count now. Whether the users count others is not known; a job that they exempt may start earlier than it has to.

--- a/crocusrudder/workflows/candidates.py
+++ b/crocusrudder/workflows/candidates.py
@@ -117,15 +117,15 @@
             self.latency_critical_images.add(spec.image)
 
 
-def compute_reserved_share(workers: Sequence[CandidateWorker]) -> float:
-    """Return the reserved share of the scarcest resource; 1 without workers.
+def compute_reserved_share(workers: Sequence[CandidateWorker], demand: messages.Resources) -> float:
+    """Return the reserved share of the scarcest resource in demand; 1 without workers.
 
-    Best-effort tasks reserve no processors.
+    Best-effort tasks reserve no processors, but other tasks reserve those that they share.
     """
     totals = (
         sum(worker.capacity.millicores for worker in workers),
-        sum(worker.capacity.memory_mb for worker in workers),
-        sum(worker.capacity.accelerators for worker in workers),
+        demand.memory_mb and sum(worker.capacity.memory_mb for worker in workers),
+        demand.accelerators and sum(worker.capacity.accelerators for worker in workers),
     )
     free = (
         sum(worker.millicores for worker in workers),
--- a/crocusrudder/workflows/placement.py
+++ b/crocusrudder/workflows/placement.py
@@ -57,7 +57,7 @@
         """Demands that no worker could meet, by service and the other constraints of placement."""
         self._last_resort_rankings: dict[candidates.Shape, candidates.Ranking] = {}
         self._last_resort_scores = 0.0
-        self._reserved_shares: dict[ids.ServiceName, float] = {}
+        self._reserved_shares: dict[candidates.Shape, float] = {}
 
     def refresh(self, views: Mapping[ids.ProcessId, fleet.AgentView], now: float) -> None:
         """Begin a plan with the current state of the workers."""
@@ -138,10 +138,7 @@
         if ranking is None:
             workers = (*self._by_service.get(service, ()), *self._set_aside.get(service, ()))
             self._last_resort_scores += REJECTED_SCORE * len(workers)
-            share = self._reserved_shares.get(service)
-            if share is None:
-                share = candidates.compute_reserved_share(workers)
-                self._reserved_shares[service] = share
+            self._reserved_shares[shape] = candidates.compute_reserved_share(workers, spec.demand)
             ranking = self._last_resort_rankings[shape] = candidates.Ranking(
                 workers,
                 functools.partial(self._score_last_resort, task.stage, shape),
@@ -377,7 +374,7 @@
             score = self._score(stage, shape, candidate)
             self._last_resort_scores += score is not None
             return None if score is None else (is_set_aside, *score)
-        shares_cpu = self._reserved_shares[shape.service] < MAX_RESERVED_SHARE
+        shares_cpu = self._reserved_shares[shape] < MAX_RESERVED_SHARE
         has_room = candidate.fits_beside_cpu(spec) if shares_cpu else candidate.fits(spec)
         if not has_room or not _meets_constraints(candidate, stage):
             return None
--- a/tests/workflows/test_starvation.py
+++ b/tests/workflows/test_starvation.py
@@ -75,6 +75,19 @@
         self.assertEqual(14, len(self._plan(100.0)))
         self.assertIn("j1.0.0.0", self._plan(100.0 + LATER))
 
+    def test_processors_are_shared_while_only_a_resource_without_demand_is_reserved(self):
+        # Guards against LOST: with all accelerators in use, jobs that need none waited for idle
+        # processors for good.
+        accelerated = model.Stage(1, messages.Resources(0, 0, 1))
+        for name, view in self.views.items():
+            capacity = msgspec.structs.replace(view.worker.capacity, accelerators=1)
+            view.worker = msgspec.structs.replace(view.worker, capacity=capacity)
+            test_throttling.assign(view, f"accelerated-{name}", accelerated)
+        self._fill_processors(memory_mb=500)
+        self._submit("j1")
+        self._plan(100.0)
+        self.assertIn("j1.0.0.0", self._plan(100.0 + LATER))
+
     def test_a_gang_shares_processors_after_a_bounded_wait_while_most_capacity_is_free(self):
         # Guards against LOST: the count of members that fit required idle processors.
         self._fill_processors(memory_mb=500)
