Send no starts to an agent whose reports confirm no orders

Callers could see accepted jobs with nothing running while all other workers were free. If orders do not reach an agent but its reports arrive, as in a partition in one direction, the agent stays schedulable. Its worker has nothing running, so it is preferred, and each task that goes there waits for the end of the partition.

Tasks that were assigned before still wait, as their orders may have arrived.

--- a/crocusrudder/workflows/fleet.py
+++ b/crocusrudder/workflows/fleet.py
@@ -10,6 +10,7 @@
 from crocusrudder.core import ids
 from crocusrudder.wire import workflow_messages
 from crocusrudder.workflows import job_registry
+from crocusrudder.workflows import leases
 from crocusrudder.workflows import waiting_reasons
 
 AGENT_TIMEOUT_SECONDS = 1.3
@@ -106,6 +107,8 @@
         self._usage: Usage | None = None
         self.orders_sent = 0
         self.orders_seen = 0
+        self.orders_unseen_since: float | None = None
+        """When the first orders were sent that no report has confirmed; None if all are."""
         self.has_updates = False
         """Whether orders or acknowledgements have changed since the last orders were sent."""
         self.sent_at = 0.0
@@ -130,6 +133,12 @@
         """Return whether the owner's row lists the agent as lost."""
         return self.lost_stored_at is not None
 
+    @property
+    def is_receiving_orders(self) -> bool:
+        """Return False if reports arrive that confirm no orders; older orders have become void."""
+        since = self.orders_unseen_since
+        return since is None or self.received_at - since < leases.ORDER_VALID_SECONDS
+
     def is_schedulable(self, now: float) -> bool:
         """Return whether new runs may be assigned to the worker."""
         return self.find_block_reason(now) is None
@@ -153,6 +162,8 @@
             return reasons.UNKNOWN_RUN
         if now - self.received_at >= AGENT_TIMEOUT_SECONDS:
             return reasons.NO_RECENT_REPORT
+        if not self.is_receiving_orders:
+            return reasons.ORDERS_UNSEEN
         return reasons.BLOCKED if now < self.blocked_until else None
 
     def find_run_obstacle(self, task: job_registry.Task, now: float) -> waiting_reasons.WaitReason:
--- a/crocusrudder/workflows/owner.py
+++ b/crocusrudder/workflows/owner.py
@@ -349,6 +349,8 @@
 
     def _make_orders(self, view: fleet.AgentView, now: float) -> workflow_messages.AgentOrders:
         view.orders_sent += 1
+        if view.orders_unseen_since is None:
+            view.orders_unseen_since = now
         starts = []
         stops = []
         for assignment in view.assignments.values():
--- a/crocusrudder/workflows/reports.py
+++ b/crocusrudder/workflows/reports.py
@@ -67,6 +67,10 @@
         view.report_sent_at = report.sent_at
         view.received_at = now
         view.data_centre = report.data_centre
+        if report.orders_seen >= view.orders_sent:
+            view.orders_unseen_since = None
+        elif report.orders_seen > view.orders_seen:
+            view.orders_unseen_since = now
         view.orders_seen = report.orders_seen
         view.is_reachable = report.reachable
         view.has_deregistered = report.left
--- a/crocusrudder/workflows/waiting_reasons.py
+++ b/crocusrudder/workflows/waiting_reasons.py
@@ -44,6 +44,7 @@
     UNKNOWN_RUN = "unknown_run"
     """A run of an unknown job is being stopped there, and what it takes is unknown."""
     NO_RECENT_REPORT = "no_recent_report"
+    ORDERS_UNSEEN = "orders_unseen"
     BLOCKED = "blocked"
     """The worker gets no starts for a time, such as after one that it rejected."""
     SET_ASIDE = "set_aside"
--- a/tests/workflows/test_waiting_bounds.py
+++ b/tests/workflows/test_waiting_bounds.py
@@ -81,6 +81,13 @@
                 self.system.run(MAX_WAIT_SECONDS)
                 self.assertTrue(self.system.count_starts(f"{reason.name}.0.0.0"))
 
+    def test_while_orders_do_not_reach_one_agent_that_reports(self):
+        # Guards against tasks that are ordered from an agent which a partition in one direction
+        # cuts off, for as long as that lasts.
+        self.system.agents[ids.ProcessId("a0")].is_receiving = False
+        self.system.run(5.0)
+        self._check_start(model.Stage(1, ONE_CORE))
+
     def test_while_tests_of_the_image_do_not_end_for_want_of_a_latency(self):
         self._serve()
         self.system.submit("testing", msgspec.structs.replace(FILLING, task_count=2))
--- a/tests/workflows/test_waiting_reasons.py
+++ b/tests/workflows/test_waiting_reasons.py
@@ -68,6 +68,7 @@
             ("worker", draining, Reason.DRAINING),
             ("is_declared_lost", True, Reason.DECLARED_LOST),
             ("received_at", NOW - 2 * fleet.AGENT_TIMEOUT_SECONDS, Reason.NO_RECENT_REPORT),
+            ("orders_unseen_since", NOW - 10.0, Reason.ORDERS_UNSEEN),
             ("blocked_until", NOW + 1, Reason.BLOCKED),
             ("agent", self.view.agent, Reason.FITS),
         ):
