Test that a task leaves an agent that no longer gets orders; a known failure

A task whose start order is lost in a partition in one direction stays assigned for as long as the partition lasts: the agent's reports arrive, so the owner never declares it lost. The order may have arrived, so the task has to wait for the lease of the worker as it does for a silent agent. A fix has to withhold lease grants from such an agent and to tell when its orders arrive again, which needs a change of how agents are declared lost and back.

--- a/tests/workflows/test_waiting_bounds.py
+++ b/tests/workflows/test_waiting_bounds.py
@@ -8,7 +8,9 @@
 from crocusrudder.core import ids
 from crocusrudder.placement import filters
 from crocusrudder.wire import messages
+from crocusrudder.workflows import leases
 from crocusrudder.workflows import model
+from crocusrudder.workflows import owner
 from crocusrudder.workflows import rows
 from tests.workflows import world
 
@@ -88,6 +90,14 @@
         self.system.run(5.0)
         self._check_start(model.Stage(1, ONE_CORE))
 
+    def test_after_orders_have_ceased_to_reach_the_agent_that_it_is_assigned_to(self):
+        # Guards against a task that is held by an agent which reports but gets no orders. The order
+        # may have arrived, so the task has to wait for the lease as for a silent agent.
+        self.system.agents[ids.ProcessId("a0")].is_receiving = False
+        self.system.submit("waiting", model.Stage(1, ONE_CORE))
+        self.system.run(owner.LOST_AFTER_SECONDS + leases.LEASE_EXPIRY_SECONDS)
+        self._check_wait()
+
     def test_while_tests_of_the_image_do_not_end_for_want_of_a_latency(self):
         self._serve()
         self.system.submit("testing", msgspec.structs.replace(FILLING, task_count=2))
