--- a/crocusrudder/workflows/owner.py
+++ b/crocusrudder/workflows/owner.py
@@ -129,6 +129,9 @@
     def add_job(self, job: model.Job, version: int, progress: model.Progress | None = None) -> None:
         """Add an accepted job; a job that is already known is ignored."""
         if self._job_registry.get(job.job_id) is None:
+            if job.accepted_queue is not None:
+                self._planner.add_queue(job.accepted_queue)
+                self._report_handler.add_queue(job.accepted_queue)
             self._job_registry.add(job_registry.JobRecord(job, version, progress))
 
     def apply_cancellation(self, job: ids.JobId, wall_time: float) -> None:
@@ -346,6 +349,8 @@
 
     def _make_orders(self, view: fleet.AgentView, now: float) -> workflow_messages.AgentOrders:
         view.orders_sent += 1
+        if view.orders_unseen_since is None:
+            view.orders_unseen_since = now
         starts = []
         stops = []
         for assignment in view.assignments.values():
--- a/crocusrudder/workflows/reports.py
+++ b/crocusrudder/workflows/reports.py
@@ -48,6 +48,10 @@
         """Apply a newer configuration; removed queues are retained for their remaining jobs."""
         self._queues |= {queue.name: queue for queue in configuration.queues}
 
+    def add_queue(self, queue: model.Queue) -> None:
+        """Add a job's queue that no configuration known here has; a known one is left alone."""
+        self._queues.setdefault(queue.name, queue)
+
     def drain_log(self) -> list[effects.LogChange]:
         """Return the decisions logged since the last call, and clear them."""
         logged, self._logged = self._logged, []
@@ -66,6 +70,10 @@
         view.report_sent_at = report.sent_at
         view.received_at = now
         view.data_centre = report.data_centre
+        if report.orders_seen >= view.orders_sent:
+            view.orders_unseen_since = None
+        elif report.orders_seen > view.orders_seen:
+            view.orders_unseen_since = now
         view.orders_seen = report.orders_seen
         view.is_reachable = report.reachable
         view.has_deregistered = report.left
