Follow suspects by their assignments instead of by name

Each report looked up the task of each running run by name, which grows with the number of runs on all workers, and the table of runs seen alive was never pruned. Final jobs are no longer changed by late reports of crashes.

--- a/crocusrudder/workflows/crashes.py
+++ b/crocusrudder/workflows/crashes.py
@@ -37,8 +37,6 @@
         self._epoch = epoch
         self._job_registry = jobs
         self._known: set[tuple[ids.ProcessId, ids.WorkerId, int]] = set()
-        self._alive_since: dict[tuple[str, int], float] = {}
-        """Time of the first list with a run of a suspected task, by task and run."""
         self._logged: list[effects.LogChange] = []
 
     def drain_log(self) -> list[effects.LogChange]:
@@ -54,6 +52,8 @@
             suspects = self._list_suspects(crash)
             charged = select_charged(suspects)
             for task, suspect in charged:
+                if task.record.is_final:
+                    continue
                 task.record.record_crash(
                     task,
                     suspect.run,
@@ -65,27 +65,21 @@
             for task, _ in charged:
                 self._check_limit(task, wall_time)
 
-    def record_running(self, report: workflow_messages.AgentReport, now: float) -> None:
+    def record_running(
+        self, view: fleet.AgentView, report: workflow_messages.AgentReport, now: float
+    ) -> None:
         """Clear the suspected tasks whose runs have stayed alive."""
+        listed_at = now - report.list_age_seconds
         for running in report.running:
-            task = self._job_registry.find_task(running.task)
+            assignment = view.assignments.get((running.task, running.run))
+            task = assignment.task if assignment else None
             if task is None or not task.record.is_suspect(task):
                 continue
-            key = (running.task, running.run)
-            listed_at = now - report.list_age_seconds
-            since = self._alive_since.setdefault(key, listed_at)
-            if listed_at - since >= crash_evidence.CRASH_WINDOW_SECONDS:
-                self._check_survival(task, running.run, listed_at)
-
-    def _check_survival(self, task: job_registry.Task, run: int, listed_at: float) -> None:
-        members = task.stage.tasks if task.stage.spec.gang else [task]
-        latest = listed_at - crash_evidence.CRASH_WINDOW_SECONDS
-        if all(
-            self._alive_since.get((member.name, run), listed_at) <= latest for member in members
-        ):
-            task.record.record_survival(task, run)
-            for member in members:
-                del self._alive_since[(member.name, run)]
+            if task.alive_run != running.run:
+                task.alive_run = running.run
+                task.alive_since = listed_at
+            if _is_alive(task, running.run, listed_at):
+                task.record.record_survival(task, running.run)
 
     def _list_suspects(
         self, crash: workflow_messages.WorkerCrash
@@ -172,3 +166,13 @@
         for other in suspects
         if model.get_job(other.task) != model.get_job(suspect.task)
     )
+
+
+def _is_alive(task: job_registry.Task, run: int, listed_at: float) -> bool:
+    """Return whether a run has outlived the start, with all members if the task is in a gang."""
+    members = task.stage.tasks if task.stage.spec.gang else [task]
+    return all(
+        member.alive_run == run
+        and listed_at - member.alive_since >= crash_evidence.CRASH_WINDOW_SECONDS
+        for member in members
+    )
--- a/crocusrudder/workflows/job_registry.py
+++ b/crocusrudder/workflows/job_registry.py
@@ -24,6 +24,8 @@
     """A task in one occurrence of a job."""
 
     __slots__ = (
+        "alive_run",
+        "alive_since",
         "assigned_at",
         "avoided_agents",
         "agent",
@@ -51,6 +53,9 @@
         self.progressed_at = 0.0
         self.not_before = 0.0
         self.avoided_agents: set[ids.ProcessId] = set()
+        self.alive_run = 0
+        """Number of the last run listed while workers had crashed under the task."""
+        self.alive_since = 0.0
 
     @property
     def record(self) -> "JobRecord":
--- a/crocusrudder/workflows/reports.py
+++ b/crocusrudder/workflows/reports.py
@@ -73,7 +73,7 @@
         self._apply_rejections(view, report, now)
         self._apply_ends(view, report, now, wall_time)
         self._apply_running(view, report, now)
-        self._crash_register.record_running(report, now)
+        self._crash_register.record_running(view, report, now)
         self._check_stall(view, now, report.list_age_seconds)
 
     def release_all(self, view: fleet.AgentView, now: float, reason: str) -> None:
