Judge suspects by the least time that they ran before the crash

An agent that starts dozens of runs at once notices the closed connections late, as it still handles the responses to other starts. Reports now also give the least age: until the last response, or until a start that was not answered was sent. It decides who is a suspect, who is isolated, and whether the runs of other jobs had outlived their starts.

--- a/crocusrudder/wire/workflow_messages.py
+++ b/crocusrudder/wire/workflow_messages.py
@@ -63,7 +63,10 @@
     task: str
     run: int
     age_seconds: float
-    """Time from the start of the run to the crash."""
+    """Greatest time from the start of the run to the crash."""
+    least_age_seconds: float = 0.0
+    """Least time from the start of the run to the crash; the agent notices a crash late while it
+    handles many responses."""
 
 
 class WorkerCrash(msgspec.Struct, frozen=True, array_like=True):
--- a/crocusrudder/workflows/crash_evidence.py
+++ b/crocusrudder/workflows/crash_evidence.py
@@ -93,10 +93,16 @@
         return tuple(crash for _, crash in self._crashes)
 
     def _list_suspects(self, closed_at: float) -> tuple[workflow_messages.SuspectRun, ...]:
-        ages = {run: max(closed_at - at, 0.0) for run, at in self._started.items()}
-        recent = {run: age for run, age in ages.items() if age < CRASH_WINDOW_SECONDS}
+        # The worker was alive when it responded last and when a start reached it.
+        alive_at = max((self._responded_at, *self._sent.values()))
+        suspects = [
+            workflow_messages.SuspectRun(
+                *run,
+                round(max(closed_at - started_at, 0.0), 3),
+                round(max(alive_at - started_at, 0.0), 3),
+            )
+            for run, started_at in self._started.items()
+            if alive_at - started_at < CRASH_WINDOW_SECONDS
+        ]
         # A start that was not answered may have been carried out at any time since.
-        recent |= dict.fromkeys(self._sent, 0.0)
-        return tuple(
-            workflow_messages.SuspectRun(*run, round(age, 3)) for run, age in recent.items()
-        )
+        return (*suspects, *(workflow_messages.SuspectRun(*run, 0.0) for run in self._sent))
--- a/crocusrudder/workflows/crashes.py
+++ b/crocusrudder/workflows/crashes.py
@@ -22,9 +22,9 @@
 """Weight of a crash right after the start of the task while all runs of other jobs had outlived
 theirs; other crashes have the weight 1."""
 PROMPT_SECONDS = 0.1
-"""Greatest age of the suspect at a conclusive crash. A deadly task crashes its worker within some
-milliseconds, and the agent notices the closed connection as fast; faults of machines rarely hit
-this moment."""
+"""Greatest age of a suspect whose start coincides with the crash. A deadly task crashes its worker
+within some milliseconds, and the agent notices the closed connection as fast; faults of machines
+rarely hit this moment."""
 OUTLIVED_SECONDS = 0.3
 """Least age of the runs of other jobs at a conclusive crash."""
 MAX_LOGGED_SUSPECTS = 20
@@ -54,11 +54,13 @@
             for task, suspect in charged:
                 if task.record.is_final:
                     continue
+                # A machine that is at fault itself must not decide on a task twice.
+                task.avoided_agents.add(view.agent)
                 task.record.record_crash(
                     task,
                     suspect.run,
                     crash.worker,
-                    suspect.age_seconds <= PROMPT_SECONDS,
+                    suspect.least_age_seconds <= PROMPT_SECONDS,
                     is_conclusive(suspect, crash.suspects),
                 )
             self._log_crash(view, crash, suspects)
@@ -130,6 +132,7 @@
                     "task": task.name,
                     "run": run.run,
                     "age_s": run.age_seconds,
+                    "least_age_s": run.least_age_seconds,
                     "crashes": len(task.record.get_crashes(task).runs),
                 }
                 for task, run in suspects[:MAX_LOGGED_SUSPECTS]
@@ -162,7 +165,7 @@
 ) -> bool:
     """Return whether a run's start coincides with the crash, and no run of another job's does."""
     return suspect.age_seconds <= PROMPT_SECONDS and all(
-        other.age_seconds > OUTLIVED_SECONDS
+        other.least_age_seconds > OUTLIVED_SECONDS
         for other in suspects
         if model.get_job(other.task) != model.get_job(suspect.task)
     )
--- a/crocusrudder/workflows/model.py
+++ b/crocusrudder/workflows/model.py
@@ -82,7 +82,7 @@
     survived_run: int = 0
     """Number of the last run that stayed alive; crashes under earlier runs no longer count."""
     prompt_runs: tuple[int, ...] = ()
-    """Those of ``runs`` whose start coincided with the crash, alone or not."""
+    """Those of ``runs`` whose start may have coincided with the crash, alone or not."""
 
 
 class Progress(msgspec.Struct, array_like=True):
--- a/crocusrudder/workflows/trials.py
+++ b/crocusrudder/workflows/trials.py
@@ -116,7 +116,10 @@
             return None
         candidate = min(
             self._pool.list_allowed(task, service),
-            key=lambda candidate: len(candidate.view.assignments),
+            key=lambda candidate: (
+                candidate.view.agent in task.avoided_agents,
+                len(candidate.view.assignments),
+            ),
             default=None,
         )
         if candidate is not None:
--- a/tests/workflows/test_crash_evidence.py
+++ b/tests/workflows/test_crash_evidence.py
@@ -51,6 +51,15 @@
         self._close(105.12)
         self.assertEqual([[FRESH, ("j.0.0.2", 3)]], self._replace())
 
+    def test_a_crash_that_is_noticed_late_does_not_hide_the_suspect(self):
+        # A busy agent handled the responses to other starts after the connections were closed.
+        self._close(105.11)
+        self._start(("j.0.0.2", 3), 105.12)
+        self._close(106.3)
+        self.assertEqual([[FRESH, ("j.0.0.2", 3)]], self._replace())
+        (crash,) = self.state.make_report(ids.DataCentre("z"), 110.0).crashes
+        self.assertLess(crash.suspects[0].least_age_seconds, 0.05)
+
     def test_a_refused_start_is_no_suspect(self):
         self.state.record_start_sent(("j.0.0.2", 3), 105.12)
         self._close(105.12)
--- a/tests/workflows/world.py
+++ b/tests/workflows/world.py
@@ -165,6 +165,7 @@
             self.state.get_lease_end_ms(now)
             rejected = self.worker.start(now, order, orders.epoch, now + 6.0)
             self.state.record_start_result(run, rejected, now)
+            self.state.record_response(0, now)
         for run in accepted.stops if self.worker.crashed_at is None else ():
             self.state.record_stop_result(run, self.worker.stop(now, run, orders.epoch), now)
 
