--- a/tests/workflows/test_agent_state.py
+++ b/tests/workflows/test_agent_state.py
@@ -121,7 +121,7 @@
 
     def test_a_run_that_was_listed_as_ended_is_not_reported_as_started(self):
         # Guards against a task that the owner takes for assigned again after its run has ended.
-        self.state.record_start_sent(RUN)
+        self.state.record_start_sent(RUN, 100.0)
         self._list(100.4, ended=(workflow_messages.EndedRun(1, *RUN, "failed"),))
         self.state.record_start_result(RUN, None, 100.5)
         self.assertEqual((), self._report(100.6).running)
