--- a/tests/workflows/world.py
+++ b/tests/workflows/world.py
@@ -84,12 +84,14 @@
         """Extend the lease, drop acknowledged ends, and return the running and ended runs."""
         self.lease_until = max(self.lease_until, lease)
         self.ended = [entry for entry in self.ended if entry.number > acknowledged]
-        running = tuple(
-            workflow_messages.RunningTask(*run, percent=self._get_percent(end, now))
-            for run, end in self.running.items()
-        )
+        running = tuple(self._make_running(run, end, now) for run, end in self.running.items())
         return worker_client.RunList(1, running, tuple(self.ended))
 
+    def _make_running(
+        self, run: tuple[str, int], end: float, now: float
+    ) -> workflow_messages.RunningTask:
+        return workflow_messages.RunningTask(*run, percent=self._get_percent(end, now))
+
     def _get_percent(self, end: float, now: float) -> int:
         if self.is_hung:
             return 0
