Repeat an unanswered stop with the next orders

An agent remembers for 5 s which stops it has received, as the owner repeats them every 0.5 s. A stop whose call to the worker was not answered stayed among them, so a single lost call delayed it by 5 s: a run of a cancelled job worked on, and a task whose run had to be ruled out first was not placed again.

The agent now forgets a stop that was not answered, and the next orders repeat it. A stop names one run, so repeating it is harmless.

--- a/crocusrudder/workflows/agent_daemon.py
+++ b/crocusrudder/workflows/agent_daemon.py
@@ -214,6 +214,7 @@
                 accepted = await self._worker.stop(orders.worker, *run, orders.epoch)
         except errors.PlatformError as error:
             self._log("stop_unanswered", task=run[0], run=run[1], error=str(error))
+            self._state.record_stop_unanswered(run)
         else:
             self._log("run_stopped", task=run[0], run=run[1], taken=accepted, epoch=orders.epoch)
             self._state.record_stop_result(run, accepted, clocks.read_boot_time())
--- a/crocusrudder/workflows/agent_state.py
+++ b/crocusrudder/workflows/agent_state.py
@@ -191,6 +191,10 @@
         else:
             self._stopped.pop(run, None)
 
+    def record_stop_unanswered(self, run: RunKey) -> None:
+        """Record that a stop was not answered, so that the next orders repeat it."""
+        self._stopped.pop(run, None)
+
     def get_lease_end_ms(self, now: float) -> int | None:
         """Return the end of the lease on the worker's clock; None if it cannot be renewed.
 
--- a/tests/workflows/shared_workers.py
+++ b/tests/workflows/shared_workers.py
@@ -268,6 +268,7 @@
     def _stop(self, run: RunKey, now: float) -> bool:
         self.is_changed = True
         if self._is_lost():
+            self.state.record_stop_unanswered(run)
             return False
         accepted = self.worker.stop(now, run, self.state.epoch)
         self.state.record_stop_result(run, accepted, now)
--- a/tests/workflows/test_agent_daemon.py
+++ b/tests/workflows/test_agent_daemon.py
@@ -4,8 +4,10 @@
 import unittest
 
 import curio
+import msgspec
 
 from crocusrudder.core import ids
+from crocusrudder.platform import errors
 from crocusrudder.platform import worker
 from crocusrudder.wire import messages
 from crocusrudder.wire import workflow_messages
@@ -22,6 +24,11 @@
 
     def __init__(self) -> None:
         self.polls = 0
+        self.stops = 0
+
+    async def stop(self, name, task, run, epoch):
+        self.stops += 1
+        raise errors.UnknownOutcomeError("no answer")
 
     async def poll_runs(self, name, epoch, acknowledged, lease_until_ms, wait_seconds):
         self.polls += 1
@@ -91,6 +98,22 @@
         self.assertLessEqual(before, 2)
         self.assertEqual(before + 1, after)
 
+    def test_a_stop_that_was_not_answered_is_repeated_with_the_next_orders(self):
+        # Guards against LOST and UNASKED: repeated orders to stop the run were ignored for 5 s, in
+        # which a run of a cancelled job worked on and a task could not be placed again.
+        envelope = messages.Envelope(1, 0, ids.ProcessId("e1"), ids.Incarnation("i"), "", "", None)
+
+        async def stop() -> None:
+            self.agent._state.handle_heartbeat(self.worker, 1, 0.0)
+            for _ in range(2):
+                orders = msgspec.structs.replace(self._deliver_orders(0), stops=(("j.0.0.0", 1),))
+                await self.agent._deliver(envelope, orders)
+                for _ in range(ROUNDS):
+                    await curio.sleep(0)
+
+        curio.run(stop())
+        self.assertEqual(2, self.client.stops)
+
 
 if __name__ == "__main__":
     unittest.main()
