Let the owner stop a run whose start can be neither confirmed nor stopped

After a start without an answer the agent tries 20 times to stop the run. If none of the calls was answered, which takes 2 s if each fails at once, its reports showed the run as starting until the worker's lease ended. On a worker that had come back meanwhile, the task never ran: the owner took the run for confirmed, and runs of other tasks kept the worker from counting as stalled.

Reports now leave such a run out. The owner then orders to stop it, repeats that until the worker has answered, and places the task again.

--- a/crocusrudder/workflows/agent_daemon.py
+++ b/crocusrudder/workflows/agent_daemon.py
@@ -38,7 +38,7 @@
 OWNER_READ_INTERVAL_SECONDS = 0.7
 """Interval at which the owner's row is read while the owner is unresponsive."""
 MAX_STOP_ATTEMPTS = 20
-"""Attempts to block a run whose start was not answered, before the owner waits for the lease."""
+"""Attempts to block a run whose start was not answered, before the owner orders to stop it."""
 MAX_CONCURRENT_CALLS = 8
 CLOSE_TIMEOUT_SECONDS = 0.5
 """Grace period for requests in flight at shutdown; heartbeats take some milliseconds."""
@@ -205,6 +205,8 @@
             if await self._stop(orders, run):
                 return
             await curio.sleep(RETRY_DELAY_SECONDS)
+        self._state.record_block_failed(run)
+        await self._updates.set()
 
     async def _stop(self, orders: workflow_messages.AgentOrders, run: agent_state.RunKey) -> bool:
         """Stop a run; return whether the worker accepted the order."""
--- a/crocusrudder/workflows/agent_state.py
+++ b/crocusrudder/workflows/agent_state.py
@@ -195,6 +195,13 @@
         """Record that a stop was not answered, so that the next orders repeat it."""
         self._stopped.pop(run, None)
 
+    def record_block_failed(self, run: RunKey) -> None:
+        """Record that a run whose start was not answered could not be stopped either.
+
+        Reports leave it out from now on, so that the owner orders to stop it until that succeeds.
+        """
+        self._starting.discard(run)
+
     def get_lease_end_ms(self, now: float) -> int | None:
         """Return the end of the lease on the worker's clock; None if it cannot be renewed.
 
--- a/tests/workflows/test_agent_daemon.py
+++ b/tests/workflows/test_agent_daemon.py
@@ -2,6 +2,7 @@
 
 import socket
 import unittest
+from unittest import mock
 
 import curio
 import msgspec
@@ -114,6 +115,20 @@
         curio.run(stop())
         self.assertEqual(2, self.client.stops)
 
+    def test_a_start_that_can_be_neither_confirmed_nor_stopped_does_not_stay_in_reports(self):
+        # Guards against LOST: reports showed the run as starting for good, so its task never ran.
+        run = ("j.0.0.0", 1)
+
+        async def block() -> None:
+            self.agent._state.record_start_sent(run)
+            await self.agent._block(self._deliver_orders(0), run)
+
+        with mock.patch.object(agent_daemon, "RETRY_DELAY_SECONDS", 0):
+            curio.run(block())
+        report = self.agent._state.make_report(ids.DataCentre("z"), 0.0)
+        self.assertEqual(agent_daemon.MAX_STOP_ATTEMPTS, self.client.stops)
+        self.assertEqual((), report.starting)
+
 
 if __name__ == "__main__":
     unittest.main()
