--- a/tests/workflows/test_crashes.py
+++ b/tests/workflows/test_crashes.py
@@ -112,6 +112,16 @@
                 system.run(40.0)
                 self._assert_states(system, model.JobState.COMPLETED, *healthy)
 
+    def test_a_machine_that_crashes_again_and_again_fails_no_job(self):
+        system = make_world()
+        system.submit("j", model.Stage(1, ONE_CORE))
+        system.run(0.1)
+        for _ in range(4):
+            crash(system, "a0", delay=0.05)
+            system.run(world.RESTART_SECONDS + 0.2)
+        system.run(5.0)
+        self._assert_states(system, model.JobState.COMPLETED, "j")
+
     def test_two_deadly_jobs_on_one_worker_both_fail(self):
         system = make_world("d.0.0.0", "e.0.0.0")
         healthy = submit_load(system, 6)
