Add crashes of workers, deadly jobs and smaller capacities to the soak

The stand-in of the users' platform now resets the connections of a worker that crashes, and a new incarnation with a new id follows at its address after 3 s. Tasks with the spec `deadly` crash each worker that starts them after 10 ms. A worker can report a smaller capacity, and does not enforce it. A second series of faults for the workers overlaps that of the processes, whose faults for a seed are unchanged. Callers keep their connections open; before, each call opened a new one.

New checks: a deadly job ends as failed after at most four starts of a task (BUDGET), no other job fails (MIXED), and no start exceeds the capacity (LIMIT).

--- a/tests/endtoend/test_soak.py
+++ b/tests/endtoend/test_soak.py
@@ -8,25 +8,29 @@
 from tools.soak import faults
 from tools.soak import runner
 
-SEED = 2
+SEEDS = (2, 5)
+"""The second has crashes of workers, a deadly job, and smaller capacities."""
 SECONDS = 6.0
 JOB = "00000000000000aa"
 
 
 def make_run(task: str, run: int, begin: float, end: float | None, how: str = "done") -> dict:
-    """Return a run as a worker reports it."""
-    return {"task": task, "run": run, "worker": "w", "begin": begin, "end": end, "how": how}
+    """Return a run as a worker reports it, the only one on a worker with one core."""
+    times = {"begin": begin, "end": end, "how": how}
+    return {"task": task, "run": run, "worker": "w", "running": 1, "capacity": 1_000, **times}
 
 
 class ChecksTest(unittest.TestCase):
     """Guards against a soak test that misses a violated guarantee."""
 
-    def _find_rules(self, *runs: dict, refused=frozenset(), states=("completed",)) -> list[str]:
+    def _find_rules(
+        self, *runs: dict, refused=frozenset(), states=("completed",), deadly=frozenset()
+    ) -> list[str]:
         reported = {JOB: list(states)}
         accepted = set() if refused else {JOB}
         return [
             text.partition(":")[0]
-            for text in checks.find_violations(runs, accepted, refused, reported)
+            for text in checks.find_violations(runs, accepted, refused, reported, deadly)
         ]
 
     def test_history_without_violations_passes(self):
@@ -41,9 +45,26 @@
             "REFUSED": self._find_rules(first, refused={JOB}),
             "LOST": self._find_rules(first, states=("running",)),
             "MIXED": self._find_rules(first, states=("completed", "running", "completed")),
+            "LIMIT": self._find_rules(first | {"running": 3}),
         }
         self.assertEqual({rule: [rule] for rule in cases}, cases)
 
+    def test_violations_of_a_deadly_job_are_found(self):
+        runs = [make_run(f"{JOB}.0.0.0", run, run, run + 0.01, "crashed") for run in range(1, 6)]
+        cases = [
+            ([], runs[:4], ("running", "failed")),
+            (["BUDGET"], runs, ("failed",)),
+            (["LOST"], runs[:4], ("running",)),
+            (["MIXED", "MIXED"], runs[:1], ("completed", "failed")),
+        ]
+        for rules, starts, states in cases:
+            found = self._find_rules(*starts, states=states, deadly={JOB})
+            self.assertEqual(rules, found)
+
+    def test_failure_of_a_job_that_is_not_deadly_is_found(self):
+        first = make_run(f"{JOB}.0.0.0", 1, 1.0, 2.0)
+        self.assertEqual(["LOST", "MIXED"], self._find_rules(first, states=("failed",)))
+
     def test_same_seed_draws_same_faults(self):
         targets = ["entry-1", "agent-1"]
         self.assertEqual(faults.draw_faults(7, 20.0, targets), faults.draw_faults(7, 20.0, targets))
@@ -51,9 +72,10 @@
 
 class SoakTest(unittest.TestCase):
     def test_short_run_has_no_violations(self):
-        with tempfile.TemporaryDirectory() as folder:
-            problems = runner.SoakRun(pathlib.Path(folder), SEED, SECONDS).run()
-        self.assertEqual([], problems)
+        for seed in SEEDS:
+            with self.subTest(seed=seed), tempfile.TemporaryDirectory() as folder:
+                problems = runner.SoakRun(pathlib.Path(folder), seed, SECONDS).run()
+                self.assertEqual([], problems)
 
 
 if __name__ == "__main__":
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -2,32 +2,48 @@
 
 import collections
 from collections.abc import Iterator
+from collections.abc import Set
 
 COMPLETION_TIMEOUT_SECONDS = 40.0
 """Time after the last fault within which all accepted jobs must be completed: two leases of 6 s, a
 takeover, and the work of the jobs."""
 
+TASK_MILLICORES = 500
+MAX_DEADLY_STARTS = 4
+"""Starts of a task that crashes each of its workers, until its job is given up. The users' pages
+allow five; the product gives up after four crashes at most (``crashes.MAX_WEIGHT``)."""
+
 
 def find_violations(
-    runs: list[dict], accepted: set[str], refused: set[str], states: dict[str, list[str]]
+    runs: list[dict],
+    accepted: set[str],
+    refused: set[str],
+    states: dict[str, list[str]],
+    deadly: Set[str] = frozenset(),
 ) -> Iterator[str]:
     """Yield a description of each violated guarantee.
 
     ``refused`` are the jobs of which every submission was reported as not run. ``states`` are the
-    states reported to callers for each job, in order.
+    states reported to callers for each job, in order. ``deadly`` are the jobs whose tasks crash the
+    workers that start them.
     """
     by_task: dict[str, list[dict]] = collections.defaultdict(list)
     for run in sorted(runs, key=lambda run: run["begin"]):
         by_task[run["task"]].append(run)
     for task, found in by_task.items():
         yield from _check_task(task, found)
+        if task.partition(".")[0] in deadly and len(found) > MAX_DEADLY_STARTS:
+            yield f"BUDGET: deadly {task} was started {len(found)} times"
     started = {task.partition(".")[0] for task in by_task}
     yield from (f"REFUSED: {job} has run" for job in sorted(started & refused))
     for job in sorted(accepted):
-        yield from _check_job(job, states[job], by_task)
+        yield from _check_job(job, states[job], by_task, "failed" if job in deadly else "completed")
 
 
 def _check_task(task: str, runs: list[dict]) -> Iterator[str]:
+    for run in runs:
+        if run["running"] * TASK_MILLICORES > run["capacity"]:
+            yield f"LIMIT: {task} run {run['run']} is one of {run['running']} on {run['worker']}"
     for earlier, later in zip(runs, runs[1:], strict=False):
         if earlier["end"] is None or earlier["end"] > later["begin"]:
             yield f"TWICE: {task} runs {earlier['run']} and {later['run']} at the same time"
@@ -35,13 +51,18 @@
             yield f"ORDER: {task} run {later['run']} follows {earlier['run']}"
 
 
-def _check_job(job: str, states: list[str], by_task: dict[str, list[dict]]) -> Iterator[str]:
-    if not states or states[-1] != "completed":
+def _check_job(
+    job: str, states: list[str], by_task: dict[str, list[dict]], expected: str
+) -> Iterator[str]:
+    if not states or states[-1] != expected:
         yield f"LOST: {job} was last reported as {states[-1:] or 'nothing'}"
     if "unknown" in states:
         yield f"LOST: {job} was reported as unknown"
-    if "completed" in states and set(states[states.index("completed") :]) != {"completed"}:
-        yield f"MIXED: {job} was reported as completed, and later as {states[-1]}"
+    for state in {"completed", "failed"} & set(states):
+        if state != expected:
+            yield f"MIXED: {job} was reported as {state}, not as {expected}"
+        if set(states[states.index(state) :]) != {state}:
+            yield f"MIXED: {job} was reported as {state}, and later as {states[-1]}"
     done = {
         task
         for task, runs in by_task.items()
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -2,6 +2,8 @@
 
 import enum
 import random
+import types
+from collections.abc import Mapping
 from collections.abc import Sequence
 from typing import NamedTuple
 
@@ -14,16 +16,19 @@
 
 
 class Kind(enum.Enum):
-    """Kind of a fault of a process, of its link to the store, or of the store."""
+    """Kind of a fault of a process, of its link to the store, of the store, or of a worker."""
 
     KILL = "kill"
     STOP = "stop"
     PAUSE = "pause"
     LINK = "link"
     STORE_DOWN = "store-down"
+    WORKER_CRASH = "worker-crash"
+    SHRINK = "shrink"
 
 
 KIND_WEIGHTS = {Kind.KILL: 3, Kind.STOP: 3, Kind.PAUSE: 3, Kind.LINK: 5, Kind.STORE_DOWN: 1}
+WORKER_KIND_WEIGHTS = {Kind.WORKER_CRASH: 1, Kind.SHRINK: 1}
 LINK_MODES = [mode for mode in proxy.Mode if mode is not proxy.Mode.PASS]
 
 
@@ -37,13 +42,18 @@
     mode: proxy.Mode
 
 
-def draw_faults(seed: int, seconds: float, targets: Sequence[str]) -> list[Fault]:
+def draw_faults(
+    seed: int | str,
+    seconds: float,
+    targets: Sequence[str],
+    weights: Mapping[Kind, int] = types.MappingProxyType(KIND_WEIGHTS),
+) -> list[Fault]:
     """Return the faults of a run, ordered by time."""
     generator = random.Random(seed)
     faults = []
     starts_at = FIRST_AT_SECONDS
     while starts_at < seconds:
-        kind = generator.choices(list(KIND_WEIGHTS), list(KIND_WEIGHTS.values()))[0]
+        kind = generator.choices(list(weights), list(weights.values()))[0]
         duration_seconds = min(generator.uniform(*DURATION_SECONDS), seconds - starts_at)
         faults.append(
             Fault(
--- a/tools/soak/runner.py
+++ b/tools/soak/runner.py
@@ -11,11 +11,17 @@
 from tools.soak import faults
 from tools.soak import proxy
 from tools.standin.users import deployment as deployments
+from tools.standin.users import worker
 
 JOB = {
     "spec": "soak",
-    "steps": [{"taskCount": 3, "cpu": 500}, {"taskCount": 2, "cpu": 500, "after": [0]}],
+    "steps": [
+        {"taskCount": 3, "cpu": checks.TASK_MILLICORES},
+        {"taskCount": 2, "cpu": checks.TASK_MILLICORES, "after": [0]},
+    ],
 }
+DEADLY_SHARE = 0.1
+SHRUNK_MILLICORES = 500
 RUN_SECONDS = 0.7
 SUBMIT_INTERVAL_SECONDS = 0.7
 QUERY_INTERVAL_SECONDS = 0.5
@@ -39,7 +45,14 @@
             folder, RUN_SECONDS, PROCESSES_PER_ROLE, ports_by_name, store_port
         )
         self._generator = random.Random(seed)
-        self._faults = faults.draw_faults(seed, seconds, names)
+        self._deadly_generator = random.Random(f"deadly {seed}")
+        self._deadly: set[str] = set()
+        workers = [f"w-{name}" for name in self._deployment.agents]
+        self._faults = sorted(
+            faults.draw_faults(seed, seconds, names)
+            + faults.draw_faults(f"workers {seed}", seconds, workers, faults.WORKER_KIND_WEIGHTS),
+            key=lambda fault: fault.starts_at,
+        )
         self._seconds = seconds
         self._statuses: dict[str, list[int]] = {}
         self._states: dict[str, list[str]] = {}
@@ -104,6 +117,13 @@
                 deployment.set_store_available(available=False)
                 time.sleep(fault.duration_seconds)
                 deployment.set_store_available(available=True)
+            case faults.Kind.WORKER_CRASH:
+                deployment.crash_worker(name)
+            case faults.Kind.SHRINK:
+                deployment.set_worker_capacity(name, SHRUNK_MILLICORES)
+                # A smaller capacity counts only after this time.
+                time.sleep(worker.CAPACITY_GRACE_SECONDS + fault.duration_seconds)
+                deployment.set_worker_capacity(name, worker.FULL_MILLICORES)
         self._faulted_targets.discard(name)
 
     def _check_exit(self, name: str, code: int) -> None:
@@ -124,8 +144,12 @@
             number += 1
             job = f"{number:016x}"
             statuses = self._statuses.setdefault(job, [])
+            content = JOB
+            if self._deadly_generator.random() < DEADLY_SHARE:
+                self._deadly.add(job)
+                content = JOB | {"spec": worker.DEADLY_SPEC}
             for entry in self._generator.sample(list(self._deployment.entries), 2):
-                statuses.append(self._deployment.call(entry, "POST", job, JOB)[0])
+                statuses.append(self._deployment.call(entry, "POST", job, content)[0])
                 if statuses[-1] == 200:
                     break
 
@@ -134,20 +158,21 @@
             self._query_jobs()
 
     def _query_jobs(self) -> bool:
-        """Query the accepted jobs that have not been reported as completed twice.
+        """Query the accepted jobs that have not been reported in their final state twice.
 
-        Returns whether all queried jobs are completed.
+        Returns whether all queried jobs are in the state in which they should end.
         """
         complete = True
         for job in [job for job, statuses in list(self._statuses.items()) if 200 in statuses]:
             states = self._states.setdefault(job, [])
-            if states.count("completed") >= 2:
+            expected = "failed" if job in self._deadly else "completed"
+            if states.count(expected) >= 2:
                 continue
             entry = self._generator.choice(list(self._deployment.entries))
             status, content = self._deployment.call(entry, "GET", job)
             if status in (200, 410):
                 states.append(content["state"] if status == 200 else "unknown")
-            complete = complete and states[-1:] == ["completed"]
+            complete = complete and states[-1:] == [expected]
         return complete
 
     def _check_guarantees(self) -> list[str]:
@@ -159,5 +184,7 @@
         states = {job: self._states.get(job, []) for job in accepted}
         problems = list(self._problems.queue)
         problems += [f"FAULT: {name} exited by itself" for name in self._deployment.list_exited()]
-        found = checks.find_violations(self._deployment.list_runs(), accepted, refused, states)
+        found = checks.find_violations(
+            self._deployment.list_runs(), accepted, refused, states, self._deadly
+        )
         return [*problems, *found]
--- a/tools/standin/users/deployment.py
+++ b/tools/standin/users/deployment.py
@@ -2,12 +2,14 @@
 
 import collections
 import contextlib
+import http.client
 import pathlib
 import random
 import signal
 import socket
 import subprocess
 import sys
+import threading
 import time
 import types
 from collections.abc import Mapping
@@ -17,7 +19,7 @@
 
 from crocusrudder.core import effects
 from crocusrudder.platform import errors
-from crocusrudder.platform import http
+from crocusrudder.platform import http as platform_http
 
 HOST = "127.0.0.1"
 PREFIX = "/confirm/"
@@ -60,6 +62,7 @@
         self._folder = folder
         self._store_ports = store_ports
         self._processes: dict[str, subprocess.Popen] = {}
+        self._connections: dict[tuple[int, str], http.client.HTTPConnection] = {}
         self._spawn_counts: collections.Counter[str] = collections.Counter()
         ports = iter(find_ports(8 * count_per_role + 1))
         self.store_port = store_port or next(ports)
@@ -126,6 +129,8 @@
             except subprocess.TimeoutExpired:
                 process.kill()
                 process.wait()
+        for connection in self._connections.values():
+            connection.close()
 
     def is_ready(self, name: str) -> bool:
         return self._call(self.entries[name][3], "GET", "/")[0] == 200
@@ -135,8 +140,23 @@
         return self._call(self.agents[agent][1], "GET", "/v1/state")[0] == 200
 
     def call(self, entry: str, method: str, path: str, content: object = None) -> tuple[int, dict]:
-        """Call an entry as a caller does; the status is 0 if there was no response."""
-        return self._call(self.entries[entry][2], method, PREFIX + path, content)
+        """Call an entry as a caller does; the status is 0 if there was no response.
+
+        A thread uses its connection to an entry until that fails or is closed by the entry.
+        """
+        connection = self._connections.setdefault(
+            (threading.get_ident(), entry),
+            http.client.HTTPConnection(HOST, self.entries[entry][2], timeout=5.0),
+        )
+        body = None if content is None else msgspec.json.encode(content)
+        try:
+            connection.request(method, PREFIX + path, body, dict(platform_http.JSON_HEADERS))
+            response = connection.getresponse()
+            payload = response.read()
+        except (OSError, http.client.HTTPException):
+            connection.close()
+            return 0, {}
+        return response.status, msgspec.json.decode(payload) if payload else {}
 
     def find_owner(self) -> str | None:
         """Return the entry that owns the workers, or None."""
@@ -159,6 +179,14 @@
         """Make the store refuse or accept all requests."""
         self._call(self.store_port, "PUT", "/standin/up" if available else "/standin/down")
 
+    def crash_worker(self, worker: str) -> None:
+        """Make a worker crash; a new incarnation follows at its address."""
+        self._call(self.store_port, "PUT", f"/standin/crash/{worker}")
+
+    def set_worker_capacity(self, worker: str, millicores: int) -> None:
+        """Change the capacity that the current incarnation of a worker reports."""
+        self._call(self.store_port, "PUT", f"/standin/capacity/{worker}/{millicores}")
+
     def wait_until(self, description: str, condition) -> None:
         """Wait until a condition holds; raise ``AssertionError`` after ``TIMEOUT_SECONDS``."""
         limit = time.monotonic() + TIMEOUT_SECONDS
@@ -173,8 +201,8 @@
         body = b"" if content is None else msgspec.json.encode(content)
 
         async def exchange() -> effects.EndpointResponse:
-            client = http.HttpClient.from_config(http.HttpConfig(1))
-            request = effects.EndpointRequest(method, target, http.JSON_HEADERS, body)
+            client = platform_http.HttpClient.from_config(platform_http.HttpConfig(1))
+            request = effects.EndpointRequest(method, target, platform_http.JSON_HEADERS, body)
             try:
                 return await client.call(HOST, port, request, 5.0)
             finally:
@@ -231,7 +259,7 @@
             "configuration": {
                 "version": 1,
                 "routes": routes,
-                "services": [{"name": "dispatch"}],
+                "services": [{"name": "dispatch", "enforcesCapacity": False}],
             },
         }
         (self._folder / "platform.json").write_bytes(msgspec.json.encode(content))
--- /dev/null
+++ b/tools/standin/users/host.py
@@ -0,0 +1,74 @@
+"""The address of a worker, with crashes of its process and a new incarnation after each."""
+
+import contextlib
+import socket
+import struct
+
+import curio
+import curio.io
+import msgspec
+
+from crocusrudder.hosting import http_connection
+from crocusrudder.hosting import http_server
+from tools.standin.users import worker
+
+HOST = "127.0.0.1"
+CRASH_DELAY_SECONDS = 0.01
+"""Time from the start of a deadly task to the crash, as on the users' platform."""
+RESTART_SECONDS = 3.0
+"""Time from a crash to the next incarnation, as on the users' platform."""
+
+
+class WorkerAddress(msgspec.Struct, frozen=True):
+    """Name and ports of a worker and its agent."""
+
+    name: str
+    port: int
+    agent_port: int
+
+
+class _CrashableServer(http_server.Server):
+    """A server that can end as a killed process does: its connections are reset."""
+
+    async def crash(self) -> None:
+        self._stopping = True
+        await self._accept_task.cancel()
+        await self._listener.close()
+        for task in list(self._tasks):
+            await task.cancel()
+
+    async def _serve_client(self, client: curio.io.Socket) -> None:
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        task = await curio.current_task()
+        connection = http_connection.Connection(client, self._limits, self._body_budget)
+        try:
+            with contextlib.suppress(OSError, curio.TaskTimeout):
+                await self._serve_requests(connection, task)
+        finally:
+            await client.close()
+            self._tasks.discard(task)
+
+
+class WorkerHost:
+    """Serve one incarnation of a worker after the other."""
+
+    def __init__(self, address: WorkerAddress, service: str, run_seconds: float) -> None:
+        self._address = address
+        self._worker_arguments = (service, address.agent_port, run_seconds)
+        self.incarnations: list[worker.UsersWorker] = []
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        while True:
+            name = f"{self._address.name}-{len(self.incarnations) + 1}"
+            current = worker.UsersWorker(name, *self._worker_arguments)
+            self.incarnations.append(current)
+            server = _CrashableServer(HOST, self._address.port, current.handle)
+            await server.start()
+            running = await curio.spawn(current.run, daemon=True)
+            await current.crashing.wait()
+            await curio.sleep(CRASH_DELAY_SECONDS)
+            await server.crash()
+            await running.cancel()
+            current.end_all("crashed")
+            await curio.sleep(RESTART_SECONDS)
--- a/tools/standin/users/platform.py
+++ b/tools/standin/users/platform.py
@@ -10,25 +10,18 @@
 from crocusrudder.hosting import http_messages
 from crocusrudder.hosting import http_server
 from tools.standin import signals
+from tools.standin.users import host
 from tools.standin.users import store
 from tools.standin.users import worker
 
 HOST = "127.0.0.1"
 
 
-class WorkerAddress(msgspec.Struct, frozen=True):
-    """Name and ports of a worker and its agent."""
-
-    name: str
-    port: int
-    agent_port: int
-
-
 class PlatformSettings(msgspec.Struct, frozen=True):
     """Ports of the store and the workers, and the configuration that the operator writes."""
 
     store_port: int
-    workers: tuple[WorkerAddress, ...]
+    workers: tuple[host.WorkerAddress, ...]
     configuration: dict
     service: str
     run_seconds: float = 0.3
@@ -40,10 +33,8 @@
     def __init__(self, settings: PlatformSettings) -> None:
         self._settings = settings
         self._store = store.UsersStore()
-        self._workers = {
-            address.name: worker.UsersWorker(
-                address.name, settings.service, address.agent_port, settings.run_seconds
-            )
+        self._hosts = {
+            address.name: host.WorkerHost(address, settings.service, settings.run_seconds)
             for address in settings.workers
         }
 
@@ -52,10 +43,8 @@
         stop = signals.StopSignal()
         await self._write_configuration()
         await http_server.Server(HOST, self._settings.store_port, self._handle).start()
-        for address in self._settings.workers:
-            users_worker = self._workers[address.name]
-            await http_server.Server(HOST, address.port, users_worker.handle).start()
-            await curio.spawn(users_worker.run, daemon=True)
+        for worker_host in self._hosts.values():
+            await curio.spawn(worker_host.run, daemon=True)
         await stop.wait()
 
     async def _write_configuration(self) -> None:
@@ -63,25 +52,34 @@
         row = {"table": store.OPERATOR_TABLE, "part": "", "key": "config", "value": value}
         await self._store.transact({"setKeys": [row]})
 
+    def _list_incarnations(self) -> list[worker.UsersWorker]:
+        return [found for worker_host in self._hosts.values() for found in worker_host.incarnations]
+
     async def _handle(self, request: http_messages.Request) -> http_messages.Response:
         match request.method, request.path:
             case "GET", ("standin", "starts"):
                 starts = [
                     run
-                    for users_worker in self._workers.values()
+                    for users_worker in self._list_incarnations()
                     for run in users_worker.started_runs
                 ]
                 return http_messages.make_json_response(200, starts)
             case "GET", ("standin", "runs"):
                 runs = [
                     run
-                    for users_worker in self._workers.values()
+                    for users_worker in self._list_incarnations()
                     for run in users_worker.history.values()
                 ]
                 return http_messages.make_json_response(200, runs)
             case "PUT", ("standin", "down" | "up"):
                 self._store.is_down = request.path[-1] == "down"
                 return http_messages.make_json_response(200, {})
+            case "PUT", ("standin", "crash", name):
+                await self._hosts[name].incarnations[-1].crashing.set()
+                return http_messages.make_json_response(200, {})
+            case "PUT", ("standin", "capacity", name, millicores):
+                self._hosts[name].incarnations[-1].set_capacity(int(millicores))
+                return http_messages.make_json_response(200, {})
         return await self._store.handle(request)
 
 
--- a/tools/standin/users/worker.py
+++ b/tools/standin/users/worker.py
@@ -17,6 +17,11 @@
 POLL_SECONDS = 0.02
 MAX_LEASE_MS = 6_000
 MAX_WAIT_MS = 2_000
+DEADLY_SPEC = "deadly"
+"""Spec of the tasks that crash each worker that starts them."""
+FULL_MILLICORES = 8_000
+CAPACITY_GRACE_SECONDS = 3.0 + HEARTBEAT_SECONDS
+"""Time after which a smaller capacity counts: ``contactMs`` of the users' pages and a heartbeat."""
 
 RunKey = tuple[str, int]
 
@@ -37,6 +42,8 @@
         self._ended: list[list] = []
         self._last_end_number = 0
         self._highest_run_numbers: dict[str, int] = {}
+        self._capacities = [(self._born_at, FULL_MILLICORES)]
+        self.crashing = curio.Event()
         self.started_runs: list[RunKey] = []
         self.history: dict[RunKey, dict] = {}
         """Start, end and outcome of each run, in seconds on a clock that all processes share."""
@@ -46,6 +53,15 @@
         """Return the milliseconds since the worker was created."""
         return round((time.monotonic() - self._born_at) * 1_000)
 
+    def set_capacity(self, millicores: int) -> None:
+        """Change the capacity that the next heartbeats report."""
+        self._capacities.append((time.monotonic(), millicores))
+
+    def end_all(self, how: str) -> None:
+        """End all runs."""
+        for run in list(self._running):
+            self._end(run, how)
+
     async def handle(self, request: http_messages.Request) -> http_messages.Response:
         """Return the response to a call of the agent."""
         expected = request.get_header("x-crocusrudder-expect-worker")
@@ -61,7 +77,10 @@
         )
         match request.path[-1]:
             case "run-start":
-                return self._start(content)
+                response = self._start(content)
+                if content.get("spec") == DEADLY_SPEC and response.status == 200:
+                    await self.crashing.set()
+                return response
             case "run-stop":
                 self._stop((content["task"], content["runId"]))
                 return self._respond(200)
@@ -91,7 +110,7 @@
             "state": "ready",
             "seq": sequence,
             "born": self._born_ms,
-            "capacity": {"cpu": 8_000, "memMb": 32_000, "gpu": 0},
+            "capacity": {"cpu": self._capacities[-1][1], "memMb": 32_000, "gpu": 0},
             "labels": ["a", "r1"],
         }
         target = f"/crocusrudder/Workers.Heartbeat/{self._name}"
@@ -118,12 +137,21 @@
             "task": run[0],
             "run": run[1],
             "worker": self._name,
+            "running": len(self._running),
+            "capacity": self._get_binding_capacity(),
             "begin": time.monotonic(),
             "end": None,
             "how": "",
         }
         return self._respond(200)
 
+    def _get_binding_capacity(self) -> int:
+        """Return the greatest capacity that a start may still rely on, in millicores."""
+        limit = time.monotonic() - CAPACITY_GRACE_SECONDS
+        while len(self._capacities) > 1 and self._capacities[1][0] <= limit:
+            del self._capacities[0]
+        return max(millicores for _, millicores in self._capacities)
+
     def _stop(self, run: RunKey) -> None:
         self._highest_run_numbers[run[0]] = max(self._highest_run_numbers.get(run[0], 0), run[1])
         if run in self._running:
