Charge each reported crash of a worker once

Agents repeat a crash in their reports for some time, and the owner applied it anew each time: if the suspects to which it was charged had been cleared or were done by then, it was charged to all others.

The owner now remembers which crashes it has charged. A crash whose suspects are all unknown yet is still applied later. The new test failed before. A new owner still applies the crashes of the last reports once more.

--- a/crocusrudder/workflows/crashes.py
+++ b/crocusrudder/workflows/crashes.py
@@ -37,6 +37,9 @@
         self._epoch = epoch
         self._job_registry = jobs
         self._known: set[tuple[ids.ProcessId, ids.WorkerId, int]] = set()
+        self._charged: set[tuple[ids.ProcessId, ids.WorkerId, int]] = set()
+        """Crashes that have been charged, by agent, worker and start of the worker. Charged again
+        after their suspects were cleared, they would count against the other suspects."""
         self._alive_since: dict[tuple[str, int], float] = {}
         """Time of the first list with a run of a suspected task, by task and run."""
         self._logged: list[effects.LogChange] = []
@@ -51,8 +54,13 @@
     ) -> None:
         """Apply the crashes in a report; a repeated crash changes nothing."""
         for crash in report.crashes:
+            key = (view.agent, crash.worker, crash.born_ms)
+            if key in self._charged:
+                continue
             suspects = self._list_suspects(crash)
             charged = select_charged(suspects)
+            if charged:
+                self._charged.add(key)
             for task, suspect in charged:
                 task.record.record_crash(
                     task,
--- a/tests/workflows/test_crashes.py
+++ b/tests/workflows/test_crashes.py
@@ -5,10 +5,13 @@
 """
 
 import random
+import types
 import unittest
 
 from crocusrudder.core import ids
 from crocusrudder.wire import messages
+from crocusrudder.wire import workflow_messages
+from crocusrudder.workflows import crashes
 from crocusrudder.workflows import model
 from crocusrudder.workflows import rows
 from tests.workflows import world
@@ -196,6 +199,27 @@
         self.assertFalse(any(record.is_suspect(task) for task in record.iterate_tasks()))
         self._assert_states(system, model.JobState.COMPLETED, "j")
 
+    def test_a_crash_that_is_reported_again_charges_no_further_task(self):
+        # Guards against healthy jobs that fail at once for several old crashes, when the tasks to
+        # which these were charged have been cleared (soak seed 2503).
+        system = make_world()
+        system.submit("d", model.Stage(1, ONE_CORE))
+        system.submit("h", model.Stage(1, ONE_CORE))
+        registry = system.owner.job_registry
+        suspect, healthy = (registry.find_task(f"{job}.0.0.0") for job in "dh")
+        suspect.record.record_crash(suspect, 1, ids.WorkerId("w0"))
+        starts = [workflow_messages.SuspectRun(task.name, 2, 0.5) for task in (suspect, healthy)]
+        report = types.SimpleNamespace(
+            crashes=[workflow_messages.WorkerCrash(ids.WorkerId("w1"), 1, tuple(starts))]
+        )
+        view = types.SimpleNamespace(agent=ids.ProcessId("a1"))
+        register = crashes.CrashRegister(model.OwnerEpoch(1), registry)
+        register.handle(view, report, 0.0)
+        self.assertEqual((1, 2), suspect.record.get_crashes(suspect).runs)
+        suspect.record.record_survival(suspect, 3)
+        register.handle(view, report, 0.0)
+        self.assertEqual((), healthy.record.get_crashes(healthy).runs)
+
     def test_progress_of_an_older_version_can_be_decoded(self):
         old = rows.encode(model.Progress())
         progress = rows.decode_progress(old[:1].replace(b"\x95", b"\x94") + old[1:-1])
