Add a failing test of healthy jobs that are charged with crashes as a group

A deadly task and up to 15 harmless ones that had just started are suspects of the same crash. One suspect at a time gets a trial; the others start without one after 1.5 s, all at the same time and on one worker, which the deadly task crashes again. After four crashes all their jobs fail.

--- a/tests/workflows/test_crashes.py
+++ b/tests/workflows/test_crashes.py
@@ -234,6 +234,36 @@
             with self.subTest(seed=seed):
                 self._play(random.Random(seed))
 
+    def test_no_healthy_job_fails_on_three_workers_that_keep_crashing(self):
+        # Guards against suspects of one crash that start together again, and are charged with the
+        # next crash together (soak seed 2502). The seeds are those of 0 to 119 that failed.
+        for seed in (9, 44, 48, 53, 66, 115):
+            with self.subTest(seed=seed):
+                self._play_on_three_workers(random.Random(seed))
+
+    def _play_on_three_workers(self, rng: random.Random) -> None:
+        deadly = {f"d{number}" for number in range(rng.randint(1, 3))}
+        system = make_world(*deadly, agents=3)
+        healthy = []
+        jobs = sorted(deadly)
+        for number in range(22):
+            healthy += submit_load(system, 1, prefix=f"h{number}-")
+            if jobs and rng.random() < 0.2:
+                system.submit(jobs.pop(), model.Stage(3, ONE_CORE))
+            if rng.random() < 0.3:
+                name = rng.choice(list(system.agents))
+                crash(system, name, delay=rng.uniform(0.0, world.TICK))
+            system.run(0.7)
+        for name in jobs:
+            system.submit(name, model.Stage(3, ONE_CORE))
+        system.run(60.0)
+        for name in healthy:
+            self.assertIs(model.JobState.COMPLETED, system.get_state(name), name)
+        for name in deadly:
+            self.assertIs(model.JobState.FAILED, system.get_state(name), name)
+            for index in range(3):
+                self.assertLessEqual(system.count_starts(f"{name}.0.0.{index}"), 5, name)
+
     def _play(self, rng: random.Random) -> None:
         deadly = {f"d{number}.0.0.{rng.randrange(3)}" for number in range(rng.randint(1, 3))}
         system = make_world(*deadly, agents=9)
