--- a/tests/workflows/test_crashes.py
+++ b/tests/workflows/test_crashes.py
@@ -5,10 +5,13 @@
 """
 
 import random
+import types
 import unittest
 
 from crocusrudder.core import ids
 from crocusrudder.wire import messages
+from crocusrudder.wire import workflow_messages
+from crocusrudder.workflows import crashes
 from crocusrudder.workflows import model
 from crocusrudder.workflows import rows
 from tests.workflows import world
@@ -206,6 +209,27 @@
         self.assertFalse(any(record.is_suspect(task) for task in record.iterate_tasks()))
         self._assert_states(system, model.JobState.COMPLETED, "j")
 
+    def test_a_crash_that_is_reported_again_charges_no_further_task(self):
+        # Guards against healthy jobs that fail at once for several old crashes, when the tasks to
+        # which these were charged have been cleared (soak seed 2503).
+        system = make_world()
+        system.submit("d", model.Stage(1, ONE_CORE))
+        system.submit("h", model.Stage(1, ONE_CORE))
+        registry = system.owner.job_registry
+        suspect, healthy = (registry.find_task(f"{job}.0.0.0") for job in "dh")
+        suspect.record.record_crash(suspect, 1, ids.WorkerId("w0"))
+        starts = [workflow_messages.SuspectRun(task.name, 2, 0.5) for task in (suspect, healthy)]
+        report = types.SimpleNamespace(
+            crashes=[workflow_messages.WorkerCrash(ids.WorkerId("w1"), 1, tuple(starts))]
+        )
+        view = types.SimpleNamespace(agent=ids.ProcessId("a1"))
+        register = crashes.CrashRegister(model.OwnerEpoch(1), registry)
+        register.handle(view, report, 0.0)
+        self.assertEqual((1, 2), suspect.record.get_crashes(suspect).runs)
+        suspect.record.record_survival(suspect, 3)
+        register.handle(view, report, 0.0)
+        self.assertEqual((), healthy.record.get_crashes(healthy).runs)
+
     def test_progress_of_an_older_version_can_be_decoded(self):
         old = rows.encode(model.Progress())
         progress = rows.decode_progress(old[:1].replace(b"\x95", b"\x94") + old[1:-1])
@@ -220,6 +244,36 @@
             with self.subTest(seed=seed):
                 self._play(random.Random(seed))
 
+    def test_no_healthy_job_fails_on_three_workers_that_keep_crashing(self):
+        # Guards against suspects of one crash that start together again, and are charged with the
+        # next crash together (soak seed 2502). The seeds are those of 0 to 119 that failed.
+        for seed in (9, 44, 48, 53, 66, 115):
+            with self.subTest(seed=seed):
+                self._play_on_three_workers(random.Random(seed))
+
+    def _play_on_three_workers(self, rng: random.Random) -> None:
+        deadly = {f"d{number}" for number in range(rng.randint(1, 3))}
+        system = make_world(*deadly, agents=3)
+        healthy = []
+        jobs = sorted(deadly)
+        for number in range(22):
+            healthy += submit_load(system, 1, prefix=f"h{number}-")
+            if jobs and rng.random() < 0.2:
+                system.submit(jobs.pop(), model.Stage(3, ONE_CORE))
+            if rng.random() < 0.3:
+                name = rng.choice(list(system.agents))
+                crash(system, name, delay=rng.uniform(0.0, world.TICK))
+            system.run(0.7)
+        for name in jobs:
+            system.submit(name, model.Stage(3, ONE_CORE))
+        system.run(60.0)
+        for name in healthy:
+            self.assertIs(model.JobState.COMPLETED, system.get_state(name), name)
+        for name in deadly:
+            self.assertIs(model.JobState.FAILED, system.get_state(name), name)
+            for index in range(3):
+                self.assertLessEqual(system.count_starts(f"{name}.0.0.{index}"), 5, name)
+
     def _play(self, rng: random.Random) -> None:
         deadly = {f"d{number}.0.0.{rng.randrange(3)}" for number in range(rng.randint(1, 3))}
         system = make_world(*deadly, agents=9)
