Give up a job only after a conclusive crash, or after five

Suspects of one crash that wait too long for a trial start together, and are charged with the next crash together. Four such crashes, none of which told the suspects apart, failed all their jobs.

Now the weight counts only if one crash was conclusive; without one, a job fails at five crashes, the last that the users' rule allows.

The soak allowed four starts of a deadly task, a bound that came from the code; it is now five, the bound of the users' rule.

--- a/crocusrudder/workflows/crashes.py
+++ b/crocusrudder/workflows/crashes.py
@@ -15,9 +15,12 @@
 from crocusrudder.workflows import job_registry
 from crocusrudder.workflows import model
 
+MAX_CRASHES = 5
+"""Crashes under a task at which its job fails, conclusive or not. A task must not be started three
+times more after three crashes."""
 MAX_WEIGHT = 4
-"""Sum of the weights of the crashes under a task at which its job fails. Four crashes at most, as a
-task must not be started three times more after three; one or two may be faults of machines."""
+"""Sum of the weights of the crashes under a task at which its job fails, if one was conclusive; one
+or two may be faults of machines."""
 CONCLUSIVE_WEIGHT = 2
 """Weight of a crash right after the start of the task while all runs of other jobs had outlived
 theirs; other crashes have the weight 1."""
@@ -108,7 +111,7 @@
         """Fail the job of a task whose crashes weigh enough."""
         record = task.record
         history = record.get_crashes(task)
-        if record.is_final or compute_weight(history) < MAX_WEIGHT:
+        if record.is_final or not is_at_fault(history):
             return
         record.finish(model.JobState.FAILED, wall_time)
         self._log(
@@ -156,6 +159,13 @@
     return len(history.runs) + (CONCLUSIVE_WEIGHT - 1) * len(history.conclusive_runs)
 
 
+def is_at_fault(history: model.CrashHistory) -> bool:
+    """Return whether the crashes under a task weigh enough to give it up."""
+    if len(history.runs) >= MAX_CRASHES:
+        return True
+    return bool(history.conclusive_runs) and compute_weight(history) >= MAX_WEIGHT
+
+
 def select_charged(
     suspects: list[tuple[job_registry.Task, workflow_messages.SuspectRun]],
 ) -> list[tuple[job_registry.Task, workflow_messages.SuspectRun]]:
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -9,9 +9,9 @@
 takeover, and the work of the jobs."""
 
 TASK_MILLICORES = 500
-MAX_DEADLY_STARTS = 4
-"""Starts of a task that crashes each of its workers, until its job is given up. The users' pages
-allow five; the product gives up after four crashes at most (``crashes.MAX_WEIGHT``)."""
+MAX_DEADLY_STARTS = 5
+"""Starts of a task that crashes each of its workers. The users' pages forbid three further starts
+after three crashes."""
 
 
 def find_violations(
