Reserve the ports of the soak's proxy when choosing those of the processes

The second search now leaves out the ports of the first. The check is unchanged; the new test failed before. Another deployment on the same machine can still take a port in between.

--- a/tests/endtoend/test_soak.py
+++ b/tests/endtoend/test_soak.py
@@ -3,10 +3,12 @@
 import pathlib
 import tempfile
 import unittest
+from unittest import mock
 
 from tools.soak import checks
 from tools.soak import faults
 from tools.soak import runner
+from tools.standin.users import deployment as deployments
 
 SEEDS = (2, 5)
 """The second has crashes of workers, a deadly job, and smaller capacities."""
@@ -71,6 +73,23 @@
 
 
 class SoakTest(unittest.TestCase):
+    def test_processes_and_proxy_use_different_ports(self):
+        # Guards against a process that exits because the store has its port (soak seed 2601).
+        with (
+            tempfile.TemporaryDirectory() as folder,
+            mock.patch.object(deployments, "SERVER_PORTS", range(20_000, 20_040)),
+        ):
+            store_port, *link_ports = deployments.find_ports(7)
+            deployment = deployments.Deployment(
+                pathlib.Path(folder),
+                count_per_role=3,
+                store_ports={f"entry-{number}": port for number, port in enumerate(link_ports)},
+                store_port=store_port,
+            )
+        processes = (*deployment.entries.values(), *deployment.agents.values())
+        used = {port for ports in processes for port in ports}
+        self.assertEqual(set(), used & {store_port, *link_ports})
+
     def test_short_run_has_no_violations(self):
         for seed in SEEDS:
             with self.subTest(seed=seed), tempfile.TemporaryDirectory() as folder:
--- a/tools/standin/users/deployment.py
+++ b/tools/standin/users/deployment.py
@@ -13,6 +13,7 @@
 import time
 import types
 from collections.abc import Mapping
+from collections.abc import Set
 
 import curio
 import msgspec
@@ -29,11 +30,16 @@
 """Time after which a condition counts as not met."""
 
 
-def find_ports(count: int) -> list[int]:
-    """Return free ports that no outgoing connection can take while a process is stopped."""
+def find_ports(count: int, reserved: Set[int] = frozenset()) -> list[int]:
+    """Return free ports that no outgoing connection can take while a process is stopped.
+
+    ``reserved`` are ports that were found earlier and may not be bound yet.
+    """
     with contextlib.ExitStack() as stack:
         found = []
         for port in random.SystemRandom().sample(SERVER_PORTS, len(SERVER_PORTS)):
+            if port in reserved:
+                continue
             probe = stack.enter_context(socket.socket())
             with contextlib.suppress(OSError):
                 probe.bind((HOST, port))
@@ -64,7 +70,7 @@
         self._processes: dict[str, subprocess.Popen] = {}
         self._connections: dict[tuple[int, str], http.client.HTTPConnection] = {}
         self._spawn_counts: collections.Counter[str] = collections.Counter()
-        ports = iter(find_ports(8 * count_per_role + 1))
+        ports = iter(find_ports(8 * count_per_role + 1, {store_port, *store_ports.values()}))
         self.store_port = store_port or next(ports)
         numbers = range(1, count_per_role + 1)
         self.entries = {f"entry-{n}": [next(ports) for _ in range(4)] for n in numbers}
