Charge a suspect that had only just started beside those of earlier crashes

It was a suspect of four crashes and charged with none: suspects of earlier crashes were on its worker each time, and a crash is charged to these alone. Uncharged, it needed no trial and started with the next group.

A suspect whose start coincides with the crash is now charged as well, and so gets a trial. The new test failed before.

--- a/crocusrudder/workflows/crashes.py
+++ b/crocusrudder/workflows/crashes.py
@@ -162,13 +162,19 @@
 def select_charged(
     suspects: list[tuple[job_registry.Task, workflow_messages.SuspectRun]],
 ) -> list[tuple[job_registry.Task, workflow_messages.SuspectRun]]:
-    """Return the suspects to which a crash is charged: those of earlier crashes, else all."""
+    """Return the suspects to which a crash is charged: those of earlier crashes, else all.
+
+    A suspect that had only just started is charged beside those of earlier crashes. Otherwise a
+    deadly task would go uncharged, and without a trial, while they share its worker.
+    """
     repeated = [
         (task, suspect)
         for task, suspect in suspects
         if any(run < suspect.run for run in task.record.get_crashes(task).runs)
     ]
-    return repeated or suspects
+    if not repeated:
+        return suspects
+    return [item for item in suspects if item in repeated or item[1].age_seconds <= PROMPT_SECONDS]
 
 
 def is_conclusive(
--- a/tests/workflows/test_crashes.py
+++ b/tests/workflows/test_crashes.py
@@ -199,6 +199,24 @@
         self.assertFalse(any(record.is_suspect(task) for task in record.iterate_tasks()))
         self._assert_states(system, model.JobState.COMPLETED, "j")
 
+    def test_a_new_suspect_right_after_its_start_is_charged_beside_repeated_ones(self):
+        # Guards against a deadly task that is never charged, and starts again and again, because
+        # suspects of earlier crashes are on its worker each time (soak seed 2504).
+        system = make_world()
+        names = ("repeated", "prompt", "older")
+        for name in names:
+            system.submit(name, model.Stage(1, ONE_CORE))
+        registry = system.owner.job_registry
+        tasks = [registry.find_task(f"{name}.0.0.0") for name in names]
+        tasks[0].record.record_crash(tasks[0], 1, ids.WorkerId("w0"))
+        ages = (0.5, 0.01, 0.5)
+        suspects = [
+            (task, workflow_messages.SuspectRun(task.name, 2, age))
+            for task, age in zip(tasks, ages, strict=True)
+        ]
+        charged = [task for task, _ in crashes.select_charged(suspects)]
+        self.assertEqual(tasks[:2], charged)
+
     def test_a_crash_that_is_reported_again_charges_no_further_task(self):
         # Guards against healthy jobs that fail at once for several old crashes, when the tasks to
         # which these were charged have been cleared (soak seed 2503).
