--- a/crocusrudder/workflows/placement.py
+++ b/crocusrudder/workflows/placement.py
@@ -10,6 +10,7 @@
 from crocusrudder.core import ids
 from crocusrudder.wire import messages
 from crocusrudder.workflows import candidates
+from crocusrudder.workflows import colocation
 from crocusrudder.workflows import fleet
 from crocusrudder.workflows import health
 from crocusrudder.workflows import job_registry
@@ -17,10 +18,6 @@
 from crocusrudder.workflows import throttling
 from crocusrudder.workflows import waiting_reasons
 
-MAX_TESTS = 2
-"""Workers on which a pair of images is tested at a time; the second covers one that fails or whose
-latency is not measured."""
-
 MAX_LAST_RESORT_SCORES = 5_000
 """Workers scored in one plan for tasks of starved jobs, at 4 to 8 us each."""
 
@@ -44,6 +41,7 @@
 
     def __init__(self, throttle_controller: throttling.ThrottleController) -> None:
         self._throttle_controller = throttle_controller
+        self._colocation = colocation.ColocationRules(throttle_controller)
         self._views: Mapping[ids.ProcessId, fleet.AgentView] = {}
         self._known: dict[ids.ProcessId, candidates.CandidateWorker] = {}
         self._usable: dict[ids.ProcessId, candidates.CandidateWorker] = {}
@@ -51,8 +49,6 @@
         self._set_aside: dict[ids.ServiceName, list[candidates.CandidateWorker]] = {}
         self._rankings: dict[candidates.Shape, candidates.Ranking] = {}
         self._changes: list[candidates.CandidateWorker] = []
-        self._testing: dict[tuple[str, str], set[ids.ProcessId]] = {}
-        """Agents on which the interference of an untested pair of images is being measured."""
         self._withheld: set[ids.ProcessId] = set()
         self._unplaceable: dict[tuple, list[messages.Resources]] = {}
         """Demands that no worker could meet, by service and the other constraints of placement."""
@@ -72,15 +68,10 @@
         self._last_resort_rankings = {}
         self._last_resort_scores = 0
         self._reserved_shares = {}
-        self._testing = {}
         self._withheld = set()
         schedulable = [view for view in views.values() if view.is_schedulable(now)]
         set_aside = health.select_set_aside(schedulable, now)
-        for view in views.values():
-            for image in view.usage.best_effort_by_image:
-                # A paused run does not interfere, so its worker measures nothing.
-                if not self._throttle_controller.is_paused(view, image):
-                    self._record_tests(view, image)
+        self._colocation.begin_plan(views.values())
         for view in schedulable:
             if view.agent in set_aside:
                 self._add_candidate(view, self._set_aside)
@@ -156,7 +147,7 @@
         candidate.reserve(spec)
         self._changes.append(candidate)
         if spec.best_effort:
-            self._record_tests(candidate.view, spec.image)
+            self._colocation.record_tests(candidate.view, spec.image)
 
     def release(self, candidate: candidates.CandidateWorker, spec: model.Stage) -> None:
         """Undo ``reserve``; demands that did not fit are tried again."""
@@ -190,7 +181,7 @@
     def is_allowed(self, candidate: candidates.CandidateWorker, task: job_registry.Task) -> bool:
         """Return whether a task may run on a worker, withheld or not."""
         is_hindered = self._find_obstacle(candidate, task.stage) is not None
-        return not is_hindered and self._may_test(candidate, task.stage.spec)
+        return not is_hindered and self._colocation.may_test(candidate, task.stage.spec)
 
     def list_allowed(
         self, task: job_registry.Task, service: ids.ServiceName
@@ -236,7 +227,7 @@
             # Only the room that is kept for moved runs is reserved without an assignment.
             is_kept = candidates.CandidateWorker(view).fits(stage.spec)
             return waiting_reasons.WaitReason.KEPT_ROOM if is_kept else reason
-        if reason is None and not self._may_test(candidate, stage.spec):
+        if reason is None and not self._colocation.may_test(candidate, stage.spec):
             return waiting_reasons.WaitReason.TESTED_ELSEWHERE
         return reason or waiting_reasons.WaitReason.FITS
 
@@ -254,7 +245,7 @@
         return ranking.find_best(
             lambda candidate: (
                 candidate.view.agent not in self._withheld
-                and self._may_test(candidate, task.stage.spec)
+                and self._colocation.may_test(candidate, task.stage.spec)
             )
         )
 
@@ -306,53 +297,7 @@
             return waiting_reasons.WaitReason.NO_CAPACITY
         if spec.max_per_worker and _count_tasks(candidate.view, stage) >= spec.max_per_worker:
             return waiting_reasons.WaitReason.WORKER_LIMIT
-        return self._find_interference(candidate, spec) if spec.best_effort else None
-
-    def _find_interference(
-        self, candidate: candidates.CandidateWorker, spec: model.Stage
-    ) -> waiting_reasons.WaitReason | None:
-        """Return why latencies may exceed their target beside a best-effort task; None if not.
-
-        While the interference of one image is being measured on a worker, no other image whose
-        interference is unknown is added.
-        """
-        if not candidate.latency_critical_count:
-            return None
-        view = candidate.view
-        controller = self._throttle_controller
-        if controller.is_near_target(view):
-            return waiting_reasons.WaitReason.NEAR_TARGET
-        if controller.is_probing(view) and not controller.is_tested(view, spec):
-            return waiting_reasons.WaitReason.PROBING
-        if controller.predict_latency_ratio(view, spec) >= throttling.PREDICTED_LIMIT:
-            return waiting_reasons.WaitReason.PREDICTED_LATENCY
-        return None
-
-    def _may_test(self, candidate: candidates.CandidateWorker, spec: model.Stage) -> bool:
-        """Return whether a best-effort task may test its image beside others on a worker.
-
-        Load pattern: a stage of dozens of tasks of a new image on workers that all serve. Each
-        test costs the latency-critical tasks about a second over their target, and further tests
-        of the same pair at the same time teach nothing.
-        """
-        return not spec.best_effort or all(
-            len(self._testing.get(pair, ())) < MAX_TESTS
-            for pair in self._throttle_controller.list_untested(candidate.view, spec.image)
-        )
-
-    def _record_tests(self, view: fleet.AgentView, image: str) -> None:
-        for pair in self._throttle_controller.list_untested(view, image):
-            self._testing.setdefault(pair, set()).add(view.agent)
-
-    def _rank_colocation(self, candidate: candidates.CandidateWorker, spec: model.Stage) -> int:
-        """Rank a worker for a best-effort task by its latency-critical tasks; lower is better.
-
-        Pairs of images whose interference is unknown come last, as each trial costs the
-        latency-critical tasks about a second over their target.
-        """
-        if not candidate.latency_critical_count:
-            return 0
-        return 1 if self._throttle_controller.is_tested(candidate.view, spec) else 2
+        return self._colocation.find_obstacle(candidate, spec) if spec.best_effort else None
 
     def _score(
         self,
@@ -389,7 +334,7 @@
             )
         if spec.best_effort:
             idle = max(candidate.idle_millicores - candidate.best_effort_millicores, 0) / capacity
-            return (is_avoided, is_remote, self._rank_colocation(candidate, spec), -idle)
+            return (is_avoided, is_remote, self._colocation.rank(candidate, spec), -idle)
         return (is_avoided, is_remote, -candidate.millicores / capacity)
 
     def _score_last_resort(
--- a/tests/workflows/test_candidates.py
+++ b/tests/workflows/test_candidates.py
@@ -8,6 +8,7 @@
 from crocusrudder.wire import messages
 from crocusrudder.wire import workflow_messages
 from crocusrudder.workflows import candidates
+from crocusrudder.workflows import colocation
 from crocusrudder.workflows import fleet
 from crocusrudder.workflows import job_registry
 from crocusrudder.workflows import model
@@ -118,7 +119,7 @@
         pool = placement.CandidatePool(throttling.ThrottleController())
         pool.refresh(views, 100.0)
         placed = place(pool, make_stage(FILLING))
-        self.assertEqual(placement.MAX_TESTS, len(placed))
+        self.assertEqual(colocation.MAX_TESTS, len(placed))
 
     def test_paused_runs_do_not_keep_their_image_from_being_tested_elsewhere(self):
         # Guards against LOST: a job ran nowhere although most of the workers' room was free,
@@ -130,7 +131,7 @@
             task = make_stage(SERVING, 100 + number).tasks[0]
             confirmed = fleet.AssignmentPhase.CONFIRMED
             view.add_assignment(fleet.Assignment(task.name, 1, task, confirmed))
-            if number < placement.MAX_TESTS:
+            if number < colocation.MAX_TESTS:
                 paused = stage.tasks[number]
                 view.add_assignment(fleet.Assignment(paused.name, 1, paused, confirmed))
                 paused.phase, paused.agent = job_registry.TaskPhase.ASSIGNED, view.agent
@@ -144,7 +145,7 @@
         controller.predict_latency_ratio = mock.Mock(return_value=0.1)
         pool = placement.CandidatePool(controller)
         pool.refresh(views, 104.0)
-        chosen = pool.choose(stage.tasks[placement.MAX_TESTS], SERVICE)
+        chosen = pool.choose(stage.tasks[colocation.MAX_TESTS], SERVICE)
         self.assertEqual("a2", chosen and chosen.view.agent)
 
     def test_no_best_effort_task_is_placed_beside_one_that_is_over_its_target(self):
--- a/tests/workflows/test_waiting_reasons.py
+++ b/tests/workflows/test_waiting_reasons.py
@@ -7,6 +7,7 @@
 
 from crocusrudder.core import ids
 from crocusrudder.wire import messages
+from crocusrudder.workflows import colocation
 from crocusrudder.workflows import fleet
 from crocusrudder.workflows import model
 from crocusrudder.workflows import placement
@@ -113,7 +114,7 @@
 
     def test_images_tested_elsewhere(self):
         self._add(test_candidates.SERVING, 1)
-        with mock.patch.object(placement, "MAX_TESTS", 0):
+        with mock.patch.object(colocation, "MAX_TESTS", 0):
             self.assertIs(Reason.TESTED_ELSEWHERE, self._explain(test_candidates.FILLING))
 
 
