--- a/crocusrudder/workflows/placement.py
+++ b/crocusrudder/workflows/placement.py
@@ -11,6 +11,7 @@
 from crocusrudder.wire import messages
 from crocusrudder.workflows import candidates
 from crocusrudder.workflows import colocation
+from crocusrudder.workflows import constraints
 from crocusrudder.workflows import fleet
 from crocusrudder.workflows import health
 from crocusrudder.workflows import job_registry
@@ -101,7 +102,7 @@
         unplaceable = self._unplaceable.setdefault(key, [])
         # Free capacity only shrinks while a plan is made, so a demand at least as large as one that
         # did not fit will not fit either.
-        if any(_is_within(demand, spec.demand) for demand in unplaceable):
+        if any(constraints.is_within(demand, spec.demand) for demand in unplaceable):
             return None
         candidate = self._find_best(task, service)
         if candidate is None and not spec.max_per_worker:
@@ -124,7 +125,7 @@
         spec = task.stage.spec
         key = (service, spec.required_label, spec.best_effort, "last_resort")
         unplaceable = self._unplaceable.setdefault(key, [])
-        if any(_is_within(demand, spec.demand) for demand in unplaceable):
+        if any(constraints.is_within(demand, spec.demand) for demand in unplaceable):
             return None
         shape = self._make_shape(task, service)
         ranking = self._last_resort_rankings.get(shape)
@@ -167,7 +168,7 @@
         return sum(
             candidate.count_fitting(spec, shares_cpu)
             for candidate in itertools.chain(usable, self._set_aside.get(service, ()))
-            if _has_label(candidate, spec) and candidate.view.agent not in self._withheld
+            if constraints.has_label(candidate, spec) and candidate.view.agent not in self._withheld
         )
 
     def count_workers(self, service: ids.ServiceName) -> int:
@@ -281,7 +282,7 @@
     def _find_rack_with_most_capacity(self, spec: model.Stage, service: ids.ServiceName) -> str:
         counts: dict[str, int] = {}
         for candidate in self._by_service.get(service, ()):
-            if _has_label(candidate, spec):
+            if constraints.has_label(candidate, spec):
                 count = candidate.count_fitting(spec)
                 counts[candidate.rack] = counts.get(candidate.rack, 0) + count
         return max(counts, key=lambda rack: (counts[rack], rack), default="")
@@ -291,11 +292,11 @@
     ) -> waiting_reasons.WaitReason | None:
         """Return why a task of the stage must not run on the worker; None if it may."""
         spec = stage.spec
-        if not _has_label(candidate, spec):
+        if not constraints.has_label(candidate, spec):
             return waiting_reasons.WaitReason.MISSING_LABEL
         if not candidate.fits(spec):
             return waiting_reasons.WaitReason.NO_CAPACITY
-        if spec.max_per_worker and _count_tasks(candidate.view, stage) >= spec.max_per_worker:
+        if constraints.is_at_limit(candidate, stage):
             return waiting_reasons.WaitReason.WORKER_LIMIT
         return self._colocation.find_obstacle(candidate, spec) if spec.best_effort else None
 
@@ -353,7 +354,7 @@
             return None if score is None else (is_set_aside, *score)
         shares_cpu = self._reserved_shares[shape] < MAX_RESERVED_SHARE
         has_room = candidate.fits_beside_cpu(spec) if shares_cpu else candidate.fits(spec)
-        if not has_room or not _meets_constraints(candidate, stage):
+        if not has_room or not constraints.allows(candidate, stage):
             return None
         self._last_resort_scores += 1
         return (
@@ -365,34 +366,3 @@
             self._throttle_controller.predict_latency_ratio(view, spec),
             candidate.best_effort_millicores / max(candidate.idle_millicores, 1),
         )
-
-
-def _meets_constraints(
-    candidate: candidates.CandidateWorker, stage: job_registry.StageRecord
-) -> bool:
-    spec = stage.spec
-    return _has_label(candidate, spec) and (
-        not spec.max_per_worker or _count_tasks(candidate.view, stage) < spec.max_per_worker
-    )
-
-
-def _has_label(candidate: candidates.CandidateWorker, spec: model.Stage) -> bool:
-    return not spec.required_label or spec.required_label in candidate.labels
-
-
-def _is_within(demand: messages.Resources, other: messages.Resources) -> bool:
-    """Return whether a demand does not exceed another one in any resource."""
-    return (
-        demand.millicores <= other.millicores
-        and demand.memory_mb <= other.memory_mb
-        and demand.accelerators <= other.accelerators
-    )
-
-
-def _count_tasks(view: fleet.AgentView, stage: job_registry.StageRecord) -> int:
-    """Return how many runs of a stage's tasks may exist on the worker."""
-    return sum(
-        1
-        for assignment in view.assignments.values()
-        if assignment.task is not None and assignment.task.stage is stage
-    )
