--- a/crocusrudder/workflows/crashes.py
+++ b/crocusrudder/workflows/crashes.py
@@ -11,6 +11,7 @@
 from crocusrudder.core import ids
 from crocusrudder.wire import workflow_messages
 from crocusrudder.workflows import crash_evidence
+from crocusrudder.workflows import crash_history
 from crocusrudder.workflows import fleet
 from crocusrudder.workflows import job_registry
 from crocusrudder.workflows import model
@@ -56,7 +57,7 @@
                     continue
                 # A machine that is at fault itself must not decide on a task twice.
                 task.avoided_agents.add(view.agent)
-                task.record.record_crash(
+                crash_history.record_crash(
                     task,
                     suspect.run,
                     crash.worker,
@@ -75,13 +76,13 @@
         for running in report.running:
             assignment = view.assignments.get((running.task, running.run))
             task = assignment.task if assignment else None
-            if task is None or not task.record.is_suspect(task):
+            if task is None or not crash_history.is_suspect(task):
                 continue
             if task.alive_run != running.run:
                 task.alive_run = running.run
                 task.alive_since = listed_at
             if _is_alive(task, running.run, listed_at):
-                task.record.record_survival(task, running.run)
+                crash_history.record_survival(task, running.run)
 
     def _list_suspects(
         self, crash: workflow_messages.WorkerCrash
@@ -93,13 +94,13 @@
             for task, run in found
             if task is not None
             and task.phase is not job_registry.TaskPhase.DONE
-            and run.run >= task.record.get_crashes(task).survived_run
+            and run.run >= crash_history.get_crashes(task).survived_run
         ]
 
     def _check_limit(self, task: job_registry.Task, wall_time: float) -> None:
         """Fail the job of a task whose crashes weigh enough."""
         record = task.record
-        history = record.get_crashes(task)
+        history = crash_history.get_crashes(task)
         if record.is_final or compute_weight(history) < MAX_WEIGHT:
             return
         record.finish(model.JobState.FAILED, wall_time)
@@ -133,7 +134,7 @@
                     "run": run.run,
                     "age_s": run.age_seconds,
                     "least_age_s": run.least_age_seconds,
-                    "crashes": len(task.record.get_crashes(task).runs),
+                    "crashes": len(crash_history.get_crashes(task).runs),
                 }
                 for task, run in suspects[:MAX_LOGGED_SUSPECTS]
             ],
@@ -155,7 +156,7 @@
     repeated = [
         (task, suspect)
         for task, suspect in suspects
-        if any(run < suspect.run for run in task.record.get_crashes(task).runs)
+        if any(run < suspect.run for run in crash_history.get_crashes(task).runs)
     ]
     return repeated or suspects
 
--- a/crocusrudder/workflows/job_registry.py
+++ b/crocusrudder/workflows/job_registry.py
@@ -261,49 +261,6 @@
             self.has_unsaved_changes = True
         return len(runs)
 
-    def get_crashes(self, task: Task) -> model.CrashHistory:
-        """Return the crashes of workers under a task."""
-        return self.progress.crashes.get(task.stage.make_failure_key(task), model.CrashHistory())
-
-    def is_suspect(self, task: Task) -> bool:
-        """Return whether workers have crashed under a task and no run has stayed alive since."""
-        return bool(self.progress.crashes) and bool(self.get_crashes(task).runs)
-
-    def needs_trial(self, task: Task) -> bool:
-        """Return whether the next run of a task is likely to crash its worker.
-
-        A run that was merely recent at one crash starts like any other.
-        """
-        if not self.progress.crashes:
-            return False
-        history = self.get_crashes(task)
-        return bool(history.prompt_runs) or len(history.runs) > 1
-
-    def record_crash(
-        self,
-        task: Task,
-        run: int,
-        worker: ids.WorkerId,
-        is_prompt: bool = False,
-        is_conclusive: bool = False,
-    ) -> None:
-        """Record the crash of a worker on which a run had just started, once per run number."""
-        known = self.get_crashes(task)
-        if run in known.runs:
-            return
-        history = model.CrashHistory(
-            (*known.runs, run),
-            (*known.workers, worker),
-            (*known.conclusive_runs, run) if is_conclusive else known.conclusive_runs,
-            known.survived_run,
-            (*known.prompt_runs, run) if is_prompt else known.prompt_runs,
-        )
-        self._set_crashes(task, history)
-
-    def record_survival(self, task: Task, run: int) -> None:
-        """Record that a run stayed alive, which clears its task of earlier crashes."""
-        self._set_crashes(task, model.CrashHistory(survived_run=run))
-
     def finish(self, state: model.JobState, wall_time: float) -> None:
         """Move the job to a final state."""
         self.progress.state = state
@@ -317,10 +274,6 @@
         if self.progress.state is model.JobState.QUEUED:
             self.progress.state = model.JobState.RUNNING
 
-    def _set_crashes(self, task: Task, history: model.CrashHistory) -> None:
-        self.progress.crashes[task.stage.make_failure_key(task)] = history
-        self.has_unsaved_changes = True
-
     def _restore(self, stage: StageRecord) -> StageRecord:
         bits = self.progress.done.get(stage.key, b"")
         for task in stage.tasks:
--- a/crocusrudder/workflows/planning.py
+++ b/crocusrudder/workflows/planning.py
@@ -6,6 +6,7 @@
 from crocusrudder.core import effects
 from crocusrudder.core import ids
 from crocusrudder.workflows import candidates
+from crocusrudder.workflows import crash_history
 from crocusrudder.workflows import errors
 from crocusrudder.workflows import fleet
 from crocusrudder.workflows import job_registry
@@ -175,7 +176,7 @@
             if now < task.not_before:
                 continue
             self._moves.release_room(task)
-            is_suspect = task.record.needs_trial(task)
+            is_suspect = crash_history.needs_trial(task)
             choose = self._trials.choose if is_suspect else self._pool.choose
             candidate = choose(task, service)
             if candidate is not None:
--- a/crocusrudder/workflows/trials.py
+++ b/crocusrudder/workflows/trials.py
@@ -11,6 +11,7 @@
 
 from crocusrudder.core import ids
 from crocusrudder.workflows import candidates
+from crocusrudder.workflows import crash_history
 from crocusrudder.workflows import fleet
 from crocusrudder.workflows import job_registry
 from crocusrudder.workflows import placement
@@ -87,7 +88,7 @@
         self._assigned_at[agent] = self._now
         self._waiting.pop(task, None)
         self._reserved.pop(task, None)
-        if not task.record.needs_trial(task):
+        if not crash_history.needs_trial(task):
             return
         known = self._trials.get(agent)
         if known is None and self._count_held(service) >= self._get_limit(service):
@@ -149,7 +150,7 @@
     return (
         task.phase is job_registry.TaskPhase.PENDING
         and not task.record.is_final
-        and task.record.needs_trial(task)
+        and crash_history.needs_trial(task)
     )
 
 
@@ -159,4 +160,4 @@
 
 def _is_on_trial(assignment: fleet.Assignment) -> bool:
     task = assignment.task
-    return task is not None and not task.record.is_final and task.record.needs_trial(task)
+    return task is not None and not task.record.is_final and crash_history.needs_trial(task)
--- a/tests/workflows/test_crashes.py
+++ b/tests/workflows/test_crashes.py
@@ -9,6 +9,7 @@
 
 from crocusrudder.core import ids
 from crocusrudder.wire import messages
+from crocusrudder.workflows import crash_history
 from crocusrudder.workflows import model
 from crocusrudder.workflows import rows
 from tests.workflows import world
@@ -201,9 +202,9 @@
         crash(system, "a0", "a1")
         system.run(3.4)
         record = system.owner.job_registry.get(ids.JobId("j"))
-        self.assertTrue(any(record.is_suspect(task) for task in record.iterate_tasks()))
+        self.assertTrue(any(crash_history.is_suspect(task) for task in record.iterate_tasks()))
         system.run(15.0)
-        self.assertFalse(any(record.is_suspect(task) for task in record.iterate_tasks()))
+        self.assertFalse(any(crash_history.is_suspect(task) for task in record.iterate_tasks()))
         self._assert_states(system, model.JobState.COMPLETED, "j")
 
     def test_progress_of_an_older_version_can_be_decoded(self):
