Compare resources in one method

The agent (has a capacity shrunk?) and the placement (is a demand within another one?) each compared resources field by field.

--- a/crocusrudder/wire/messages.py
+++ b/crocusrudder/wire/messages.py
@@ -28,6 +28,14 @@
     memory_mb: int = 0
     accelerators: int = 0
 
+    def is_within(self, other: "Resources") -> bool:
+        """Return whether no amount exceeds that of the same resource in ``other``."""
+        return (
+            self.millicores <= other.millicores
+            and self.memory_mb <= other.memory_mb
+            and self.accelerators <= other.accelerators
+        )
+
 
 class TaskState(enum.Enum):
     """State of a task as stored in its chunk row."""
--- a/crocusrudder/workflows/agent_state.py
+++ b/crocusrudder/workflows/agent_state.py
@@ -8,7 +8,6 @@
 
 from crocusrudder.core import ids
 from crocusrudder.platform import worker
-from crocusrudder.wire import messages
 from crocusrudder.wire import workflow_messages
 from crocusrudder.workflows import crash_evidence
 from crocusrudder.workflows import leases
@@ -120,7 +119,7 @@
                 return False
             self._sequence = sequence
             self._worker = state
-            if _has_shrunk(known.capacity, state.capacity):
+            if not known.capacity.is_within(state.capacity):
                 self._capacity_shrunk_at = now
             return known != state
         if known is not None and state.born_ms < known.born_ms:
@@ -393,11 +392,3 @@
         self._rejected = {}
         self._stopped = {}
         self._acknowledged = 0
-
-
-def _has_shrunk(known: messages.Resources, new: messages.Resources) -> bool:
-    return (
-        new.millicores < known.millicores
-        or new.memory_mb < known.memory_mb
-        or new.accelerators < known.accelerators
-    )
--- a/crocusrudder/workflows/constraints.py
+++ b/crocusrudder/workflows/constraints.py
@@ -1,6 +1,5 @@
-"""Constraints of a stage on the workers of its tasks, and comparison of its demand."""
+"""Constraints of a stage on the workers of its tasks."""
 
-from crocusrudder.wire import messages
 from crocusrudder.workflows import candidates
 from crocusrudder.workflows import fleet
 from crocusrudder.workflows import job_registry
@@ -23,15 +22,6 @@
     return bool(limit) and _count_tasks(candidate.view, stage) >= limit
 
 
-def is_within(demand: messages.Resources, other: messages.Resources) -> bool:
-    """Return whether a demand does not exceed another one in any resource."""
-    return (
-        demand.millicores <= other.millicores
-        and demand.memory_mb <= other.memory_mb
-        and demand.accelerators <= other.accelerators
-    )
-
-
 def _count_tasks(view: fleet.AgentView, stage: job_registry.StageRecord) -> int:
     """Return how many runs of a stage's tasks may exist on the worker."""
     return sum(
--- a/crocusrudder/workflows/placement.py
+++ b/crocusrudder/workflows/placement.py
@@ -102,7 +102,7 @@
         unplaceable = self._unplaceable.setdefault(key, [])
         # Free capacity only shrinks while a plan is made, so a demand at least as large as one that
         # did not fit will not fit either.
-        if any(constraints.is_within(demand, spec.demand) for demand in unplaceable):
+        if any(demand.is_within(spec.demand) for demand in unplaceable):
             return None
         candidate = self._find_best(task, service)
         if candidate is None and not spec.max_per_worker:
@@ -125,7 +125,7 @@
         spec = task.stage.spec
         key = (service, spec.required_label, spec.best_effort, "last_resort")
         unplaceable = self._unplaceable.setdefault(key, [])
-        if any(constraints.is_within(demand, spec.demand) for demand in unplaceable):
+        if any(demand.is_within(spec.demand) for demand in unplaceable):
             return None
         shape = self._make_shape(task, service)
         ranking = self._last_resort_rankings.get(shape)
