--- a/crocusrudder/workflows/fleet.py
+++ b/crocusrudder/workflows/fleet.py
@@ -15,6 +15,8 @@
 
 AGENT_TIMEOUT_SECONDS = 1.3
 """Time without a report after which an agent gets no new starts; it reports every 0.5 s."""
+CPU_SHARE_RESEND_SECONDS = 2.0
+"""Interval at which CPU shares are sent again, as agents do not acknowledge them."""
 
 
 class AssignmentPhase(enum.Enum):
@@ -220,6 +222,21 @@
             self.has_updates = True
             self._usage = None
 
+    def take_changed_cpu_shares(self, now: float) -> tuple[tuple[str, int, int], ...]:
+        """Return the CPU shares to send, by task and run, and record them as sent.
+
+        These are the changed ones; at each resend interval, all those unknown or below 100.
+        """
+        is_resend = now - self.cpu_shares_resent_at >= CPU_SHARE_RESEND_SECONDS
+        known = dict.fromkeys(self.list_unknown_cpu_shares()) if is_resend else self.cpu_shares_sent
+        self.cpu_shares_resent_at = now if is_resend else self.cpu_shares_resent_at
+        self.cpu_shares_sent = dict(self.cpu_shares)
+        return tuple(
+            (*key, self.cpu_shares.get(key, 100))
+            for key in self.cpu_shares.keys() | known.keys()
+            if key in self.assignments and self.cpu_shares.get(key, 100) != known.get(key, 100)
+        )
+
     def list_unknown_cpu_shares(self) -> list[tuple[str, int]]:
         """Return the best-effort runs of an earlier owner, whose CPU shares are unknown."""
         return [(run.task_name, run.run) for run in self.usage.best_effort if run.is_adopted]
--- a/crocusrudder/workflows/owner.py
+++ b/crocusrudder/workflows/owner.py
@@ -28,8 +28,6 @@
 """Time without a report after which an agent is declared lost in the store."""
 JOB_RETENTION_SECONDS = 150.0
 """Time for which a finished job can be queried; the requirement is 120 s."""
-CPU_SHARE_RESEND_SECONDS = 2.0
-"""Interval at which CPU shares are sent again, as agents do not acknowledge them."""
 MAX_REMOVALS = 20
 """Maximum number of finished jobs removed by one commit."""
 MAX_WRITES = 90
@@ -368,7 +366,7 @@
                 )
             elif assignment.phase is fleet.AssignmentPhase.STOPPING:
                 stops.append((assignment.task_name, assignment.run))
-        cpu_shares = self._list_cpu_shares(view, now)
+        cpu_shares = view.take_changed_cpu_shares(now)
         view.has_updates = False
         view.sent_at = now
         view.echoed_at = view.received_at
@@ -384,19 +382,5 @@
             view.last_durable_end,
         )
 
-    def _list_cpu_shares(
-        self, view: fleet.AgentView, now: float
-    ) -> tuple[tuple[str, int, int], ...]:
-        """Return changed CPU shares; at each resend interval, all those unknown or below 100."""
-        is_resend = now - view.cpu_shares_resent_at >= CPU_SHARE_RESEND_SECONDS
-        known = dict.fromkeys(view.list_unknown_cpu_shares()) if is_resend else view.cpu_shares_sent
-        view.cpu_shares_resent_at = now if is_resend else view.cpu_shares_resent_at
-        view.cpu_shares_sent = dict(view.cpu_shares)
-        return tuple(
-            (*key, view.cpu_shares.get(key, 100))
-            for key in view.cpu_shares.keys() | known.keys()
-            if key in view.assignments and view.cpu_shares.get(key, 100) != known.get(key, 100)
-        )
-
     def _log(self, name: str, **fields: object) -> None:
         self._logged.append(effects.LogChange(name, {"epoch": self._epoch, **fields}))
