Name the terms of trials, crashes and starvation consistently

"Suspect" meant both a run that a crash may be due to and a task that needs a trial, and "reserve" both capacity and the worker of a coming trial. Suspects are those of a crash only, and trials are upcoming until they start. A function that records and decides says so in its name (record_passed_over). Attributes whose names do not tell their content get docstrings.

--- a/crocusrudder/workflows/crash_evidence.py
+++ b/crocusrudder/workflows/crash_evidence.py
@@ -23,9 +23,11 @@
 
     def __init__(self) -> None:
         self._sent: dict[RunKey, float] = {}
+        """Time of the start requests without an answer, by run."""
         self._started: dict[RunKey, float] = {}
         self._responded_at = float("-inf")
         self._closed_at: float | None = None
+        """Time of the first closed connection since the last response."""
         self._crashes: list[tuple[float, workflow_messages.WorkerCrash]] = []
 
     def record_start_sent(self, run: RunKey, now: float) -> None:
--- a/crocusrudder/workflows/crashes.py
+++ b/crocusrudder/workflows/crashes.py
@@ -1,4 +1,4 @@
-"""Count the crashes of workers under a task, and give up jobs whose tasks keep causing them.
+"""Count the crashes of workers under a task, and fail jobs whose tasks keep causing them.
 
 All runs on a worker end with it, and most of them are harmless. So each run that had just started
 is a suspect only, and a job fails when the same task is a suspect again and again. A run that stays
@@ -23,9 +23,9 @@
 """Weight of a crash right after the start of the task while all runs of other jobs had outlived
 theirs; other crashes have the weight 1."""
 PROMPT_SECONDS = 0.1
-"""Greatest age of a suspect whose start coincides with the crash. A deadly task crashes its worker
-within some milliseconds, and the agent notices the closed connection as fast; faults of machines
-rarely hit this moment."""
+"""Greatest age of a suspect whose start coincides with the crash. A task that crashes its
+worker does so within some milliseconds, and the agent notices the closed connection as fast; faults
+of machines rarely hit this moment."""
 OUTLIVED_SECONDS = 0.3
 """Least age of the runs of other jobs at a conclusive crash."""
 MAX_LOGGED_SUSPECTS = 20
@@ -37,7 +37,7 @@
     def __init__(self, epoch: model.OwnerEpoch, jobs: job_registry.JobRegistry) -> None:
         self._epoch = epoch
         self._job_registry = jobs
-        self._known: set[tuple[ids.ProcessId, ids.WorkerId, int]] = set()
+        self._logged_crashes: set[tuple[ids.ProcessId, ids.WorkerId, int]] = set()
         self._logged: list[effects.LogChange] = []
 
     def drain_log(self) -> list[effects.LogChange]:
@@ -120,9 +120,9 @@
         suspects: list[tuple[job_registry.Task, workflow_messages.SuspectRun]],
     ) -> None:
         key = (view.agent, crash.worker, crash.born_ms)
-        if key in self._known:
+        if key in self._logged_crashes:
             return
-        self._known.add(key)
+        self._logged_crashes.add(key)
         self._log(
             "worker_crashed",
             agent=view.agent,
@@ -145,7 +145,7 @@
 
 
 def compute_weight(history: model.CrashHistory) -> int:
-    """Return how strongly the crashes under a task speak against it."""
+    """Return the sum of the weights of the crashes under a task."""
     return len(history.runs) + (CONCLUSIVE_WEIGHT - 1) * len(history.conclusive_runs)
 
 
@@ -173,7 +173,7 @@
 
 
 def _is_alive(task: job_registry.Task, run: int, listed_at: float) -> bool:
-    """Return whether a run has outlived the start, with all members if the task is in a gang."""
+    """Return whether a run has stayed alive, with all members if the task is in a gang."""
     members = task.stage.tasks if task.stage.spec.gang else [task]
     return all(
         member.alive_run == run
--- a/crocusrudder/workflows/planning.py
+++ b/crocusrudder/workflows/planning.py
@@ -79,7 +79,7 @@
         """
         self._pool.refresh(views, now)
         self._searches.begin_plan()
-        self._trials.begin(views, now)
+        self._trials.begin_plan(views, now)
         self._moves.begin(views, now)
         self._is_reconciled = is_reconciled
         self._left_pending.clear()
@@ -176,13 +176,13 @@
             if now < task.not_before:
                 continue
             self._moves.release_room(task)
-            is_suspect = crash_history.needs_trial(task)
-            choose = self._trials.choose if is_suspect else self._pool.choose
+            needs_trial = crash_history.needs_trial(task)
+            choose = self._trials.choose if needs_trial else self._pool.choose
             candidate = choose(task, service)
             if candidate is not None:
                 task.stage.passed_over_since = None
                 self._assign_single(task, candidate, now)
-            elif not self._assign_starved(task, service, now) and not is_suspect:
+            elif not self._assign_starved(task, service, now) and not needs_trial:
                 return
 
     def _assign_single(
@@ -208,7 +208,7 @@
 
     def _may_use_last_resort(self, task: job_registry.Task, now: float) -> bool:
         return (
-            starvation.is_starved(task, now)
+            starvation.record_passed_over(task, now)
             and not self._trials.is_held_back(task)
             and self._searches.may_search(task.stage, self._pool.may_search_last_resort)
         )
--- a/crocusrudder/workflows/starvation.py
+++ b/crocusrudder/workflows/starvation.py
@@ -11,8 +11,6 @@
 STARVED_SECONDS = 1.5
 """Time with nothing running after which a job is starved. The requirement is 3 s while capacity is
 free; planning, the start and its report take well under 1 s."""
-
-
 RETRY_SECONDS = 0.5
 """Time after which a stage is tried again that has found no worker even as a last resort."""
 
@@ -42,23 +40,24 @@
         return has_time
 
 
-def is_starved(task: job_registry.Task, now: float) -> bool:
-    """Record that a task was passed over; return whether it has waited too long."""
+def record_passed_over(task: job_registry.Task, now: float) -> bool:
+    """Record that no worker was found for a task; return whether its stage or job is starved."""
     if not task.stage.spec.long_running and task.record.assigned_count:
         return False
-    waiting = _get_waiting(task)
+    waiting = _get_waiting_unit(task)
     if waiting.passed_over_since is None:
         waiting.passed_over_since = now
     return now >= task.stage.retry_at and now - waiting.passed_over_since >= STARVED_SECONDS
 
 
 def postpone(task: job_registry.Task, now: float) -> None:
-    """Let a stage wait, so that stages without any room do not use up the time of plans.
+    """Search no more for a stage for a time, so that stages that fit nowhere leave time to others.
 
     Other stages of its job are still tried.
     """
     task.stage.retry_at = now + RETRY_SECONDS
 
 
-def _get_waiting(task: job_registry.Task) -> job_registry.StageRecord | job_registry.JobRecord:
+def _get_waiting_unit(task: job_registry.Task) -> job_registry.StageRecord | job_registry.JobRecord:
+    """Return the stage of a long-running task, else the job."""
     return task.stage if task.stage.spec.long_running else task.record
--- a/crocusrudder/workflows/trials.py
+++ b/crocusrudder/workflows/trials.py
@@ -1,4 +1,6 @@
-"""Start tasks under which workers have crashed on workers of their own, one at a time.
+"""Start tasks that are likely to crash their workers on a worker each, one at a time for a job.
+
+A trial is such a start. It lasts until the run has ended or has stayed alive.
 
 Load pattern: the crash of a busy worker leaves dozens of suspects, most of them harmless. Started
 together again, they would hide which of them is at fault, and the one that is would take all the
@@ -20,12 +22,13 @@
 """Time without an assignment to a worker before a trial starts there, so that the other runs are
 older than at a conclusive crash (``crashes.OUTLIVED_SECONDS``)."""
 MAX_WAIT_SECONDS = 1.5
-"""Time after which a suspect starts without a trial; a job must not wait beside room for 3 s."""
+"""Time after which a task starts without a trial. The requirement is that no job waits for 3 s
+while capacity is free."""
 MAX_TRIAL_SECONDS = 5.0
-"""Time for which a trial holds back the other suspects of its job; the next incarnation of a
-crashed worker registers after about 3 s."""
-TRIAL_SHARE = 3
-"""One worker in so many of a service may hold a trial, at least one."""
+"""Time for which a trial holds back the other tasks of its job that need one; the next incarnation
+of a crashed worker registers after about 3 s."""
+WORKERS_PER_TRIAL = 3
+"""Number of workers of a service for each trial that it may have; it may always have one."""
 
 
 class _Trial(NamedTuple):
@@ -36,45 +39,47 @@
 
 
 class TrialPlanner:
-    """Choose workers for suspects, and withhold these workers from other tasks."""
+    """Choose workers for tasks that need a trial, and withhold these workers from other tasks."""
 
     def __init__(self, pool: placement.CandidatePool) -> None:
         self._pool = pool
         self._trials: dict[ids.ProcessId, _Trial] = {}
-        self._reserved: dict[job_registry.Task, ids.ProcessId] = {}
-        """Workers on which a trial starts once they have been quiet, by task."""
+        self._upcoming: dict[job_registry.Task, ids.ProcessId] = {}
+        """Agents whose workers get a trial once they have been quiet, by task."""
         self._waiting: dict[job_registry.Task, float] = {}
+        """Since when tasks have waited for a trial, by task."""
         self._assigned_at: dict[ids.ProcessId, float] = {}
+        """Time of the last assignment, by agent."""
         self._now = 0.0
 
-    def begin(self, views: Mapping[ids.ProcessId, fleet.AgentView], now: float) -> None:
-        """Begin a plan: forget what has ended, and withhold the workers of the others."""
+    def begin_plan(self, views: Mapping[ids.ProcessId, fleet.AgentView], now: float) -> None:
+        """Begin a plan: forget the trials that have ended, and withhold the others' workers."""
         self._now = now
         self._trials = {
             agent: trial
             for agent, trial in self._trials.items()
-            if agent in views and any(map(_is_on_trial, _list_runs(views[agent], trial)))
+            if agent in views and any(map(_is_on_trial, _list_assignments(views[agent], trial)))
         }
         self._waiting = {
-            task: since for task, since in self._waiting.items() if is_waiting_suspect(task)
+            task: since for task, since in self._waiting.items() if _awaits_trial(task)
         }
-        self._reserved = {
-            task: agent for task, agent in self._reserved.items() if task in self._waiting
+        self._upcoming = {
+            task: agent for task, agent in self._upcoming.items() if task in self._waiting
         }
-        for agent in (*self._trials, *self._reserved.values()):
+        for agent in (*self._trials, *self._upcoming.values()):
             self._pool.withhold(agent)
 
     def choose(
         self, task: job_registry.Task, service: ids.ServiceName
     ) -> candidates.CandidateWorker | None:
-        """Return the worker for a suspect; None if it has to wait."""
+        """Return the worker for a task that needs a trial; None if it has to wait."""
         since = self._waiting.setdefault(task, self._now)
         if self.is_held_back(task):
             return None
-        candidate = self._find_reserved(task)
+        candidate = self._find_upcoming(task)
         if candidate is None and self._now - since >= MAX_WAIT_SECONDS:
             return self._pool.choose(task, service)
-        candidate = candidate or self._reserve(task, service)
+        candidate = candidate or self._prepare(task, service)
         if candidate is None or not self._is_quiet(candidate):
             return None
         return candidate
@@ -82,16 +87,16 @@
     def record_assignment(
         self, task: job_registry.Task, candidate: candidates.CandidateWorker
     ) -> None:
-        """Record that a run was assigned, and begin its trial if its task is a suspect."""
+        """Record that a run was assigned, and begin its trial if its task needs one."""
         agent = candidate.view.agent
         service = candidate.view.worker.service
         self._assigned_at[agent] = self._now
         self._waiting.pop(task, None)
-        self._reserved.pop(task, None)
+        self._upcoming.pop(task, None)
         if not crash_history.needs_trial(task):
             return
         known = self._trials.get(agent)
-        if known is None and self._count_held(service) >= self._get_limit(service):
+        if known is None and self._count_trials(service) >= self._get_limit(service):
             return
         runs = frozenset({(task.name, task.run)}) | (known.runs if known else frozenset())
         self._trials[agent] = _Trial(task.record, service, self._now, runs)
@@ -102,20 +107,20 @@
         return any(
             trial.record is task.record and self._now - trial.started_at < MAX_TRIAL_SECONDS
             for trial in self._trials.values()
-        ) or any(other.record is task.record and other is not task for other in self._reserved)
+        ) or any(other.record is task.record and other is not task for other in self._upcoming)
 
-    def _find_reserved(self, task: job_registry.Task) -> candidates.CandidateWorker | None:
-        agent = self._reserved.get(task)
+    def _find_upcoming(self, task: job_registry.Task) -> candidates.CandidateWorker | None:
+        agent = self._upcoming.get(task)
         candidate = None if agent is None else self._pool.find(agent)
         if candidate is not None and self._pool.is_allowed(candidate, task):
             return candidate
-        self._reserved.pop(task, None)
+        self._upcoming.pop(task, None)
         return None
 
-    def _reserve(
+    def _prepare(
         self, task: job_registry.Task, service: ids.ServiceName
     ) -> candidates.CandidateWorker | None:
-        if self._count_held(service) >= self._get_limit(service):
+        if self._count_trials(service) >= self._get_limit(service):
             return None
         candidate = min(
             self._pool.list_allowed(task, service),
@@ -126,7 +131,7 @@
             default=None,
         )
         if candidate is not None:
-            self._reserved[task] = candidate.view.agent
+            self._upcoming[task] = candidate.view.agent
             self._pool.withhold(candidate.view.agent)
         return candidate
 
@@ -134,19 +139,19 @@
         assigned_at = self._assigned_at.get(candidate.view.agent, float("-inf"))
         return self._now - assigned_at >= QUIET_SECONDS
 
-    def _count_held(self, service: ids.ServiceName) -> int:
-        reserved = (self._pool.find(agent) for agent in self._reserved.values())
+    def _count_trials(self, service: ids.ServiceName) -> int:
+        upcoming = (self._pool.find(agent) for agent in self._upcoming.values())
         return sum(trial.service == service for trial in self._trials.values()) + sum(
             candidate is not None and candidate.view.worker.service == service
-            for candidate in reserved
+            for candidate in upcoming
         )
 
     def _get_limit(self, service: ids.ServiceName) -> int:
-        return max(self._pool.count_workers(service) // TRIAL_SHARE, 1)
+        return max(self._pool.count_workers(service) // WORKERS_PER_TRIAL, 1)
 
 
-def is_waiting_suspect(task: job_registry.Task) -> bool:
-    """Return whether a task waits for a start that may crash its worker."""
+def _awaits_trial(task: job_registry.Task) -> bool:
+    """Return whether a task that needs a trial waits for its start."""
     return (
         task.phase is job_registry.TaskPhase.PENDING
         and not task.record.is_final
@@ -154,7 +159,7 @@
     )
 
 
-def _list_runs(view: fleet.AgentView, trial: _Trial) -> list[fleet.Assignment]:
+def _list_assignments(view: fleet.AgentView, trial: _Trial) -> list[fleet.Assignment]:
     return [view.assignments[run] for run in trial.runs if run in view.assignments]
 
 
--- a/crocusrudder/workflows/waiting_reasons.py
+++ b/crocusrudder/workflows/waiting_reasons.py
@@ -158,7 +158,9 @@
         if is_round:
             records = list(records)
             self._not_running = {
-                r.job.job_id for r in records if r.assigned_count and not r.is_running
+                record.job.job_id
+                for record in records
+                if record.assigned_count and not record.is_running
             }
         waiting = [
             record
