Name the key of a run once

agent_state and crash_evidence each defined RunKey, and the owner side spelled the tuple out. The type is in model.py now.

--- a/crocusrudder/workflows/agent_daemon.py
+++ b/crocusrudder/workflows/agent_daemon.py
@@ -203,7 +203,7 @@
         self._state.record_response(answer.clock_ms, clocks.read_boot_time())
         return answer.rejected
 
-    async def _block(self, orders: workflow_messages.AgentOrders, run: agent_state.RunKey) -> None:
+    async def _block(self, orders: workflow_messages.AgentOrders, run: model.RunKey) -> None:
         """Stop a run whose start was not answered, so that it cannot start later.
 
         Attempts end once the worker accepts one, or has no lease or another incarnation.
@@ -211,7 +211,7 @@
         while self._state.is_starting(run) and not await self._stop(orders, run):
             await curio.sleep(RETRY_DELAY_SECONDS)
 
-    async def _stop(self, orders: workflow_messages.AgentOrders, run: agent_state.RunKey) -> bool:
+    async def _stop(self, orders: workflow_messages.AgentOrders, run: model.RunKey) -> bool:
         """Stop a run; return whether the worker accepted the order."""
         accepted = False
         try:
--- a/crocusrudder/workflows/agent_state.py
+++ b/crocusrudder/workflows/agent_state.py
@@ -24,8 +24,6 @@
 EXPIRY_MARGIN_SECONDS = leases.LEASE_SECONDS * leases.WORKER_CLOCK_ERROR + 0.2
 """Margin after the lease for a slow worker clock and for a list of ends still in transit."""
 
-RunKey = tuple[str, int]
-
 
 class AgentState:
     """State of one agent. Times are seconds on the agent's clock, which counts suspension."""
@@ -43,18 +41,18 @@
         self._lease_until = now + leases.LEASE_SECONDS
         self._clock: tuple[int, float] | None = None
         self._responded_at = float("-inf")
-        self._running: dict[RunKey, workflow_messages.RunningTask] = {}
-        self._started: dict[RunKey, float] = {}
-        self._starting: set[RunKey] = set()
+        self._running: dict[model.RunKey, workflow_messages.RunningTask] = {}
+        self._started: dict[model.RunKey, float] = {}
+        self._starting: set[model.RunKey] = set()
         self._ended: dict[int, workflow_messages.EndedRun] = {}
         self._listed_at = float("-inf")
         self._list_received_at = now
         self._listed_ends: tuple[int, ...] = ()
         self._poll_failed_at = float("-inf")
-        self._rejected: dict[RunKey, tuple[str, float]] = {}
-        self._received: dict[RunKey, None] = {}
-        self._stopped: dict[RunKey, float] = {}
-        self._blocked: dict[RunKey, float] = {}
+        self._rejected: dict[model.RunKey, tuple[str, float]] = {}
+        self._received: dict[model.RunKey, None] = {}
+        self._stopped: dict[model.RunKey, float] = {}
+        self._blocked: dict[model.RunKey, float] = {}
         self._orders_seen = 0
         self._acknowledged = 0
         self._owner_heard_at = float("-inf")
@@ -101,7 +99,7 @@
         """Return whether the last list holds ends that are not durable yet."""
         return bool(self._ended)
 
-    def is_starting(self, run: RunKey) -> bool:
+    def is_starting(self, run: model.RunKey) -> bool:
         """Return whether the outcome of a start is unknown and no stop of it was answered."""
         return run in self._starting
 
@@ -206,12 +204,12 @@
             return model.RejectReason.NO_RESPONSE
         return None
 
-    def record_start_sent(self, run: RunKey, now: float) -> None:
+    def record_start_sent(self, run: model.RunKey, now: float) -> None:
         self._starting.add(run)
         self._crash_monitor.record_start_sent(run, now)
 
     def record_start_result(
-        self, run: RunKey, rejected: model.RejectReason | None, now: float
+        self, run: model.RunKey, rejected: model.RejectReason | None, now: float
     ) -> None:
         is_open = run in self._starting
         self._starting.discard(run)
@@ -222,7 +220,7 @@
         elif rejected is not None:
             self._rejected[run] = (rejected.value, now)
 
-    def record_stop_result(self, run: RunKey, accepted: bool, now: float) -> None:
+    def record_stop_result(self, run: model.RunKey, accepted: bool, now: float) -> None:
         """Record the response to a stop; a stop that was not accepted may be repeated.
 
         The next list shows what became of the run: it is still stopping, has ended, or will never
@@ -235,7 +233,7 @@
         else:
             self._stopped.pop(run, None)
 
-    def record_stop_failure(self, run: RunKey) -> None:
+    def record_stop_failure(self, run: model.RunKey) -> None:
         """Record that a stop was not answered; it may be repeated after the next list."""
         self._stopped[run] = float("-inf")
 
@@ -361,10 +359,10 @@
             now - max(self._deregistered_at, self._responded_at) >= DEREGISTRATION_TIMEOUT_SECONDS
         )
 
-    def _is_listed_as_ended(self, run: RunKey) -> bool:
+    def _is_listed_as_ended(self, run: model.RunKey) -> bool:
         return any((entry.task, entry.run) == run for entry in self._ended.values())
 
-    def _record_received(self, run: RunKey) -> None:
+    def _record_received(self, run: model.RunKey) -> None:
         self._received[run] = None
         while len(self._received) > MAX_ORDERS_REMEMBERED:
             self._received.pop(next(iter(self._received)))
--- a/crocusrudder/workflows/crash_evidence.py
+++ b/crocusrudder/workflows/crash_evidence.py
@@ -6,6 +6,7 @@
 """
 
 from crocusrudder.wire import workflow_messages
+from crocusrudder.workflows import model
 
 CRASH_WINDOW_SECONDS = 1.0
 """Greatest age at the crash of a run that may have caused it."""
@@ -15,30 +16,28 @@
 RETENTION_SECONDS = 12.0
 """Time for which reports repeat a crash, several times the duration of an ownership change."""
 
-RunKey = tuple[str, int]
-
 
 class CrashMonitor:
     """Runs recently started on one worker, and the recent crashes of its incarnations."""
 
     def __init__(self) -> None:
-        self._sent: dict[RunKey, float] = {}
+        self._sent: dict[model.RunKey, float] = {}
         """Time of the start requests without an answer, by run."""
-        self._started: dict[RunKey, float] = {}
+        self._started: dict[model.RunKey, float] = {}
         self._responded_at = float("-inf")
         self._closed_at: float | None = None
         """Time of the first closed connection since the last response."""
         self._crashes: list[tuple[float, workflow_messages.WorkerCrash]] = []
 
-    def record_start_sent(self, run: RunKey, now: float) -> None:
+    def record_start_sent(self, run: model.RunKey, now: float) -> None:
         self._sent[run] = now
 
-    def record_start_answered(self, run: RunKey, is_started: bool, now: float) -> None:
+    def record_start_answered(self, run: model.RunKey, is_started: bool, now: float) -> None:
         self._sent.pop(run, None)
         if is_started:
             self._started[run] = now
 
-    def record_start_blocked(self, run: RunKey) -> None:
+    def record_start_blocked(self, run: model.RunKey) -> None:
         """Record that the worker will not start a run any more."""
         self._sent.pop(run, None)
 
@@ -53,7 +52,7 @@
             self._closed_at = now
 
     def record_list(
-        self, running: set[RunKey], ended: set[RunKey], requested_at: float, now: float
+        self, running: set[model.RunKey], ended: set[model.RunKey], requested_at: float, now: float
     ) -> None:
         """Forget the runs that have ended or that a list shows after the window."""
         self._started = {
--- a/crocusrudder/workflows/fleet.py
+++ b/crocusrudder/workflows/fleet.py
@@ -11,6 +11,7 @@
 from crocusrudder.wire import workflow_messages
 from crocusrudder.workflows import job_registry
 from crocusrudder.workflows import leases
+from crocusrudder.workflows import model
 from crocusrudder.workflows import waiting_reasons
 
 AGENT_TIMEOUT_SECONDS = 1.3
@@ -104,7 +105,7 @@
         removed from the row."""
         self.has_deregistered = False
         """Whether the worker has exited after deregistering; nothing runs until a new one joins."""
-        self._assignments: dict[tuple[str, int], Assignment] = {}
+        self._assignments: dict[model.RunKey, Assignment] = {}
         self._assignments_view = types.MappingProxyType(self._assignments)
         self._usage: Usage | None = None
         self.orders_sent = 0
@@ -120,9 +121,9 @@
         self.set_aside_until = 0.0
         """Until when the worker counts as faulty; see ``health.select_set_aside``."""
         self.measurements: dict[str, float] = {}
-        self.cpu_shares: dict[tuple[str, int], int] = {}
+        self.cpu_shares: dict[model.RunKey, int] = {}
         """Target CPU share of throttled runs in percent, by task and run; absent for 100."""
-        self.cpu_shares_sent: dict[tuple[str, int], int] = {}
+        self.cpu_shares_sent: dict[model.RunKey, int] = {}
         self.cpu_shares_resent_at = 0.0
 
     @property
@@ -183,7 +184,7 @@
         }[assignment.phase]
 
     @property
-    def assignments(self) -> Mapping[tuple[str, int], Assignment]:
+    def assignments(self) -> Mapping[model.RunKey, Assignment]:
         """Return the runs that may exist on the worker, by task name and run number."""
         return self._assignments_view
 
@@ -237,7 +238,7 @@
             if key in self.assignments and self.cpu_shares.get(key, 100) != known.get(key, 100)
         )
 
-    def list_unknown_cpu_shares(self) -> list[tuple[str, int]]:
+    def list_unknown_cpu_shares(self) -> list[model.RunKey]:
         """Return the best-effort runs of an earlier owner, whose CPU shares are unknown."""
         return [(run.task_name, run.run) for run in self.usage.best_effort if run.is_adopted]
 
--- a/crocusrudder/workflows/health.py
+++ b/crocusrudder/workflows/health.py
@@ -5,6 +5,7 @@
 from crocusrudder.core import ids
 from crocusrudder.workflows import fleet
 from crocusrudder.workflows import job_registry
+from crocusrudder.workflows import model
 
 QUARANTINE_AFTER_JOBS = 2
 """Distinct jobs with consecutive failures on a worker, without a success, that quarantine it. A
@@ -33,7 +34,7 @@
     def __init__(self) -> None:
         self._failed_jobs: dict[ids.JobId, float] = {}
         self._quarantine_seconds = QUARANTINE_SECONDS
-        self._progress: dict[tuple[str, int], int] = {}
+        self._progress: dict[model.RunKey, int] = {}
         self._progressed_at = 0.0
         self._listed_at = 0.0
 
--- a/crocusrudder/workflows/model.py
+++ b/crocusrudder/workflows/model.py
@@ -14,6 +14,8 @@
 OwnerEpoch = NewType("OwnerEpoch", int)
 """Number of an ownership epoch; workers use it as the fencing token."""
 RunNumber = NewType("RunNumber", int)
+RunKey = tuple[str, int]
+"""Task name and number of a run."""
 
 
 class JobState(enum.Enum):
--- a/crocusrudder/workflows/reports.py
+++ b/crocusrudder/workflows/reports.py
@@ -276,7 +276,7 @@
         self,
         view: fleet.AgentView,
         report: workflow_messages.AgentReport,
-        present: set[tuple[str, int]],
+        present: set[model.RunKey],
     ) -> None:
         # The worker may still carry out a start that is missing from its report, so the run is
         # stopped before its task is placed again.
--- a/crocusrudder/workflows/throttling.py
+++ b/crocusrudder/workflows/throttling.py
@@ -69,7 +69,7 @@
         self._levels: dict[ids.ProcessId, dict[str, int]] = {}
         """Index into ``CPU_SHARE_LEVELS`` of throttled images, by agent."""
         self._levels_changed_at: dict[ids.ProcessId, float] = {}
-        self._paused_since: dict[ids.ProcessId, dict[tuple[str, int], float]] = {}
+        self._paused_since: dict[ids.ProcessId, dict[model.RunKey, float]] = {}
         """When runs were paused, by agent; agents without a paused run are absent."""
         self._observed_at: dict[ids.ProcessId, float] = {}
         self._over_target_since: dict[ids.ProcessId, float] = {}
@@ -277,7 +277,7 @@
     def _set_cpu_shares(self, view: fleet.AgentView, now: float) -> None:
         self._drop_unused_levels(view)
         self._throttle_adopted(view)
-        cpu_shares: dict[tuple[str, int], int] = {}
+        cpu_shares: dict[model.RunKey, int] = {}
         if self._levels.get(view.agent):
             for run in view.usage.best_effort:
                 level = self._get_level(view, run.task.stage.spec.image)
@@ -289,7 +289,7 @@
             view.has_updates = True
 
     def _record_paused(
-        self, view: fleet.AgentView, cpu_shares: dict[tuple[str, int], int], now: float
+        self, view: fleet.AgentView, cpu_shares: dict[model.RunKey, int], now: float
     ) -> None:
         """Record since when runs are paused."""
         known = self._paused_since.get(view.agent, {})
--- a/crocusrudder/workflows/trials.py
+++ b/crocusrudder/workflows/trials.py
@@ -16,6 +16,7 @@
 from crocusrudder.workflows import crash_history
 from crocusrudder.workflows import fleet
 from crocusrudder.workflows import job_registry
+from crocusrudder.workflows import model
 from crocusrudder.workflows import placement
 
 QUIET_SECONDS = 0.35
@@ -35,7 +36,7 @@
     record: job_registry.JobRecord
     service: ids.ServiceName
     started_at: float
-    runs: frozenset[tuple[str, int]]
+    runs: frozenset[model.RunKey]
 
 
 class TrialPlanner:
