--- a/crocusrudder/workflows/crashes.py
+++ b/crocusrudder/workflows/crashes.py
@@ -1,4 +1,4 @@
-"""Count the crashes of workers under a task, and give up jobs whose tasks keep causing them.
+"""Count the crashes of workers under a task, and fail jobs whose tasks keep causing them.
 
 All runs on a worker end with it, and most of them are harmless. So each run that had just started
 is a suspect only, and a job fails when the same task is a suspect again and again. A run that stays
@@ -11,6 +11,7 @@
 from crocusrudder.core import ids
 from crocusrudder.wire import workflow_messages
 from crocusrudder.workflows import crash_evidence
+from crocusrudder.workflows import crash_history
 from crocusrudder.workflows import fleet
 from crocusrudder.workflows import job_registry
 from crocusrudder.workflows import model
@@ -25,9 +26,9 @@
 """Weight of a crash right after the start of the task while all runs of other jobs had outlived
 theirs; other crashes have the weight 1."""
 PROMPT_SECONDS = 0.1
-"""Greatest age of a suspect whose start coincides with the crash. A deadly task crashes its worker
-within some milliseconds, and the agent notices the closed connection as fast; faults of machines
-rarely hit this moment."""
+"""Greatest age of a suspect whose start coincides with the crash. A task that crashes its
+worker does so within some milliseconds, and the agent notices the closed connection as fast; faults
+of machines rarely hit this moment."""
 OUTLIVED_SECONDS = 0.3
 """Least age of the runs of other jobs at a conclusive crash."""
 MAX_LOGGED_SUSPECTS = 20
@@ -39,7 +40,7 @@
     def __init__(self, epoch: model.OwnerEpoch, jobs: job_registry.JobRegistry) -> None:
         self._epoch = epoch
         self._job_registry = jobs
-        self._known: set[tuple[ids.ProcessId, ids.WorkerId, int]] = set()
+        self._logged_crashes: set[tuple[ids.ProcessId, ids.WorkerId, int]] = set()
         self._charged: set[tuple[ids.ProcessId, ids.WorkerId, int]] = set()
         """Crashes that have been charged, by agent, worker and start of the worker. Charged again
         after their suspects were cleared, they would count against the other suspects."""
@@ -67,7 +68,7 @@
                     continue
                 # A machine that is at fault itself must not decide on a task twice.
                 task.avoided_agents.add(view.agent)
-                task.record.record_crash(
+                crash_history.record_crash(
                     task,
                     suspect.run,
                     crash.worker,
@@ -86,13 +87,13 @@
         for running in report.running:
             assignment = view.assignments.get((running.task, running.run))
             task = assignment.task if assignment else None
-            if task is None or not task.record.is_suspect(task):
+            if task is None or not crash_history.is_suspect(task):
                 continue
             if task.alive_run != running.run:
                 task.alive_run = running.run
                 task.alive_since = listed_at
             if _is_alive(task, running.run, listed_at):
-                task.record.record_survival(task, running.run)
+                crash_history.record_survival(task, running.run)
 
     def _list_suspects(
         self, crash: workflow_messages.WorkerCrash
@@ -104,13 +105,13 @@
             for task, run in found
             if task is not None
             and task.phase is not job_registry.TaskPhase.DONE
-            and run.run >= task.record.get_crashes(task).survived_run
+            and run.run >= crash_history.get_crashes(task).survived_run
         ]
 
     def _check_limit(self, task: job_registry.Task, wall_time: float) -> None:
         """Fail the job of a task whose crashes weigh enough."""
         record = task.record
-        history = record.get_crashes(task)
+        history = crash_history.get_crashes(task)
         if record.is_final or not is_at_fault(history):
             return
         record.finish(model.JobState.FAILED, wall_time)
@@ -130,9 +131,9 @@
         suspects: list[tuple[job_registry.Task, workflow_messages.SuspectRun]],
     ) -> None:
         key = (view.agent, crash.worker, crash.born_ms)
-        if key in self._known:
+        if key in self._logged_crashes:
             return
-        self._known.add(key)
+        self._logged_crashes.add(key)
         self._log(
             "worker_crashed",
             agent=view.agent,
@@ -144,7 +145,7 @@
                     "run": run.run,
                     "age_s": run.age_seconds,
                     "least_age_s": run.least_age_seconds,
-                    "crashes": len(task.record.get_crashes(task).runs),
+                    "crashes": len(crash_history.get_crashes(task).runs),
                 }
                 for task, run in suspects[:MAX_LOGGED_SUSPECTS]
             ],
@@ -155,7 +156,7 @@
 
 
 def compute_weight(history: model.CrashHistory) -> int:
-    """Return how strongly the crashes under a task speak against it."""
+    """Return the sum of the weights of the crashes under a task."""
     return len(history.runs) + (CONCLUSIVE_WEIGHT - 1) * len(history.conclusive_runs)
 
 
@@ -177,7 +178,7 @@
     repeated = [
         (task, suspect)
         for task, suspect in suspects
-        if any(run < suspect.run for run in task.record.get_crashes(task).runs)
+        if any(run < suspect.run for run in crash_history.get_crashes(task).runs)
     ]
     if not repeated:
         return suspects
@@ -196,7 +197,7 @@
 
 
 def _is_alive(task: job_registry.Task, run: int, listed_at: float) -> bool:
-    """Return whether a run has outlived the start, with all members if the task is in a gang."""
+    """Return whether a run has stayed alive, with all members if the task is in a gang."""
     members = task.stage.tasks if task.stage.spec.gang else [task]
     return all(
         member.alive_run == run
--- a/crocusrudder/workflows/placement.py
+++ b/crocusrudder/workflows/placement.py
@@ -10,6 +10,8 @@
 from crocusrudder.core import ids
 from crocusrudder.wire import messages
 from crocusrudder.workflows import candidates
+from crocusrudder.workflows import colocation
+from crocusrudder.workflows import constraints
 from crocusrudder.workflows import fleet
 from crocusrudder.workflows import health
 from crocusrudder.workflows import job_registry
@@ -17,10 +19,6 @@
 from crocusrudder.workflows import throttling
 from crocusrudder.workflows import waiting_reasons
 
-MAX_TESTS = 2
-"""Workers on which a pair of images is tested at a time; the second covers one that fails or whose
-latency is not measured."""
-
 MAX_LAST_RESORT_SCORES = 5_000
 """Workers scored in one plan for tasks of starved jobs, at 4 to 8 us each."""
 
@@ -44,6 +42,7 @@
 
     def __init__(self, throttle_controller: throttling.ThrottleController) -> None:
         self._throttle_controller = throttle_controller
+        self._colocation = colocation.ColocationRules(throttle_controller)
         self._views: Mapping[ids.ProcessId, fleet.AgentView] = {}
         self._known: dict[ids.ProcessId, candidates.CandidateWorker] = {}
         self._usable: dict[ids.ProcessId, candidates.CandidateWorker] = {}
@@ -51,8 +50,6 @@
         self._set_aside: dict[ids.ServiceName, list[candidates.CandidateWorker]] = {}
         self._rankings: dict[candidates.Shape, candidates.Ranking] = {}
         self._changes: list[candidates.CandidateWorker] = []
-        self._testing: dict[tuple[str, str], set[ids.ProcessId]] = {}
-        """Agents on which the interference of an untested pair of images is being measured."""
         self._withheld: set[ids.ProcessId] = set()
         self._unplaceable: dict[tuple, list[messages.Resources]] = {}
         """Demands that no worker could meet, by service and the other constraints of placement."""
@@ -72,15 +69,10 @@
         self._last_resort_rankings = {}
         self._last_resort_scores = 0
         self._reserved_shares = {}
-        self._testing = {}
         self._withheld = set()
         schedulable = [view for view in views.values() if view.is_schedulable(now)]
         set_aside = health.select_set_aside(schedulable, now)
-        for view in views.values():
-            for image in view.usage.best_effort_by_image:
-                # A paused run does not interfere, so its worker measures nothing.
-                if not self._throttle_controller.is_paused(view, image):
-                    self._record_tests(view, image)
+        self._colocation.begin_plan(views.values())
         for view in schedulable:
             if view.agent in set_aside:
                 self._add_candidate(view, self._set_aside)
@@ -110,7 +102,7 @@
         unplaceable = self._unplaceable.setdefault(key, [])
         # Free capacity only shrinks while a plan is made, so a demand at least as large as one that
         # did not fit will not fit either.
-        if any(_is_within(demand, spec.demand) for demand in unplaceable):
+        if any(demand.is_within(spec.demand) for demand in unplaceable):
             return None
         candidate = self._find_best(task, service)
         if candidate is None and not spec.max_per_worker:
@@ -133,7 +125,7 @@
         spec = task.stage.spec
         key = (service, spec.required_label, spec.best_effort, "last_resort")
         unplaceable = self._unplaceable.setdefault(key, [])
-        if any(_is_within(demand, spec.demand) for demand in unplaceable):
+        if any(demand.is_within(spec.demand) for demand in unplaceable):
             return None
         shape = self._make_shape(task, service)
         ranking = self._last_resort_rankings.get(shape)
@@ -156,7 +148,7 @@
         candidate.reserve(spec)
         self._changes.append(candidate)
         if spec.best_effort:
-            self._record_tests(candidate.view, spec.image)
+            self._colocation.record_tests(candidate.view, spec.image)
 
     def release(self, candidate: candidates.CandidateWorker, spec: model.Stage) -> None:
         """Undo ``reserve``; demands that did not fit are tried again."""
@@ -176,7 +168,7 @@
         return sum(
             candidate.count_fitting(spec, shares_cpu)
             for candidate in itertools.chain(usable, self._set_aside.get(service, ()))
-            if _has_label(candidate, spec) and candidate.view.agent not in self._withheld
+            if constraints.has_label(candidate, spec) and candidate.view.agent not in self._withheld
         )
 
     def count_workers(self, service: ids.ServiceName) -> int:
@@ -190,7 +182,7 @@
     def is_allowed(self, candidate: candidates.CandidateWorker, task: job_registry.Task) -> bool:
         """Return whether a task may run on a worker, withheld or not."""
         is_hindered = self._find_obstacle(candidate, task.stage) is not None
-        return not is_hindered and self._may_test(candidate, task.stage.spec)
+        return not is_hindered and self._colocation.may_test(candidate, task.stage.spec)
 
     def list_allowed(
         self, task: job_registry.Task, service: ids.ServiceName
@@ -236,7 +228,7 @@
             # Only the room that is kept for moved runs is reserved without an assignment.
             is_kept = candidates.CandidateWorker(view).fits(stage.spec)
             return waiting_reasons.WaitReason.KEPT_ROOM if is_kept else reason
-        if reason is None and not self._may_test(candidate, stage.spec):
+        if reason is None and not self._colocation.may_test(candidate, stage.spec):
             return waiting_reasons.WaitReason.TESTED_ELSEWHERE
         return reason or waiting_reasons.WaitReason.FITS
 
@@ -254,7 +246,7 @@
         return ranking.find_best(
             lambda candidate: (
                 candidate.view.agent not in self._withheld
-                and self._may_test(candidate, task.stage.spec)
+                and self._colocation.may_test(candidate, task.stage.spec)
             )
         )
 
@@ -290,7 +282,7 @@
     def _find_rack_with_most_capacity(self, spec: model.Stage, service: ids.ServiceName) -> str:
         counts: dict[str, int] = {}
         for candidate in self._by_service.get(service, ()):
-            if _has_label(candidate, spec):
+            if constraints.has_label(candidate, spec):
                 count = candidate.count_fitting(spec)
                 counts[candidate.rack] = counts.get(candidate.rack, 0) + count
         return max(counts, key=lambda rack: (counts[rack], rack), default="")
@@ -300,59 +292,13 @@
     ) -> waiting_reasons.WaitReason | None:
         """Return why a task of the stage must not run on the worker; None if it may."""
         spec = stage.spec
-        if not _has_label(candidate, spec):
+        if not constraints.has_label(candidate, spec):
             return waiting_reasons.WaitReason.MISSING_LABEL
         if not candidate.fits(spec):
             return waiting_reasons.WaitReason.NO_CAPACITY
-        if spec.max_per_worker and _count_tasks(candidate.view, stage) >= spec.max_per_worker:
+        if constraints.is_at_limit(candidate, stage):
             return waiting_reasons.WaitReason.WORKER_LIMIT
-        return self._find_interference(candidate, spec) if spec.best_effort else None
-
-    def _find_interference(
-        self, candidate: candidates.CandidateWorker, spec: model.Stage
-    ) -> waiting_reasons.WaitReason | None:
-        """Return why latencies may exceed their target beside a best-effort task; None if not.
-
-        While the interference of one image is being measured on a worker, no other image whose
-        interference is unknown is added.
-        """
-        if not candidate.latency_critical_count:
-            return None
-        view = candidate.view
-        controller = self._throttle_controller
-        if controller.is_near_target(view):
-            return waiting_reasons.WaitReason.NEAR_TARGET
-        if controller.is_probing(view) and not controller.is_tested(view, spec):
-            return waiting_reasons.WaitReason.PROBING
-        if controller.predict_latency_ratio(view, spec) >= throttling.PREDICTED_LIMIT:
-            return waiting_reasons.WaitReason.PREDICTED_LATENCY
-        return None
-
-    def _may_test(self, candidate: candidates.CandidateWorker, spec: model.Stage) -> bool:
-        """Return whether a best-effort task may test its image beside others on a worker.
-
-        Load pattern: a stage of dozens of tasks of a new image on workers that all serve. Each
-        test costs the latency-critical tasks about a second over their target, and further tests
-        of the same pair at the same time teach nothing.
-        """
-        return not spec.best_effort or all(
-            len(self._testing.get(pair, ())) < MAX_TESTS
-            for pair in self._throttle_controller.list_untested(candidate.view, spec.image)
-        )
-
-    def _record_tests(self, view: fleet.AgentView, image: str) -> None:
-        for pair in self._throttle_controller.list_untested(view, image):
-            self._testing.setdefault(pair, set()).add(view.agent)
-
-    def _rank_colocation(self, candidate: candidates.CandidateWorker, spec: model.Stage) -> int:
-        """Rank a worker for a best-effort task by its latency-critical tasks; lower is better.
-
-        Pairs of images whose interference is unknown come last, as each trial costs the
-        latency-critical tasks about a second over their target.
-        """
-        if not candidate.latency_critical_count:
-            return 0
-        return 1 if self._throttle_controller.is_tested(candidate.view, spec) else 2
+        return self._colocation.find_obstacle(candidate, spec) if spec.best_effort else None
 
     def _score(
         self,
@@ -389,7 +335,7 @@
             )
         if spec.best_effort:
             idle = max(candidate.idle_millicores - candidate.best_effort_millicores, 0) / capacity
-            return (is_avoided, is_remote, self._rank_colocation(candidate, spec), -idle)
+            return (is_avoided, is_remote, self._colocation.rank(candidate, spec), -idle)
         return (is_avoided, is_remote, -candidate.millicores / capacity)
 
     def _score_last_resort(
@@ -408,7 +354,7 @@
             return None if score is None else (is_set_aside, *score)
         shares_cpu = self._reserved_shares[shape] < MAX_RESERVED_SHARE
         has_room = candidate.fits_beside_cpu(spec) if shares_cpu else candidate.fits(spec)
-        if not has_room or not _meets_constraints(candidate, stage):
+        if not has_room or not constraints.allows(candidate, stage):
             return None
         self._last_resort_scores += 1
         return (
@@ -420,34 +366,3 @@
             self._throttle_controller.predict_latency_ratio(view, spec),
             candidate.best_effort_millicores / max(candidate.idle_millicores, 1),
         )
-
-
-def _meets_constraints(
-    candidate: candidates.CandidateWorker, stage: job_registry.StageRecord
-) -> bool:
-    spec = stage.spec
-    return _has_label(candidate, spec) and (
-        not spec.max_per_worker or _count_tasks(candidate.view, stage) < spec.max_per_worker
-    )
-
-
-def _has_label(candidate: candidates.CandidateWorker, spec: model.Stage) -> bool:
-    return not spec.required_label or spec.required_label in candidate.labels
-
-
-def _is_within(demand: messages.Resources, other: messages.Resources) -> bool:
-    """Return whether a demand does not exceed another one in any resource."""
-    return (
-        demand.millicores <= other.millicores
-        and demand.memory_mb <= other.memory_mb
-        and demand.accelerators <= other.accelerators
-    )
-
-
-def _count_tasks(view: fleet.AgentView, stage: job_registry.StageRecord) -> int:
-    """Return how many runs of a stage's tasks may exist on the worker."""
-    return sum(
-        1
-        for assignment in view.assignments.values()
-        if assignment.task is not None and assignment.task.stage is stage
-    )
--- a/tests/workflows/test_crashes.py
+++ b/tests/workflows/test_crashes.py
@@ -11,6 +11,7 @@
 from crocusrudder.core import ids
 from crocusrudder.wire import messages
 from crocusrudder.wire import workflow_messages
+from crocusrudder.workflows import crash_history
 from crocusrudder.workflows import crashes
 from crocusrudder.workflows import model
 from crocusrudder.workflows import rows
@@ -204,9 +205,9 @@
         crash(system, "a0", "a1")
         system.run(3.4)
         record = system.owner.job_registry.get(ids.JobId("j"))
-        self.assertTrue(any(record.is_suspect(task) for task in record.iterate_tasks()))
+        self.assertTrue(any(crash_history.is_suspect(task) for task in record.iterate_tasks()))
         system.run(15.0)
-        self.assertFalse(any(record.is_suspect(task) for task in record.iterate_tasks()))
+        self.assertFalse(any(crash_history.is_suspect(task) for task in record.iterate_tasks()))
         self._assert_states(system, model.JobState.COMPLETED, "j")
 
     def test_a_new_suspect_right_after_its_start_is_charged_beside_repeated_ones(self):
@@ -218,7 +219,7 @@
             system.submit(name, model.Stage(1, ONE_CORE))
         registry = system.owner.job_registry
         tasks = [registry.find_task(f"{name}.0.0.0") for name in names]
-        tasks[0].record.record_crash(tasks[0], 1, ids.WorkerId("w0"))
+        crash_history.record_crash(tasks[0], 1, ids.WorkerId("w0"))
         ages = (0.5, 0.01, 0.5)
         suspects = [
             (task, workflow_messages.SuspectRun(task.name, 2, age))
@@ -235,7 +236,7 @@
         system.submit("h", model.Stage(1, ONE_CORE))
         registry = system.owner.job_registry
         suspect, healthy = (registry.find_task(f"{job}.0.0.0") for job in "dh")
-        suspect.record.record_crash(suspect, 1, ids.WorkerId("w0"))
+        crash_history.record_crash(suspect, 1, ids.WorkerId("w0"))
         starts = [workflow_messages.SuspectRun(task.name, 2, 0.5) for task in (suspect, healthy)]
         report = types.SimpleNamespace(
             crashes=[workflow_messages.WorkerCrash(ids.WorkerId("w1"), 1, tuple(starts))]
@@ -243,10 +244,10 @@
         view = types.SimpleNamespace(agent=ids.ProcessId("a1"))
         register = crashes.CrashRegister(model.OwnerEpoch(1), registry)
         register.handle(view, report, 0.0)
-        self.assertEqual((1, 2), suspect.record.get_crashes(suspect).runs)
-        suspect.record.record_survival(suspect, 3)
+        self.assertEqual((1, 2), crash_history.get_crashes(suspect).runs)
+        crash_history.record_survival(suspect, 3)
         register.handle(view, report, 0.0)
-        self.assertEqual((), healthy.record.get_crashes(healthy).runs)
+        self.assertEqual((), crash_history.get_crashes(healthy).runs)
 
     def test_progress_of_an_older_version_can_be_decoded(self):
         old = rows.encode(model.Progress())
