Stop the proxy of the soak; keep its ports apart from those of tests

The proxy is stopped with the deployment, and ports are drawn below 29,000, while the fixed ports of tests begin at 29,510.

--- a/tests/endtoend/test_soak.py
+++ b/tests/endtoend/test_soak.py
@@ -1,12 +1,16 @@
 """A short run of the soak test with a fixed seed, and its checks on synthetic histories."""
 
+import contextlib
 import pathlib
+import socket
 import tempfile
+import time
 import unittest
 from unittest import mock
 
 from tools.soak import checks
 from tools.soak import faults
+from tools.soak import proxy
 from tools.soak import runner
 from tools.standin.users import deployment as deployments
 
@@ -90,6 +94,22 @@
         used = {port for ports in processes for port in ports}
         self.assertEqual(set(), used & {store_port, *link_ports})
 
+    def test_a_stopped_proxy_leaves_its_port_free(self):
+        # Guards against a later test that cannot bind its fixed port (CI at de9e338, test_cuts).
+        port, target = deployments.find_ports(2)
+        running = proxy.Proxy([proxy.Link(port, target)])
+        running.start()
+        while not self._is_listening(port):
+            time.sleep(proxy.POLL_SECONDS)
+        running.stop()
+        self.assertFalse(self._is_listening(port))
+
+    @staticmethod
+    def _is_listening(port: int) -> bool:
+        with contextlib.suppress(OSError), socket.create_connection(("127.0.0.1", port)):
+            return True
+        return False
+
     def test_short_run_has_no_violations(self):
         for seed in SEEDS:
             with self.subTest(seed=seed), tempfile.TemporaryDirectory() as folder:
--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -44,15 +44,26 @@
 
     def __init__(self, links: list[Link]) -> None:
         self._links = links
+        self._is_stopping = threading.Event()
         self._thread = threading.Thread(target=curio.run, args=(self._serve,), daemon=True)
 
     def start(self) -> None:
         self._thread.start()
 
+    def stop(self) -> None:
+        """Close all connections and listening ports."""
+        self._is_stopping.set()
+        self._thread.join()
+
     async def _serve(self) -> None:
-        async with curio.TaskGroup() as group:
+        async with curio.TaskGroup(wait=any) as group:
             for link in self._links:
                 await group.spawn(self._listen, link)
+            await group.spawn(self._wait_for_stop)
+
+    async def _wait_for_stop(self) -> None:
+        while not self._is_stopping.is_set():
+            await curio.sleep(POLL_SECONDS)
 
     async def _listen(self, link: Link) -> None:
         async def connect(client: curio.io.Socket, _: object) -> None:
--- a/tools/soak/runner.py
+++ b/tools/soak/runner.py
@@ -80,6 +80,7 @@
         finally:
             self._finished.set()
             self._deployment.stop()
+            self._proxy.stop()
 
     def _inject_faults(self) -> None:
         started_at = time.monotonic()
--- a/tools/standin/users/deployment.py
+++ b/tools/standin/users/deployment.py
@@ -24,8 +24,9 @@
 
 HOST = "127.0.0.1"
 PREFIX = "/confirm/"
-SERVER_PORTS = range(12_000, 32_000)
-"""Ports below the range that Linux uses for outgoing connections, which starts at 32,768."""
+SERVER_PORTS = range(12_000, 29_000)
+"""Ports below the range that Linux uses for outgoing connections, which starts at 32,768, and below
+the fixed ports of tests, which start at 29,510."""
 TIMEOUT_SECONDS = 60.0
 """Time after which a condition counts as not met."""
 
