Count and log the heartbeats that an agent ignores

Users saw: a run that went on for 3.2 s after its cancellation and a task without a start beside a free worker. Logs could not tell whether an agent follows the wrong incarnation of its worker. Cause: an ignored heartbeat left no trace, and a change of the worker only a line `worker_seen`. Change: `heartbeat_ignored` with its reason, `worker_replaced` with both incarnations, a counter for each and a section of the state dump. At most one line a second for each reason, so that another writer cannot fill the log. `heartbeat_ignored` replaces the unbounded `heartbeat_unreadable`. What the agent does with heartbeats is unchanged.

--- a/crocusrudder/workflows/agent_daemon.py
+++ b/crocusrudder/workflows/agent_daemon.py
@@ -100,7 +100,10 @@
             try:
                 heartbeat = heartbeats.decode_heartbeat(heartbeat_match[1], request.body)
             except errors.MalformedInputError as error:
-                self._log("heartbeat_unreadable", **error.to_dict())
+                self._state.record_unreadable_heartbeat(
+                    heartbeat_match[1], str(error), clocks.read_boot_time()
+                )
+                self._perform_effects()
                 return http_messages.make_json_response(400, error.to_dict())
             await self._handle_heartbeat(heartbeat)
         else:
@@ -121,6 +124,15 @@
                 accelerators=state.capacity.accelerators,
             )
             await self._updates.set()
+        self._perform_effects()
+
+    def _perform_effects(self) -> None:
+        for effect in self._state.drain_effects():
+            match effect:
+                case effects.Count():
+                    self._metrics.count(effect.name, effect.amount)
+                case effects.LogChange():
+                    logs.write_change(effect)
 
     # Orders of the owner
 
@@ -344,7 +356,12 @@
 
     def _dump(self) -> dict[str, object]:
         report = self._state.make_report(self._document.data_centre, clocks.read_boot_time())
-        return {"process": self._document.process, "owner": self._owner, "report": report}
+        return {
+            "process": self._document.process,
+            "owner": self._owner,
+            "report": report,
+            "heartbeats": self._state.describe_heartbeats(),
+        }
 
     def _log(self, name: str, **fields: object) -> None:
         logs.write_change(effects.LogChange(name, fields))
--- a/crocusrudder/workflows/agent_state.py
+++ b/crocusrudder/workflows/agent_state.py
@@ -6,9 +6,11 @@
 
 import msgspec
 
+from crocusrudder.core import effects
 from crocusrudder.core import ids
 from crocusrudder.platform import worker
 from crocusrudder.wire import workflow_messages
+from crocusrudder.workflows import heartbeat_log
 from crocusrudder.workflows import leases
 from crocusrudder.workflows import model
 from crocusrudder.workflows.decisions import crash_evidence
@@ -58,6 +60,7 @@
         self._owner_heard_at = float("-inf")
         self._deregistered_at: float | None = None
         self._crash_monitor = crash_evidence.CrashMonitor()
+        self._heartbeat_log = heartbeat_log.HeartbeatLog()
 
     @property
     def current_worker(self) -> workflow_messages.WorkerState | None:
@@ -114,6 +117,7 @@
         known = self._worker
         if known is not None and known.incarnation == state.incarnation:
             if sequence <= self._sequence:
+                self._ignore(heartbeat_log.IgnoreReason.REPEATED_SEQUENCE, state, sequence, now)
                 return False
             self._sequence = sequence
             self._worker = state
@@ -122,6 +126,7 @@
             return known != state
         if known is not None and state.born_ms < known.born_ms:
             # A delayed heartbeat of an earlier incarnation.
+            self._ignore(heartbeat_log.IgnoreReason.EARLIER_INCARNATION, state, sequence, now)
             return False
         self._worker = state
         self._sequence = sequence
@@ -129,8 +134,26 @@
             has_deregistered = self._deregistered_at is not None
             self._crash_monitor.handle_replacement(known, has_deregistered, now)
             self._start_incarnation(now)
+            self._heartbeat_log.record_replacement(known, state)
         return True
 
+    def record_unreadable_heartbeat(self, worker_id: str, error: str, now: float) -> None:
+        """Record a heartbeat that cannot be decoded."""
+        reason = heartbeat_log.IgnoreReason.UNREADABLE
+        self._heartbeat_log.record_ignored(reason, worker_id, 0, now, error=error)
+
+    def drain_effects(self) -> list[effects.LogChange | effects.Count]:
+        """Return the lines and counts about heartbeats since the last call, and clear them."""
+        return self._heartbeat_log.drain_effects()
+
+    def describe_heartbeats(self) -> dict[str, object]:
+        """Return what a state dump shows of heartbeats."""
+        return {
+            "sequence": self._sequence,
+            "ignored": self._heartbeat_log.ignored,
+            "worker_replacements": self._heartbeat_log.changes,
+        }
+
     def handle_deregistration(self, worker_id: str, now: float) -> None:
         """Record that a worker is ending, and all its runs with it."""
         if self._worker is not None and self._worker.worker == worker_id:
@@ -338,6 +361,24 @@
             self._crash_monitor.list_crashes(now),
         )
 
+    def _ignore(
+        self,
+        reason: heartbeat_log.IgnoreReason,
+        state: workflow_messages.WorkerState,
+        sequence: int,
+        now: float,
+    ) -> None:
+        self._heartbeat_log.record_ignored(
+            reason,
+            state.worker,
+            state.born_ms,
+            now,
+            sequence=sequence,
+            known_sequence=self._sequence,
+            followed=self._worker and self._worker.worker,
+            followed_born_ms=self._worker and self._worker.born_ms,
+        )
+
     def _resolve_blocked(self, requested_at: float, now: float) -> None:
         """Reject stopped runs that are missing from a list requested after the stop."""
         resolved = [run for run, stopped_at in self._blocked.items() if stopped_at < requested_at]
