Follow a worker only after it has answered a call that names it

Callers would see: a run that goes on after its job was cancelled (UNASKED), a task that is not started beside a free worker (LOST), and two runs of one task (TWICE). Cause: a heartbeat with a later time of birth replaced the followed worker at once. One from another writer with a `born` of 2**62 did so for good: orders for the real worker were void, the owner released its runs, and all later heartbeats of the real one counted as of an earlier incarnation. A worker that started again with an earlier time of birth was ignored for good, too. Change: a heartbeat of another incarnation makes it a candidate. The agent asks the worker at its address with a `hold` that names the id, extends no lease and acknowledges no end, and follows the candidate only if the response isn't 421 and has the same `born`. The first worker of an agent process is probed, too.

--- a/crocusrudder/platform/worker.py
+++ b/crocusrudder/platform/worker.py
@@ -80,6 +80,14 @@
     rejected: model.RejectReason | None = None
 
 
+class ProbeResponse(msgspec.Struct, frozen=True):
+    """Response of a worker that has the id that was asked for."""
+
+    born_ms: int
+    """Time of birth of the incarnation that responded; 0 if the response has none."""
+    is_stale_epoch: bool
+
+
 class WorkerClient:
     """Call one worker; ``worker`` names the incarnation that a call is meant for.
 
@@ -158,6 +166,16 @@
             raise errors.NotExecutedError(f"the worker responded with status {status}")
         return RunList(response.clock_ms, _convert_running(response), _convert_ended(response))
 
+    async def probe(self, worker: ids.WorkerId, epoch: int) -> ProbeResponse:
+        """Ask which incarnation of a worker responds.
+
+        The call extends no lease and acknowledges no end.
+        """
+        status, response = await self._call("hold", worker, {"fenceToken": epoch, "lastSeen": 0})
+        if status not in (_STATUS_OK, _STATUS_CONFLICT):
+            raise errors.NotExecutedError(f"the worker responded with status {status}")
+        return ProbeResponse(response.born, status == _STATUS_CONFLICT)
+
     async def _call(
         self, name: str, worker: str, content: dict[str, Any], wait_seconds: float = 0.0
     ) -> tuple[int, _WireResponse]:
--- a/crocusrudder/workflows/agent_daemon.py
+++ b/crocusrudder/workflows/agent_daemon.py
@@ -27,6 +27,7 @@
 from crocusrudder.workflows import model
 from crocusrudder.workflows import rows
 from crocusrudder.workflows import settings
+from crocusrudder.workflows import worker_prober
 
 POLL_WAIT_SECONDS = 0.5
 """Longest time the worker waits for an end before it responds; measurements cover half a second."""
@@ -54,6 +55,7 @@
         self._worker = worker.WorkerClient(document.worker_address)
         self._state = agent_state.AgentState(document.lease_max_ms / 1_000, clocks.read_boot_time())
         self._owner: ids.ProcessId | None = None
+        self._prober = worker_prober.WorkerProber(self._state, self._worker, self._handle_probe)
         self._updates = curio.Event()
         self._acknowledgements = curio.Event()
         self._worker_log = logs.DependencyMonitor("worker")
@@ -71,6 +73,7 @@
         async with curio.TaskGroup(wait=any) as group:
             await group.spawn(self._link.receive_forever, self._deliver)
             await group.spawn(self._link.retry_forever)
+            await group.spawn(self._prober.run_forever)
             await group.spawn(self._poll_runs_forever)
             await group.spawn(self._report_forever)
             await group.spawn(self._find_owner_forever)
@@ -100,7 +103,7 @@
             try:
                 heartbeat = heartbeats.decode_heartbeat(heartbeat_match[1], request.body)
             except errors.MalformedInputError as error:
-                self._state.record_unreadable_heartbeat(
+                self._state.identity.record_unreadable(
                     heartbeat_match[1], str(error), clocks.read_boot_time()
                 )
                 self._perform_effects()
@@ -111,23 +114,34 @@
         return http_messages.make_json_response(200, {})
 
     async def _handle_heartbeat(self, heartbeat: heartbeats.Heartbeat) -> None:
-        state = heartbeat.state
-        if self._state.handle_heartbeat(state, heartbeat.sequence, clocks.read_boot_time()):
-            self._log(
-                "worker_seen",
-                worker=state.worker,
-                born_ms=state.born_ms,
-                draining=state.draining,
-                cold=state.cold,
-                capacity=state.capacity.millicores,
-                memory_mb=state.capacity.memory_mb,
-                accelerators=state.capacity.accelerators,
-            )
-            await self._updates.set()
+        now = clocks.read_boot_time()
+        if self._state.handle_heartbeat(heartbeat.state, heartbeat.sequence, now):
+            await self._report_worker()
+        await self._prober.notify(now)
+        self._perform_effects()
+
+    async def _handle_probe(self, is_followed: bool) -> None:
+        if is_followed:
+            await self._report_worker()
         self._perform_effects()
 
+    async def _report_worker(self) -> None:
+        state = self._state.current_worker
+        self._log(
+            "worker_seen",
+            worker=state.worker,
+            born_ms=state.born_ms,
+            draining=state.draining,
+            cold=state.cold,
+            capacity=state.capacity.millicores,
+            memory_mb=state.capacity.memory_mb,
+            accelerators=state.capacity.accelerators,
+        )
+        await self._updates.set()
+
     def _perform_effects(self) -> None:
-        for effect in self._state.drain_effects():
+        """Perform the effects of heartbeats and probes."""
+        for effect in self._state.identity.drain_effects():
             match effect:
                 case effects.Count():
                     self._metrics.count(effect.name, effect.amount)
@@ -349,6 +363,7 @@
         if self._owner is not None:
             self._link.reconnect(self._owner)
         self._owner = row.holder
+        self._prober.record_row_epoch(row.epoch)
         self._link.record_address(row.holder, row.address)
         if self._document.process not in row.lost:
             self._state.record_grant(row.epoch, requested_at)
@@ -360,7 +375,7 @@
             "process": self._document.process,
             "owner": self._owner,
             "report": report,
-            "heartbeats": self._state.describe_heartbeats(),
+            "heartbeats": self._state.identity.describe(),
         }
 
     def _log(self, name: str, **fields: object) -> None:
--- a/crocusrudder/workflows/agent_state.py
+++ b/crocusrudder/workflows/agent_state.py
@@ -4,15 +4,12 @@
 follows from the last lease grant, and whether an order is recent enough to be executed.
 """
 
-import msgspec
-
-from crocusrudder.core import effects
 from crocusrudder.core import ids
 from crocusrudder.platform import worker
 from crocusrudder.wire import workflow_messages
-from crocusrudder.workflows import heartbeat_log
 from crocusrudder.workflows import leases
 from crocusrudder.workflows import model
+from crocusrudder.workflows import worker_identity
 from crocusrudder.workflows.decisions import crash_evidence
 
 REACHABLE_SECONDS = 1.5
@@ -32,8 +29,7 @@
 
     def __init__(self, lease_seconds: float, now: float) -> None:
         self._lease_seconds = min(leases.LEASE_SECONDS, lease_seconds)
-        self._worker: workflow_messages.WorkerState | None = None
-        self._sequence = -1
+        self._identity = worker_identity.WorkerIdentity()
         # An earlier agent process may have known of a greater capacity than this one.
         self._capacity_shrunk_at = now
         self._epoch = 0
@@ -60,12 +56,16 @@
         self._owner_heard_at = float("-inf")
         self._deregistered_at: float | None = None
         self._crash_monitor = crash_evidence.CrashMonitor()
-        self._heartbeat_log = heartbeat_log.HeartbeatLog()
 
     @property
     def current_worker(self) -> workflow_messages.WorkerState | None:
         """Return the state that the current worker sent last; None before the first heartbeat."""
-        return self._worker
+        return self._identity.followed
+
+    @property
+    def identity(self) -> worker_identity.WorkerIdentity:
+        """Return which worker is current, and the candidates to replace it."""
+        return self._identity
 
     @property
     def epoch(self) -> int:
@@ -113,51 +113,34 @@
     def handle_heartbeat(
         self, state: workflow_messages.WorkerState, sequence: int, now: float
     ) -> bool:
-        """Apply a heartbeat; return whether it changes the known state."""
-        known = self._worker
-        if known is not None and known.incarnation == state.incarnation:
-            if sequence <= self._sequence:
-                self._ignore(heartbeat_log.IgnoreReason.REPEATED_SEQUENCE, state, sequence, now)
-                return False
-            self._sequence = sequence
-            self._worker = state
-            if not known.capacity.is_within(state.capacity):
-                self._capacity_shrunk_at = now
-            return known != state
-        if known is not None and state.born_ms < known.born_ms:
-            # A delayed heartbeat of an earlier incarnation.
-            self._ignore(heartbeat_log.IgnoreReason.EARLIER_INCARNATION, state, sequence, now)
+        """Apply a heartbeat; return whether it changes the known state.
+
+        That of an incarnation other than the current one changes nothing until the worker has
+        answered a probe of it (see ``worker_identity``).
+        """
+        known = self.current_worker
+        if not self._identity.handle_heartbeat(state, sequence, now):
+            return False
+        if not known.capacity.is_within(state.capacity):
+            self._capacity_shrunk_at = now
+        return known != state
+
+    def record_probe_answer(
+        self, incarnation: worker_identity.Incarnation, born_ms: int, now: float
+    ) -> bool:
+        """Record a worker's response to a probe; return whether it is the current one now."""
+        known = self.current_worker
+        if not self._identity.record_probe_answer(incarnation, born_ms, now):
             return False
-        self._worker = state
-        self._sequence = sequence
         if known is not None:
             has_deregistered = self._deregistered_at is not None
             self._crash_monitor.handle_replacement(known, has_deregistered, now)
             self._start_incarnation(now)
-            self._heartbeat_log.record_replacement(known, state)
         return True
 
-    def record_unreadable_heartbeat(self, worker_id: str, error: str, now: float) -> None:
-        """Record a heartbeat that cannot be decoded."""
-        reason = heartbeat_log.IgnoreReason.UNREADABLE
-        self._heartbeat_log.record_ignored(reason, worker_id, 0, now, error=error)
-
-    def drain_effects(self) -> list[effects.LogChange | effects.Count]:
-        """Return the lines and counts about heartbeats since the last call, and clear them."""
-        return self._heartbeat_log.drain_effects()
-
-    def describe_heartbeats(self) -> dict[str, object]:
-        """Return what a state dump shows of heartbeats."""
-        return {
-            "sequence": self._sequence,
-            "ignored": self._heartbeat_log.ignored,
-            "worker_replacements": self._heartbeat_log.changes,
-        }
-
     def handle_deregistration(self, worker_id: str, now: float) -> None:
         """Record that a worker is ending, and all its runs with it."""
-        if self._worker is not None and self._worker.worker == worker_id:
-            self._worker = msgspec.structs.replace(self._worker, draining=True)
+        if self._identity.mark_draining(worker_id):
             self._deregistered_at = now
 
     def record_grant(self, epoch: int, requested_at: float) -> None:
@@ -181,7 +164,7 @@
             self._epoch = orders.epoch
         self._owner_heard_at = now
         self._granted_at = max(self._granted_at, orders.echo)
-        current = self._worker
+        current = self.current_worker
         if now - orders.echo > leases.ORDER_VALID_SECONDS or current is None:
             return None
         if current.incarnation != (orders.worker, orders.born_ms):
@@ -326,7 +309,7 @@
         self, worker_id: ids.WorkerId, is_connection_closed: bool, now: float
     ) -> None:
         """Record that a call to a worker failed, and whether its machine closed the connection."""
-        known = self._worker
+        known = self.current_worker
         if is_connection_closed and known is not None and known.worker == worker_id:
             self._crash_monitor.record_connection_closed(now)
 
@@ -346,7 +329,7 @@
             now,
             self._listed_epoch,
             self._orders_seen,
-            self._worker,
+            self.current_worker,
             now - self._responded_at < REACHABLE_SECONDS,
             expired,
             (*self._running.values(), *unlisted),
@@ -361,24 +344,6 @@
             self._crash_monitor.list_crashes(now),
         )
 
-    def _ignore(
-        self,
-        reason: heartbeat_log.IgnoreReason,
-        state: workflow_messages.WorkerState,
-        sequence: int,
-        now: float,
-    ) -> None:
-        self._heartbeat_log.record_ignored(
-            reason,
-            state.worker,
-            state.born_ms,
-            now,
-            sequence=sequence,
-            known_sequence=self._sequence,
-            followed=self._worker and self._worker.worker,
-            followed_born_ms=self._worker and self._worker.born_ms,
-        )
-
     def _resolve_blocked(self, requested_at: float, now: float) -> None:
         """Reject stopped runs that are missing from a list requested after the stop."""
         resolved = [run for run, stopped_at in self._blocked.items() if stopped_at < requested_at]
--- a/crocusrudder/workflows/heartbeat_log.py
+++ b/crocusrudder/workflows/heartbeat_log.py
@@ -19,8 +19,10 @@
 class IgnoreReason(enum.Enum):
     """Why a heartbeat does not change what the agent knows of its worker."""
 
-    EARLIER_INCARNATION = "earlier_incarnation"
+    REFUSED_BY_WORKER = "refused_by_worker"
     REPEATED_SEQUENCE = "repeated_sequence"
+    TOO_MANY_CANDIDATES = "too_many_candidates"
+    UNCONFIRMED = "unconfirmed"
     UNREADABLE = "unreadable"
 
 
--- /dev/null
+++ b/crocusrudder/workflows/worker_identity.py
@@ -0,0 +1,214 @@
+"""Which incarnation of a worker an agent follows.
+
+Anyone may send a heartbeat, so it only claims that an incarnation exists. The proof is the worker's
+own response to a call that names the incarnation. Until then the incarnation is a candidate, and
+the agent goes on with the worker that it follows. Times of birth and clocks give no order between
+incarnations, because either may be wrong or jump back.
+"""
+
+import msgspec
+
+from crocusrudder.core import effects
+from crocusrudder.core import ids
+from crocusrudder.wire import workflow_messages
+from crocusrudder.workflows import heartbeat_log
+
+MAX_CANDIDATES = 8
+"""Incarnations that wait for a probe; there is one worker, so more come from other writers."""
+CANDIDATE_SECONDS = 3.0
+"""Time after its last heartbeat for which a candidate is probed; heartbeats come each 1.1 s."""
+PROBE_RETRY_SECONDS = 0.1
+"""Delay before a probe without a usable response is repeated."""
+FOLLOWED_SILENCE_SECONDS = 3.0
+"""Time without a heartbeat of the followed worker, between two and three of their intervals, after
+which another one with its id counts although its time of birth is earlier."""
+
+Incarnation = tuple[ids.WorkerId, int]
+
+
+class SequenceFilter:
+    """Recognise late heartbeats of one incarnation by their numbers."""
+
+    def __init__(self, sequence: int, now: float) -> None:
+        self._last = sequence
+        self._admitted_at = now
+
+    @property
+    def last(self) -> int:
+        """Return the number of the last heartbeat that was admitted."""
+        return self._last
+
+    @property
+    def admitted_at(self) -> float:
+        """Return the time of the last heartbeat that was admitted."""
+        return self._admitted_at
+
+    def admit(self, sequence: int, now: float) -> bool:
+        """Return whether the heartbeat is not a late one."""
+        if sequence <= self._last:
+            return False
+        self._last = sequence
+        self._admitted_at = now
+        return True
+
+
+class _Candidate(msgspec.Struct):
+    state: workflow_messages.WorkerState
+    sequences: SequenceFilter
+    heard_at: float
+    due_at: float
+
+
+class WorkerIdentity:
+    """The worker that an agent follows, and the candidates to replace it."""
+
+    def __init__(self) -> None:
+        self._log = heartbeat_log.HeartbeatLog()
+        self._followed: workflow_messages.WorkerState | None = None
+        self._sequences = SequenceFilter(-1, float("-inf"))
+        self._candidates: dict[Incarnation, _Candidate] = {}
+        """Candidates, that of the latest heartbeat last."""
+
+    @property
+    def followed(self) -> workflow_messages.WorkerState | None:
+        """Return the last state of the worker that the agent follows; None before the first."""
+        return self._followed
+
+    def describe(self) -> dict[str, object]:
+        """Return what a state dump shows."""
+        return {
+            "sequence": self._sequences.last,
+            "candidates": list(self._candidates),
+            "ignored": self._log.ignored,
+            "worker_replacements": self._log.changes,
+        }
+
+    def drain_effects(self) -> list[effects.LogChange | effects.Count]:
+        """Return the lines and counts since the last call, and clear them."""
+        return self._log.drain_effects()
+
+    def record_unreadable(self, worker_id: str, error: str, now: float) -> None:
+        """Record a heartbeat that cannot be decoded."""
+        reason = heartbeat_log.IgnoreReason.UNREADABLE
+        self._log.record_ignored(reason, worker_id, 0, now, error=error)
+
+    def handle_heartbeat(
+        self, state: workflow_messages.WorkerState, sequence: int, now: float
+    ) -> bool:
+        """Apply a heartbeat; return whether it is the latest one of the followed incarnation.
+
+        A heartbeat of any other incarnation makes it a candidate, to be probed at once.
+        """
+        self._drop_expired(now)
+        if self._followed is None or self._followed.incarnation != state.incarnation:
+            self._add_candidate(state, sequence, now)
+            return False
+        if not self._sequences.admit(sequence, now):
+            reason = heartbeat_log.IgnoreReason.REPEATED_SEQUENCE
+            self._ignore(reason, state, now, sequence=sequence)
+            return False
+        self._followed = state
+        return True
+
+    def mark_draining(self, worker_id: str) -> bool:
+        """Let the followed worker be draining if it has this id; return whether it has."""
+        if self._followed is None or self._followed.worker != worker_id:
+            return False
+        self._followed = msgspec.structs.replace(self._followed, draining=True)
+        return True
+
+    def get_probe_delay(self, now: float) -> float | None:
+        """Return the time until the next probe is due; None if there is none."""
+        self._drop_expired(now)
+        due_at = min((each.due_at for each in self._candidates.values()), default=None)
+        return None if due_at is None else max(due_at - now, 0.0)
+
+    def find_probe(self, now: float) -> workflow_messages.WorkerState | None:
+        """Return the candidate to probe, the one heard last if several are due."""
+        self._drop_expired(now)
+        due = [each.state for each in self._candidates.values() if each.due_at <= now]
+        return due[-1] if due else None
+
+    def record_probe_failure(self, incarnation: Incarnation, now: float) -> None:
+        """Record a probe without a usable response, which proves nothing."""
+        candidate = self._candidates.get(incarnation)
+        if candidate is not None:
+            candidate.due_at = now + PROBE_RETRY_SECONDS
+
+    def record_probe_refusal(self, incarnation: Incarnation, now: float) -> None:
+        """Record that another worker responded to the probe."""
+        candidate = self._candidates.pop(incarnation, None)
+        if candidate is not None:
+            self._ignore(heartbeat_log.IgnoreReason.REFUSED_BY_WORKER, candidate.state, now)
+
+    def record_probe_answer(self, incarnation: Incarnation, born_ms: int, now: float) -> bool:
+        """Record that a worker with the candidate's id responded; return whether it is followed.
+
+        ``born_ms`` is the time of birth in the response, 0 if it has none.
+        """
+        candidate = self._candidates.get(incarnation)
+        if candidate is None:
+            return False
+        if not self._is_proven(candidate.state, born_ms, now):
+            self.record_probe_refusal(incarnation, now)
+            return False
+        del self._candidates[incarnation]
+        if self._followed is not None:
+            self._log.record_replacement(self._followed, candidate.state)
+        self._followed = candidate.state
+        self._sequences = candidate.sequences
+        return True
+
+    def _is_proven(self, claimed: workflow_messages.WorkerState, born_ms: int, now: float) -> bool:
+        if born_ms:
+            return claimed.born_ms == born_ms
+        known = self._followed
+        if known is None or known.worker != claimed.worker:
+            return True
+        # Only the heartbeats tell these incarnations apart. A delayed one of the earlier does not
+        # count while the later one sends its own.
+        is_silent = now - self._sequences.admitted_at >= FOLLOWED_SILENCE_SECONDS
+        return claimed.born_ms > known.born_ms or is_silent
+
+    def _add_candidate(
+        self, state: workflow_messages.WorkerState, sequence: int, now: float
+    ) -> None:
+        candidate = self._candidates.pop(state.incarnation, None)
+        if candidate is None:
+            candidate = _Candidate(state, SequenceFilter(sequence, now), now, now)
+        elif candidate.sequences.admit(sequence, now):
+            candidate.state = state
+        candidate.heard_at = candidate.due_at = now
+        self._candidates[state.incarnation] = candidate
+        if len(self._candidates) > MAX_CANDIDATES:
+            oldest = self._candidates.pop(next(iter(self._candidates)))
+            self._ignore(heartbeat_log.IgnoreReason.TOO_MANY_CANDIDATES, oldest.state, now)
+
+    def _drop_expired(self, now: float) -> None:
+        expired = [
+            incarnation
+            for incarnation, candidate in self._candidates.items()
+            if now - candidate.heard_at > CANDIDATE_SECONDS
+        ]
+        for incarnation in expired:
+            state = self._candidates.pop(incarnation).state
+            self._ignore(heartbeat_log.IgnoreReason.UNCONFIRMED, state, now)
+
+    def _ignore(
+        self,
+        reason: heartbeat_log.IgnoreReason,
+        state: workflow_messages.WorkerState,
+        now: float,
+        **fields: object,
+    ) -> None:
+        known = self._followed
+        self._log.record_ignored(
+            reason,
+            state.worker,
+            state.born_ms,
+            now,
+            **fields,
+            known_sequence=self._sequences.last,
+            followed=known and known.worker,
+            followed_born_ms=known and known.born_ms,
+        )
--- a/tests/workflows/decisions/test_crash_evidence.py
+++ b/tests/workflows/decisions/test_crash_evidence.py
@@ -8,6 +8,7 @@
 from crocusrudder.workflows import model
 from crocusrudder.workflows.decisions import crash_evidence
 from tests.workflows import test_agent_state
+from tests.workflows import world
 
 OLD = ("j.0.0.0", 1)
 FRESH = ("j.0.0.1", 2)
@@ -19,7 +20,7 @@
     def setUp(self):
         self.state = agent_state.AgentState(6.0, 100.0)
         self.worker = test_agent_state.make_worker()
-        self.state.handle_heartbeat(self.worker, 1, 100.0)
+        world.follow_worker(self.state, self.worker, 1, 100.0)
         self._start(OLD, 100.0)
         self._list(105.0, OLD)
         self._start(FRESH, 105.1)
@@ -38,7 +39,7 @@
 
     def _replace(self, at: float = 110.0):
         """Register the next incarnation; return the suspects of each crash reported then."""
-        self.state.handle_heartbeat(test_agent_state.make_worker("w2", 9), 1, at)
+        world.follow_worker(self.state, test_agent_state.make_worker("w2", 9), 1, at)
         crashes = self.state.make_report(ids.DataCentre("z"), at).crashes
         return [[(run.task, run.run) for run in crash.suspects] for crash in crashes]
 
--- a/tests/workflows/shared_workers.py
+++ b/tests/workflows/shared_workers.py
@@ -224,7 +224,7 @@
             state.get_lease_end_ms(now)
             return
         self.heartbeats += 1
-        self.is_changed |= state.handle_heartbeat(worker.state, self.heartbeats, now)
+        self.is_changed |= world.follow_worker(state, worker.state, self.heartbeats, now)
         if state.epoch and state.epoch >= worker.fence:
             worker.fence = state.epoch
             lease = state.get_lease_end_ms(now)
--- a/tests/workflows/test_agent_daemon.py
+++ b/tests/workflows/test_agent_daemon.py
@@ -14,6 +14,7 @@
 from crocusrudder.workflows import agent_daemon
 from crocusrudder.workflows import settings
 from tests.platform import test_messages
+from tests.workflows import world
 
 ENDED = workflow_messages.EndedRun(1, "j.0.0.0", 1, "done")
 ROUNDS = 50
@@ -97,7 +98,7 @@
         async def start() -> None:
             state = self.agent._state
             now = agent_daemon.clocks.read_boot_time()
-            state.handle_heartbeat(self.worker, 1, now)
+            world.follow_worker(state, self.worker, 1, now)
             orders = state.handle_orders(
                 msgspec.structs.replace(self._make_orders(0), starts=(order,)), now
             )
@@ -123,7 +124,7 @@
         async def stop() -> workflow_messages.AgentOrders:
             state = self.agent._state
             now = agent_daemon.clocks.read_boot_time()
-            state.handle_heartbeat(self.worker, 1, now)
+            world.follow_worker(state, self.worker, 1, now)
             orders = msgspec.structs.replace(self._make_orders(0), stops=(run,))
             await self.agent._stop(state.handle_orders(orders, now), run)
             self.assertEqual((), state.handle_orders(orders, now).stops)
@@ -145,7 +146,7 @@
         envelope = messages.Envelope(1, 0, ids.ProcessId("e1"), ids.Incarnation("i"), "", "", None)
 
         async def poll() -> tuple[int, int]:
-            self.agent._state.handle_heartbeat(self.worker, 1, 0.0)
+            world.follow_worker(self.agent._state, self.worker, 1, 0.0)
             await self.agent._deliver(envelope, self._make_orders(0))
             polling = await curio.spawn(self.agent._poll_runs_forever)
             for _ in range(ROUNDS):
@@ -166,7 +167,7 @@
         # numbers have already been acknowledged: the task of such an end runs again.
         client = worker.WorkerClient("127.0.0.1:9")
         self.agent._worker = client
-        self.agent._state.handle_heartbeat(self.worker, 1, 0.0)
+        world.follow_worker(self.agent._state, self.worker, 1, 0.0)
         listed = {"clockMs": 900_000, "born": 1, "running": [["j.0.0.0", 7, "", 5]], "ended": []}
         restarted = {
             "clockMs": 90,
@@ -197,7 +198,7 @@
         client._http = test_messages.FakeHttp(listed, broken, listed, listed)
 
         async def poll() -> None:
-            self.agent._state.handle_heartbeat(self.worker, 1, 0.0)
+            world.follow_worker(self.agent._state, self.worker, 1, 0.0)
             self.agent._state.handle_orders(self._make_orders(58), 0.0)
             for _ in range(4):
                 await self.agent._poll_runs(self.worker)
--- a/tests/workflows/test_agent_state.py
+++ b/tests/workflows/test_agent_state.py
@@ -11,6 +11,7 @@
 from crocusrudder.workflows import agent_state
 from crocusrudder.workflows import leases
 from crocusrudder.workflows import model
+from tests.workflows import world
 
 RUN = ("j.0.0.0", 7)
 START = workflow_messages.StartOrder(*RUN, "spec")
@@ -30,7 +31,7 @@
 class AgentStateTest(unittest.TestCase):
     def setUp(self):
         self.state = agent_state.AgentState(6.0, 100.0)
-        self.state.handle_heartbeat(make_worker(), 1, 100.0)
+        world.follow_worker(self.state, make_worker(), 1, 100.0)
 
     def _list(self, at: float, *running, ended=()) -> None:
         runs = tuple(workflow_messages.RunningTask(*run) for run in running)
@@ -59,7 +60,7 @@
         self.assertIsNone(self.state.handle_orders(make_orders(1, 100.0), 100.0))
 
     def test_orders_for_another_incarnation_of_the_worker_are_rejected(self):
-        self.state.handle_heartbeat(make_worker(born_ms=9), 1, 100.0)
+        world.follow_worker(self.state, make_worker(born_ms=9), 1, 100.0)
         self.assertIsNone(self.state.handle_orders(make_orders(1, 100.0), 100.0))
 
     def test_a_start_planned_before_the_capacity_shrank_is_rejected(self):
@@ -68,11 +69,11 @@
         order = msgspec.structs.replace(START, planned_on=100.4)
         smaller = msgspec.structs.replace(make_worker(), capacity=messages.Resources(8_000, 50, 0))
         self.assertIsNone(self.state.find_rejection(order, 100.4, 100.5))
-        self.state.handle_heartbeat(smaller, 2, 100.5)
+        world.follow_worker(self.state, smaller, 2, 100.5)
         self.assertIs(
             model.RejectReason.NO_CAPACITY, self.state.find_rejection(order, 100.4, 100.6)
         )
-        self.state.handle_heartbeat(make_worker(), 3, 100.7)
+        world.follow_worker(self.state, make_worker(), 3, 100.7)
         later = msgspec.structs.replace(START, planned_on=100.5)
         self.assertIsNone(self.state.find_rejection(later, 100.5, 100.8))
         restarted = agent_state.AgentState(6.0, 100.6)
@@ -132,8 +133,9 @@
         self.assertEqual((), self._report(100.7).running)
 
     def test_a_delayed_heartbeat_of_an_earlier_incarnation_is_ignored(self):
-        self.state.handle_heartbeat(make_worker("w2", 9), 1, 101.0)
+        world.follow_worker(self.state, make_worker("w2", 9), 1, 101.0)
         self.assertFalse(self.state.handle_heartbeat(make_worker(), 50, 101.1))
+        world.answer_probes(self.state, make_worker("w2", 9), 101.1)
         self.assertEqual("w2", self.state.current_worker.worker)
 
     def test_an_unanswered_start_does_not_outlive_the_lease(self):
@@ -155,7 +157,7 @@
         self.assertFalse(self._report(101.0 + agent_state.DEREGISTRATION_TIMEOUT_SECONDS).left)
         report = self._report(101.6 + agent_state.DEREGISTRATION_TIMEOUT_SECONDS)
         self.assertEqual((True, True, ()), (report.left, report.lapsed, report.running))
-        self.state.handle_heartbeat(make_worker(born_ms=9), 1, 103.0)
+        world.follow_worker(self.state, make_worker(born_ms=9), 1, 103.0)
         self.assertFalse(self._report(103.0).left)
 
     def test_a_restarted_agent_does_not_report_expired_leases_early(self):
--- a/tests/workflows/world.py
+++ b/tests/workflows/world.py
@@ -134,6 +134,33 @@
         self.ended.append(workflow_messages.EndedRun(self.last_end_number, run[0], run[1], how))
 
 
+def answer_probes(
+    state: agent_state.AgentState, worker: workflow_messages.WorkerState, now: float
+) -> bool:
+    """Let a worker answer the probes of its agent; return whether the agent follows another one."""
+    is_followed = False
+    while (candidate := state.identity.find_probe(now)) is not None:
+        if candidate.worker != worker.worker:
+            state.identity.record_probe_refusal(candidate.incarnation, now)
+        else:
+            is_followed |= state.record_probe_answer(candidate.incarnation, worker.born_ms, now)
+    return is_followed
+
+
+def follow_worker(
+    state: agent_state.AgentState,
+    worker: workflow_messages.WorkerState,
+    sequence: int,
+    now: float,
+) -> bool:
+    """Let a worker that runs send a heartbeat and answer its agent's probes.
+
+    Return whether the known state has changed.
+    """
+    is_changed = state.handle_heartbeat(worker, sequence, now)
+    return answer_probes(state, worker, now) or is_changed
+
+
 class FakeAgent:
     """An agent's state together with the worker that it manages."""
 
@@ -163,7 +190,7 @@
             return
         known = self.state.current_worker
         if now >= self.worker.heartbeats_from:
-            self.state.handle_heartbeat(self.worker.state, self.heartbeats, now)
+            follow_worker(self.state, self.worker.state, self.heartbeats, now)
         if known is not None and known.incarnation != self.worker.state.incarnation:
             # The poll fails with WrongWorkerError; the report precedes the next one.
             self.state.record_poll_failure(now)
