Correct a heartbeat number that makes all later heartbeats look late

Callers would see: a worker that drains and still gets starts (DRAIN), or one whose capacity or service is taken wrongly until it restarts. Cause: a heartbeat of the followed incarnation at or below the greatest `seq` is ignored. One with a huge `seq`, from another writer, hid all later ones for good. Change: a step of more than 10,000 is as implausible as one backwards. Three heartbeats in order beside the expected range, while none has arrived within it for 3 s, set the mark anew. Late heartbeats arrive beside or shortly after newer ones, so they pass neither condition.

--- a/crocusrudder/workflows/worker_identity.py
+++ b/crocusrudder/workflows/worker_identity.py
@@ -20,18 +20,28 @@
 PROBE_RETRY_SECONDS = 0.1
 """Delay before a probe without a usable response is repeated."""
 FOLLOWED_SILENCE_SECONDS = 3.0
-"""Time without a heartbeat of the followed worker, between two and three of their intervals, after
-which another one with its id counts although its time of birth is earlier."""
+"""Time without a heartbeat, between two and three of their intervals, after which the mark that
+made the heartbeats of a worker look late may be wrong."""
+MAX_SEQUENCE_STEP = 10_000
+"""Greatest plausible step between two heartbeats that arrive; at one a second this takes 2.8 h."""
+RESUMING_HEARTBEATS = 3
+"""Consecutive heartbeats beside the expected range after which their numbers are believed."""
 
 Incarnation = tuple[ids.WorkerId, int]
 
 
 class SequenceFilter:
-    """Recognise late heartbeats of one incarnation by their numbers."""
+    """Recognise late heartbeats of one incarnation by their numbers.
+
+    A number may come from another writer, so that the worker's own heartbeats look late. Several of
+    them in order, without any in the expected range, correct the mark.
+    """
 
     def __init__(self, sequence: int, now: float) -> None:
         self._last = sequence
         self._admitted_at = now
+        self._other = -1
+        self._other_count = 0
 
     @property
     def last(self) -> int:
@@ -45,12 +55,22 @@
 
     def admit(self, sequence: int, now: float) -> bool:
         """Return whether the heartbeat is not a late one."""
-        if sequence <= self._last:
+        if sequence == self._last:
+            return False
+        if not _is_next(self._last, sequence) and not self._is_resuming(sequence, now):
             return False
         self._last = sequence
         self._admitted_at = now
+        self._other_count = 0
         return True
 
+    def _is_resuming(self, sequence: int, now: float) -> bool:
+        is_continued = self._other_count > 0 and _is_next(self._other, sequence)
+        self._other_count = self._other_count + 1 if is_continued else 1
+        self._other = sequence
+        is_silent = now - self._admitted_at >= FOLLOWED_SILENCE_SECONDS
+        return is_silent and self._other_count >= RESUMING_HEARTBEATS
+
 
 class _Candidate(msgspec.Struct):
     state: workflow_messages.WorkerState
@@ -212,3 +232,7 @@
             followed=known and known.worker,
             followed_born_ms=known and known.born_ms,
         )
+
+
+def _is_next(earlier: int, later: int) -> bool:
+    return 0 < later - earlier <= MAX_SEQUENCE_STEP
--- a/tests/workflows/test_worker_identity.py
+++ b/tests/workflows/test_worker_identity.py
@@ -181,6 +181,42 @@
         self.assertEqual(real, self.state.identity.find_probe(100.1))
 
 
+class SequenceTest(unittest.TestCase):
+    """A worker at its 50th heartbeat, and heartbeats of its incarnation with other numbers."""
+
+    def setUp(self):
+        self.state = agent_state.AgentState(6.0, 100.0)
+        self.worker = test_agent_state.make_worker()
+        self.draining = msgspec.structs.replace(self.worker, draining=True)
+        world.follow_worker(self.state, self.worker, 50, 100.0)
+
+    def test_a_heartbeat_with_a_huge_number_does_not_make_the_later_ones_late(self):
+        # Guards against DRAIN: an agent that ignores all later heartbeats of its worker.
+        odd = msgspec.structs.replace(self.worker, service=ids.ServiceName("odd"))
+        self.assertFalse(self.state.handle_heartbeat(odd, FAR_FUTURE_MS, 100.5))
+        self.assertTrue(self.state.handle_heartbeat(self.draining, 51, 101.1))
+
+    def test_a_wrong_mark_yields_to_several_heartbeats_in_order(self):
+        self.state.handle_heartbeat(self.worker, 5_000, 100.5)
+        results = [
+            self.state.handle_heartbeat(self.draining, 51 + number, 101.1 + number * INTERVAL)
+            for number in range(4)
+        ]
+        self.assertEqual([False, False, False, True], results)
+
+    def test_late_heartbeats_do_not_pass_while_newer_ones_arrive(self):
+        for number in range(6):
+            at = 101.1 + number * INTERVAL
+            self.state.handle_heartbeat(self.worker, 51 + number, at)
+            self.assertFalse(self.state.handle_heartbeat(self.draining, 40 + number, at))
+
+    def test_a_burst_of_late_heartbeats_does_not_pass(self):
+        # Guards against a drained worker that takes starts again after delayed heartbeats.
+        self.state.handle_heartbeat(self.draining, 51, 101.0)
+        for number in range(5):
+            self.assertFalse(self.state.handle_heartbeat(self.worker, 40 + number, 101.5))
+
+
 class Address:
     """The address of one worker, with its incarnations one after the other."""
 
@@ -204,7 +240,7 @@
         """Return the state and number of a heartbeat by another writer."""
         names = [each.worker for each in self.lived] + ["odd-1", "odd-2"]
         born = self._rng.choice((0, 1, self.worker.born_ms, FAR_FUTURE_MS))
-        sequence = self._rng.choice((0, self.sequence))
+        sequence = self._rng.choice((0, self.sequence + 3, 2**40, FAR_FUTURE_MS))
         odd = test_agent_state.make_worker(self._rng.choice(names), born)
         return msgspec.structs.replace(odd, service=ids.ServiceName("odd")), sequence
 
