Withdraw a deregistration after which the worker sends heartbeats

Callers would see: two runs of one task (TWICE), because the owner released the runs of a worker that paused for 0.7 s, however long after a deregistration that another writer had sent. Cause: only a replacement ended the state of a deregistered worker, its own heartbeats did not. Change: two heartbeats of the followed incarnation after a deregistration withdraw it, which is logged and counted. One may be a delayed one. Deregistrations of other ids are counted, and no longer start a task each. Result: on the code before, 1 of the 2 tests of DeregistrationTest fails (left is true for the live worker); the other one guards the present behaviour.

--- a/crocusrudder/workflows/agent_daemon.py
+++ b/crocusrudder/workflows/agent_daemon.py
@@ -94,11 +94,7 @@
         heartbeat_match = heartbeats.HEARTBEAT_PATH.fullmatch(request.target)
         deregistration_match = heartbeats.DEREGISTER_PATH.fullmatch(request.target)
         if deregistration_match:
-            self._state.handle_deregistration(deregistration_match[1], clocks.read_boot_time())
-            self._log("worker_signed_off", worker=deregistration_match[1])
-            await curio.spawn(
-                self._report_after, agent_state.DEREGISTRATION_TIMEOUT_SECONDS, daemon=True
-            )
+            await self._handle_deregistration(deregistration_match[1])
         elif heartbeat_match:
             try:
                 heartbeat = heartbeats.decode_heartbeat(heartbeat_match[1], request.body)
@@ -120,6 +116,15 @@
         await self._prober.notify(now)
         self._perform_effects()
 
+    async def _handle_deregistration(self, worker_id: str) -> None:
+        if not self._state.handle_deregistration(worker_id, clocks.read_boot_time()):
+            self._metrics.count("deregistrations_ignored")
+            return
+        self._log("worker_signed_off", worker=worker_id)
+        await curio.spawn(
+            self._report_after, agent_state.DEREGISTRATION_TIMEOUT_SECONDS, daemon=True
+        )
+
     async def _handle_probe(self, is_followed: bool) -> None:
         if is_followed:
             await self._report_worker()
--- a/crocusrudder/workflows/agent_state.py
+++ b/crocusrudder/workflows/agent_state.py
@@ -54,7 +54,6 @@
         self._orders_seen = 0
         self._acknowledged = 0
         self._owner_heard_at = float("-inf")
-        self._deregistered_at: float | None = None
         self._crash_monitor = crash_evidence.CrashMonitor()
 
     @property
@@ -119,29 +118,30 @@
         answered a probe of it (see ``worker_identity``).
         """
         known = self.current_worker
-        if not self._identity.handle_heartbeat(state, sequence, now):
+        self._identity.handle_heartbeat(state, sequence, now)
+        current = self.current_worker
+        if current is None or known == current:
             return False
-        if not known.capacity.is_within(state.capacity):
+        if not known.capacity.is_within(current.capacity):
             self._capacity_shrunk_at = now
-        return known != state
+        return True
 
     def record_probe_answer(
         self, incarnation: worker_identity.Incarnation, born_ms: int, now: float
     ) -> bool:
         """Record a worker's response to a probe; return whether it is the current one now."""
         known = self.current_worker
+        has_deregistered = self._identity.deregistered_at is not None
         if not self._identity.record_probe_answer(incarnation, born_ms, now):
             return False
         if known is not None:
-            has_deregistered = self._deregistered_at is not None
             self._crash_monitor.handle_replacement(known, has_deregistered, now)
             self._start_incarnation(now)
         return True
 
-    def handle_deregistration(self, worker_id: str, now: float) -> None:
-        """Record that a worker is ending, and all its runs with it."""
-        if self._identity.mark_draining(worker_id):
-            self._deregistered_at = now
+    def handle_deregistration(self, worker_id: str, now: float) -> bool:
+        """Record that a worker is ending with its runs; return whether it is the current one."""
+        return self._identity.handle_deregistration(worker_id, now)
 
     def record_grant(self, epoch: int, requested_at: float) -> None:
         """Record that the owner's row granted renewals as of a time on the agent's clock.
@@ -361,11 +361,10 @@
 
     def _has_worker_ended(self, now: float) -> bool:
         """Return whether the worker has deregistered and no longer responds."""
-        if self._deregistered_at is None:
+        at = self._identity.deregistered_at
+        if at is None:
             return False
-        return (
-            now - max(self._deregistered_at, self._responded_at) >= DEREGISTRATION_TIMEOUT_SECONDS
-        )
+        return now - max(at, self._responded_at) >= DEREGISTRATION_TIMEOUT_SECONDS
 
     def _is_listed_as_ended(self, run: model.RunKey) -> bool:
         return any((entry.task, entry.run) == run for entry in self._ended.values())
@@ -389,7 +388,6 @@
     def _start_incarnation(self, now: float) -> None:
         self._clear_runs()
         self._clock = None
-        self._deregistered_at = None
         self._listed_epoch = 0
         self._responded_at = float("-inf")
         self._lease_until = now
--- a/crocusrudder/workflows/heartbeat_log.py
+++ b/crocusrudder/workflows/heartbeat_log.py
@@ -100,3 +100,9 @@
             "old_born_ms": old.born_ms,
         }
         self._effects.append(effects.LogChange("worker_replaced", line))
+
+    def record_live(self, worker: workflow_messages.WorkerState) -> None:
+        """Count and log that a worker sends heartbeats after its deregistration."""
+        self._effects.append(effects.Count("deregistrations_withdrawn"))
+        line = {"worker": worker.worker, "born_ms": worker.born_ms}
+        self._effects.append(effects.LogChange("deregistration_withdrawn", line))
--- a/crocusrudder/workflows/worker_identity.py
+++ b/crocusrudder/workflows/worker_identity.py
@@ -24,6 +24,8 @@
 made the heartbeats of a worker look late may be wrong."""
 MAX_SEQUENCE_STEP = 10_000
 """Greatest plausible step between two heartbeats that arrive; at one a second this takes 2.8 h."""
+HEARTBEATS_OF_LIVE_WORKER = 2
+"""Heartbeats after a deregistration that show that another writer sent it; one may be delayed."""
 RESUMING_HEARTBEATS = 3
 """Consecutive heartbeats beside the expected range after which their numbers are believed."""
 
@@ -86,6 +88,9 @@
         self._log = heartbeat_log.HeartbeatLog()
         self._followed: workflow_messages.WorkerState | None = None
         self._sequences = SequenceFilter(-1, float("-inf"))
+        self._deregistered_at: float | None = None
+        self._heartbeats_since = 0
+        """Heartbeats of the followed worker since its deregistration."""
         self._candidates: dict[Incarnation, _Candidate] = {}
         """Candidates, that of the latest heartbeat last."""
 
@@ -94,6 +99,11 @@
         """Return the last state of the worker that the agent follows; None before the first."""
         return self._followed
 
+    @property
+    def deregistered_at(self) -> float | None:
+        """Return when the followed worker deregistered; None if it has not."""
+        return self._deregistered_at
+
     def describe(self) -> dict[str, object]:
         """Return what a state dump shows."""
         return {
@@ -114,27 +124,28 @@
 
     def handle_heartbeat(
         self, state: workflow_messages.WorkerState, sequence: int, now: float
-    ) -> bool:
-        """Apply a heartbeat; return whether it is the latest one of the followed incarnation.
+    ) -> None:
+        """Apply a heartbeat of the followed incarnation.
 
-        A heartbeat of any other incarnation makes it a candidate, to be probed at once.
+        One of any other incarnation makes it a candidate, to be probed at once.
         """
         self._drop_expired(now)
         if self._followed is None or self._followed.incarnation != state.incarnation:
             self._add_candidate(state, sequence, now)
-            return False
-        if not self._sequences.admit(sequence, now):
+        elif self._sequences.admit(sequence, now):
+            self._followed = state
+            self._withdraw_deregistration()
+        else:
             reason = heartbeat_log.IgnoreReason.REPEATED_SEQUENCE
             self._ignore(reason, state, now, sequence=sequence)
-            return False
-        self._followed = state
-        return True
 
-    def mark_draining(self, worker_id: str) -> bool:
-        """Let the followed worker be draining if it has this id; return whether it has."""
+    def handle_deregistration(self, worker_id: str, now: float) -> bool:
+        """Record that a worker is ending; return whether it is the followed one."""
         if self._followed is None or self._followed.worker != worker_id:
             return False
         self._followed = msgspec.structs.replace(self._followed, draining=True)
+        self._deregistered_at = now
+        self._heartbeats_since = 0
         return True
 
     def get_probe_delay(self, now: float) -> float | None:
@@ -177,8 +188,17 @@
             self._log.record_replacement(self._followed, candidate.state)
         self._followed = candidate.state
         self._sequences = candidate.sequences
+        self._deregistered_at = None
         return True
 
+    def _withdraw_deregistration(self) -> None:
+        if self._deregistered_at is None:
+            return
+        self._heartbeats_since += 1
+        if self._heartbeats_since >= HEARTBEATS_OF_LIVE_WORKER:
+            self._deregistered_at = None
+            self._log.record_live(self._followed)
+
     def _is_proven(self, claimed: workflow_messages.WorkerState, born_ms: int, now: float) -> bool:
         if born_ms:
             return claimed.born_ms == born_ms
--- a/tests/workflows/test_worker_identity.py
+++ b/tests/workflows/test_worker_identity.py
@@ -217,6 +217,32 @@
             self.assertFalse(self.state.handle_heartbeat(self.worker, 40 + number, 101.5))
 
 
+class DeregistrationTest(unittest.TestCase):
+    """A worker that is signed off at 101 s, and at 110 s does not answer for a while."""
+
+    def setUp(self):
+        self.state = agent_state.AgentState(6.0, 100.0)
+        self.worker = test_agent_state.make_worker()
+        world.follow_worker(self.state, self.worker, 1, 100.0)
+        self.state.handle_deregistration("w1", 101.0)
+
+    def _has_left(self) -> bool:
+        self.state.record_response(1_000, 110.0)
+        at = 110.0 + agent_state.DEREGISTRATION_TIMEOUT_SECONDS
+        return self.state.make_report(ids.DataCentre("z"), at).left
+
+    def test_a_worker_that_goes_on_with_heartbeats_has_not_left_when_it_pauses(self):
+        # Guards against TWICE: the owner released the runs of a worker that paused for 0.7 s, long
+        # after another writer had signed it off.
+        for number in (2, 3):
+            self.state.handle_heartbeat(self.worker, number, 101.0 + number)
+        self.assertFalse(self._has_left())
+
+    def test_one_delayed_heartbeat_does_not_hide_that_a_worker_has_left(self):
+        self.state.handle_heartbeat(self.worker, 2, 101.1)
+        self.assertTrue(self._has_left())
+
+
 class Address:
     """The address of one worker, with its incarnations one after the other."""
 
