Stop starts on a draining worker whose heartbeat looks late

Callers would see: starts on a worker that drains (DRAIN), for up to 4.1 s after an odd heartbeat has set the mark of its sequence slightly too high. The agent acknowledges the heartbeat with a 200. Cause: a heartbeat that looks late changes nothing. Change: it marks the followed incarnation as draining if it says so, until the next regular heartbeat. A worker that drains does not become ready again, so a late notice is still true.

--- a/crocusrudder/workflows/worker_identity.py
+++ b/crocusrudder/workflows/worker_identity.py
@@ -138,6 +138,9 @@
         else:
             reason = heartbeat_log.IgnoreReason.REPEATED_SEQUENCE
             self._ignore(reason, state, now, sequence=sequence)
+            if state.draining and not self._followed.draining:
+                # A worker that drains does not become ready again, so a late notice holds, too.
+                self._followed = msgspec.structs.replace(self._followed, draining=True)
 
     def handle_deregistration(self, worker_id: str, now: float) -> bool:
         """Record that a worker is ending; return whether it is the followed one."""
