Replace a connection between processes within two seconds of silence

What callers see: a cancelled run goes on, and tasks wait beside free workers, for up to 20 s after open connections have gone silent, which the platform may let happen at any time. Cause: only the keep-alive notices a silent connection from the owner to an agent, after 15 to 20 s. The agent reads the owner's row meanwhile and renews its worker's lease by it, so the run ends neither by a stop nor with its lease. No other code replaces a connection towards agents or entries. An attempt to connect had no timeout either: one that began during a partition is repeated by the system after 1, 3, 7 and 15 s.

Change: heartbeats every 0.6 s with a timeout of 1.2 s, so that the silence is shorter than an order is valid, a timeout of 1 s for an attempt to connect, and a time to live after which the receiver closes a dead connection. It holds for all messages between processes, in both directions.

--- a/crocusrudder/wire/transport.py
+++ b/crocusrudder/wire/transport.py
@@ -28,8 +28,16 @@
 per second, polling took more than half of the CPU time of an idle agent."""
 RECEIVE_BATCH = 64
 PEER_QUEUE_MESSAGES = 512
-HEARTBEAT_INTERVAL_MS = 5_000
-HEARTBEAT_TIMEOUT_MS = 15_000
+HEARTBEAT_INTERVAL_MS = 600
+HEARTBEAT_TIMEOUT_MS = 1_200
+"""Time without an answer to a heartbeat after which a connection is replaced. An open connection
+may go silent without a reset; with the interval, the time without messages stays below
+``leases.ORDER_VALID_SECONDS``."""
+HEARTBEAT_TTL_MS = 15_000
+"""Time without a heartbeat after which the receiver closes a connection, to free its descriptor."""
+CONNECT_TIMEOUT_MS = 1_000
+"""Timeout of an attempt to connect. The system repeats the first packet after 1, 3, 7 and 15 s, so
+an attempt that began during a partition could end long after it."""
 MAX_SOCKETS = 4_096
 
 ANY_INCARNATION = codec.ANY_INCARNATION
@@ -51,6 +59,8 @@
         self._socket.setsockopt(zmq.RECONNECT_IVL_MAX, 1_000)
         self._socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_INTERVAL_MS)
         self._socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
+        self._socket.setsockopt(zmq.HEARTBEAT_TTL, HEARTBEAT_TTL_MS)
+        self._socket.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS)
         self._socket.connect(f"tcp://{address}")
         self._queue: collections.deque[tuple[float, bytes]] = collections.deque(
             maxlen=PEER_QUEUE_MESSAGES
--- a/tests/wire/test_transport.py
+++ b/tests/wire/test_transport.py
@@ -1,5 +1,6 @@
 """Tests of the transport's reaction to messages that cannot be handled."""
 
+import contextlib
 import socket
 import unittest
 
@@ -9,6 +10,10 @@
 from crocusrudder.wire import codec
 from crocusrudder.wire import transport
 from crocusrudder.wire import workflow_messages
+from crocusrudder.workflows import leases
+from tools.soak import proxy
+
+PEER = ids.ProcessId("e1")
 
 
 class DeliveryTest(unittest.TestCase):
@@ -47,5 +52,66 @@
         self.assertEqual(["wire_dropped_unknown_peer"], self.counts)
 
 
+class SilentConnectionTest(unittest.TestCase):
+    """Guard against a cancelled run that goes on since its stop order is sent into a silence."""
+
+    def test_a_silent_connection_is_replaced_while_orders_are_valid(self):
+        silence_ms = transport.HEARTBEAT_INTERVAL_MS + transport.HEARTBEAT_TIMEOUT_MS
+        self.assertLess(silence_ms, 1_000 * leases.ORDER_VALID_SECONDS)
+        # A connection requested during a partition must not be awaited long after its end.
+        self.assertLess(transport.CONNECT_TIMEOUT_MS, 1_000 * leases.ORDER_VALID_SECONDS)
+
+    def test_messages_arrive_after_a_connection_has_gone_silent(self):
+        own_port, peer_port, link_port = _find_free_ports(3)
+        link = proxy.Link(link_port, peer_port)
+        relay = proxy.Proxy([link])
+        relay.start()
+        self.addCleanup(relay.stop)
+        sender = self._make_transport("a1", own_port)
+        receiver = self._make_transport(PEER, peer_port)
+        sender.record_address(PEER, f"{proxy.HOST}:{link_port}")
+        arrived = []
+
+        async def record(_, message):
+            arrived.append(message.configuration)
+
+        async def send_until_arrived(number):
+            while number not in arrived:
+                hello = workflow_messages.EntryHello(number)
+                sender.send(PEER, hello, transport.ANY_INCARNATION)
+                await sender.retry_unsent()
+                await curio.sleep(0.05)
+
+        async def exchange():
+            await curio.spawn(receiver.receive_forever, record, daemon=True)
+            await curio.spawn(sender.retry_forever, daemon=True)
+            await send_until_arrived(1)
+            # The open connection delivers nothing from the first message that it loses.
+            link.mode = proxy.Mode.REQUESTS_LOST
+            sender.send(PEER, workflow_messages.EntryHello(2), transport.ANY_INCARNATION)
+            while not link.silent_connections:
+                await curio.sleep(0.01)
+            link.mode = proxy.Mode.PASS
+            await send_until_arrived(3)
+
+        curio.run(exchange)
+        self.assertNotIn(2, arrived)
+
+    def _make_transport(self, name: str, port: int) -> transport.Transport:
+        address = f"{proxy.HOST}:{port}"
+        identity = codec.Sender(ids.ProcessId(name), ids.Incarnation("i1"), address)
+        link = transport.Transport(identity, address, lambda name: None)
+        self.addCleanup(link.close)
+        return link
+
+
+def _find_free_ports(count: int) -> list[int]:
+    with contextlib.ExitStack() as stack:
+        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for probe in probes:
+            probe.bind((proxy.HOST, 0))
+        return [probe.getsockname()[1] for probe in probes]
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -37,6 +37,8 @@
         self.port = port
         self.target = target
         self.mode = Mode.PASS
+        self.silent_connections = 0
+        """Number of directions of connections that have lost data, and so deliver nothing more."""
 
 
 class Proxy:
@@ -88,6 +90,7 @@
                     await curio.sleep(DELAY_SECONDS)
                 if link.mode in _DROPPING_MODES[direction]:
                     # A connection that has lost data delivers nothing more.
+                    link.silent_connections += 1
                     await curio.Event().wait()
                 await sink.sendall(data)
         except OSError:
