Close the idle connections of an address after a call to it has timed out

What callers see: 503 for several seconds, a change of the owner that no entry can finish, or stops that do not reach a worker, after open connections have gone silent. Cause: a pool keeps up to 12 connections to the store and 10 to a worker. A call that times out closes its own connection only, so the next call takes another one that went silent at the same time and costs its timeout again, 1.5 s a call. Class: evidence about one item that is not applied to the others of its kind.

Change: a timeout closes the connections of that address that were last used before the call began. A healthy server that was merely slow costs a few new connections.

Measured: the new test makes a call after a timeout with two silent connections in the pool; it took the second one and had no response within 60 s before, and is answered on a third connection now.

--- a/crocusrudder/platform/http.py
+++ b/crocusrudder/platform/http.py
@@ -261,11 +261,14 @@
                 f"no time left for the call (timeout {timeout_seconds} s)"
             )
         progress = _SendProgress()
+        started_at = time.monotonic()
         self._calls += 1
         try:
             async with curio.timeout_after(timeout_seconds), self._slots:
                 return await self._exchange(await self._acquire(), request, progress)
         except curio.TaskTimeout as error:
+            # Open connections may go silent together; each would cost another call its timeout.
+            await self.close_idle(started_at)
             raise progress.make_error(f"no response within {timeout_seconds} s") from error
         finally:
             self._calls -= 1
--- a/tests/platform/test_pool.py
+++ b/tests/platform/test_pool.py
@@ -80,6 +80,35 @@
         self.assertIsInstance(second, events.EndpointAnswered)
         self.assertEqual((script.requests, connections), (2, 2))
 
+    def test_a_timeout_replaces_all_connections_that_may_have_gone_silent(self):
+        """A call after the first timeout must not wait on another connection as old as that one."""
+        second, connections = curio.run(self._call_after_silence)
+        self.assertIsInstance(second, events.EndpointAnswered)
+        self.assertEqual(connections, 3)
+
+    async def _call_after_silence(self):
+        opened = []
+        both_open = curio.Event()
+
+        async def go_silent_after_one_response(peer):
+            opened.append(peer)
+            if len(opened) == 2:
+                await both_open.set()
+            await peer.read_request()
+            await both_open.wait()
+            await peer.send(EMPTY)
+            await curio.Event().wait()
+
+        call = support.make_endpoint_call(PORT)
+        async with support.run_script(PORT, go_silent_after_one_response) as (client, server):
+            async with curio.TaskGroup() as group:
+                for _ in range(2):
+                    await group.spawn(client.perform, call)
+            short = support.make_endpoint_call(PORT, support.SHORT_TIMEOUT_SECONDS)
+            await client.perform(short)
+            second = await client.perform(call)
+        return second, server.connections
+
     def test_bytes_after_a_response_do_not_answer_the_next_request(self):
         for extra in (make_numbered(9), b"\r\n", b"x"):
             with self.subTest(extra=extra):
