Log how long the runs of a cancelled job go on, and at which step

Change: the owner follows the runs of a cancelled job and logs one cancellation_ended with the durations of the steps (order, confirmation, end) of the run that ended last, and one cancellation_overdue with the agents after 3 s. A histogram and a counter follow these lines. Time starts when the owner applies the cancellation; the time before it is in cancellation_requested (took_ms) of the entry.

--- a/crocusrudder/workflows/owner.py
+++ b/crocusrudder/workflows/owner.py
@@ -13,6 +13,7 @@
 from crocusrudder.core import effects
 from crocusrudder.core import ids
 from crocusrudder.wire import workflow_messages
+from crocusrudder.workflows import cancellations
 from crocusrudder.workflows import fleet
 from crocusrudder.workflows import job_registry
 from crocusrudder.workflows import leases
@@ -77,7 +78,10 @@
         self._report_handler = reports.ReportHandler(
             epoch, self._job_registry, self._duration_model
         )
+        self._cancellation_monitor = cancellations.CancellationMonitor(epoch)
         self._started_at = now
+        self._seen_at = now
+        """Time of the last report or tick."""
         self._awaited_agents: dict[ids.ProcessId, float] = {}
         """When the leases of agents expire that have not reported in this epoch, by agent."""
         self._logged: list[effects.LogChange] = []
@@ -102,6 +106,7 @@
             self._report_handler,
             self._planner,
             self._throttle_controller,
+            self._cancellation_monitor,
         )
         logged = [*self._logged, *itertools.chain.from_iterable(s.drain_log() for s in sources)]
         self._logged.clear()
@@ -171,6 +176,7 @@
         wall_time: float,
     ) -> None:
         """Apply an agent's report unless it is older than one already applied."""
+        self._seen_at = now
         view = self._get_view(agent)
         if report.sent_at <= view.report_sent_at:
             return
@@ -188,8 +194,10 @@
 
     def tick(self, now: float, wall_time: float) -> None:
         """Release runs whose leases have expired, and plan starts and moves."""
+        self._seen_at = now
         for view in self._views.values():
             self._check_timeout(view, now)
+        self._cancellation_monitor.check(now)
         is_reconciled = all(now >= expires_at for expires_at in self._awaited_agents.values())
         self._evacuation_monitor.update(self._views, now, is_reconciled)
         if not self._evacuation_monitor.may_start(now):
@@ -360,7 +368,9 @@
 
     def _deactivate_final_jobs(self) -> None:
         for record in self._job_registry.deactivate_final():
-            self._report_handler.stop_runs(record, self._views.values())
+            runs = self._report_handler.stop_runs(record, self._views.values())
+            if record.progress.state is model.JobState.CANCELLED:
+                self._cancellation_monitor.begin(record, runs, self._seen_at)
             self._planner.log_end(record)
             self._duration_model.forget_job(record)
 
--- a/crocusrudder/workflows/owner_service.py
+++ b/crocusrudder/workflows/owner_service.py
@@ -15,6 +15,7 @@
 from crocusrudder.platform import store
 from crocusrudder.wire import transport
 from crocusrudder.wire import workflow_messages
+from crocusrudder.workflows import cancellations
 from crocusrudder.workflows import errors as workflow_errors
 from crocusrudder.workflows import evacuations
 from crocusrudder.workflows import leases
@@ -67,6 +68,7 @@
     preemption.PREEMPTED: "preemptions",
     **{cause.value: cause.value for cause in over_target.Cause},
     waiting.OUTLOOK_WORSE: "outlooks_worse",
+    cancellations.OVERDUE: "cancellations_overdue",
 }
 """Metrics that count the log events of these names."""
 
@@ -338,6 +340,8 @@
                 self._metrics.count("jobs_failed_by_crashes")
             if change.name in (near_places.SERVED, near_places.GIVEN_UP):
                 self._metrics.observe("near_wait_seconds", change.fields["waited_s"])
+            elif change.name == cancellations.ENDED:
+                self._metrics.observe("cancellation_seconds", change.fields["took_s"])
             elif "distance" in change.fields:
                 self._metrics.count(f"tasks_{change.fields['distance']}")
 
--- a/crocusrudder/workflows/reports.py
+++ b/crocusrudder/workflows/reports.py
@@ -106,12 +106,19 @@
             self._log_run("run_gone", assignment, view, reason=reason)
             self._release(view, assignment, now)
 
-    def stop_runs(self, record: job_registry.JobRecord, views: Iterable[fleet.AgentView]) -> None:
-        """Stop all runs of a job."""
-        for view in views:
-            for assignment in view.assignments.values():
-                if assignment.task is not None and assignment.task.record is record:
-                    view.mark_stopping(assignment)
+    def stop_runs(
+        self, record: job_registry.JobRecord, views: Iterable[fleet.AgentView]
+    ) -> list[tuple[fleet.AgentView, fleet.Assignment]]:
+        """Stop all runs of a job; return them."""
+        runs = [
+            (view, assignment)
+            for view in views
+            for assignment in view.assignments.values()
+            if assignment.task is not None and assignment.task.record is record
+        ]
+        for view, assignment in runs:
+            view.mark_stopping(assignment)
+        return runs
 
     def stop_incomplete_gangs(self, views: Iterable[fleet.AgentView]) -> None:
         """Stop the other members of gangs of which a member was rejected, as they cannot work."""
--- /dev/null
+++ b/tests/workflows/test_cancellations.py
@@ -0,0 +1,66 @@
+"""Tests of the measurement of cancellations.
+
+Guards against a run of a cancelled job that goes on without a log line.
+"""
+
+import unittest
+
+from crocusrudder.core import ids
+from crocusrudder.wire import messages
+from crocusrudder.workflows import cancellations
+from crocusrudder.workflows import model
+from tests.workflows import world
+
+ONE_CORE = messages.Resources(1_000, 100, 0)
+
+
+class CancellationMonitorTest(unittest.TestCase):
+    def setUp(self):
+        self.system = world.World()
+        self.system.run(1.0)
+        for agent in self.system.agents.values():
+            agent.worker.duration = 60.0
+        self.system.submit("j", model.Stage(2, ONE_CORE))
+        self.system.run(1.0)
+        self.system.owner.drain_log()
+
+    def _cancel(self) -> None:
+        wall_time = world.WALL_TIME_OFFSET + self.system.now
+        self.system.owner.apply_cancellation(ids.JobId("j"), wall_time)
+
+    def _run(self, seconds: float) -> list[tuple[str, dict[str, object]]]:
+        self.system.run(seconds)
+        names = (cancellations.ENDED, cancellations.OVERDUE)
+        logged = self.system.owner.drain_log()
+        return [(change.name, change.fields) for change in logged if change.name in names]
+
+    def test_the_end_of_the_last_run_is_logged_with_the_step_that_took_longest(self):
+        for agent in self.system.agents.values():
+            agent.worker.stop_seconds = 1.0
+        self._cancel()
+        ((name, fields),) = self._run(3.0)
+        self.assertEqual(cancellations.ENDED, name)
+        self.assertEqual((2, "end"), (fields["runs"], fields["slowest"]))
+        self.assertGreaterEqual(fields["took_s"], 1.0)
+
+    def test_a_run_that_goes_on_is_logged_once_with_its_agent_and_step(self):
+        agent = next(agent for agent in self.system.agents.values() if agent.worker.running)
+        agent.is_receiving = False
+        self._cancel()
+        ((name, fields),) = self._run(4.0)
+        self.assertEqual(cancellations.OVERDUE, name)
+        self.assertEqual([agent.process], fields["agents"])
+        self.assertEqual({"confirmation": fields["runs"]}, fields["waiting_for"])
+        agent.is_receiving = True
+        ((name, fields),) = self._run(2.0)
+        self.assertEqual((cancellations.ENDED, "confirmation"), (name, fields["slowest"]))
+
+    def test_a_job_without_runs_has_no_line(self):
+        self.system.submit("k", model.Stage(1, messages.Resources(9_000, 100, 0)))
+        self.system.run(0.5)
+        self.system.owner.apply_cancellation(ids.JobId("k"), world.WALL_TIME_OFFSET)
+        self.assertEqual([], self._run(4.0))
+
+
+if __name__ == "__main__":
+    unittest.main()
