Close pooled connections that may be silent after a call without a response

What callers would see: a stop, a list or a commit that gets no response again and again, although new connections work. Cause: after connections have gone silent without a reset, each idle connection of the pool (up to 10 to the worker, 12 to the store) costs its own timeout of 1 to 1.5 s, and a stop is repeated only after a list, which takes the next silent connection. Change: after a call that timed out, connections that were last used before its start are closed instead of used. Those used meanwhile stay.

--- a/crocusrudder/platform/http.py
+++ b/crocusrudder/platform/http.py
@@ -246,6 +246,9 @@
         self._slots = curio.Semaphore(config.connections)
         self._idle: collections.deque[_Connection] = collections.deque()
         self._calls = 0
+        self._silent_before = float("-inf")
+        """Start of the last call without a response. Connections that were used only before it may
+        have gone silent with that of the call, and each would cost another timeout."""
 
     @property
     def is_unused(self) -> bool:
@@ -261,11 +264,14 @@
                 f"no time left for the call (timeout {timeout_seconds} s)"
             )
         progress = _SendProgress()
+        started_at = time.monotonic()
         self._calls += 1
         try:
             async with curio.timeout_after(timeout_seconds), self._slots:
                 return await self._exchange(await self._acquire(), request, progress)
         except curio.TaskTimeout as error:
+            if progress.bytes_sent:
+                self._silent_before = max(self._silent_before, started_at)
             raise progress.make_error(f"no response within {timeout_seconds} s") from error
         finally:
             self._calls -= 1
@@ -296,7 +302,7 @@
 
     async def _acquire(self) -> _Connection:
         """Return a usable idle connection or open a new one."""
-        oldest = time.monotonic() - self._config.idle_seconds
+        oldest = max(time.monotonic() - self._config.idle_seconds, self._silent_before)
         while self._idle:
             connection = self._idle.pop()
             if connection.used_at >= oldest and connection.is_still_idle():
--- a/tests/platform/test_pool.py
+++ b/tests/platform/test_pool.py
@@ -107,6 +107,41 @@
         self.assertEqual(first.response.body, b"a")
 
 
+class SilentConnectionTest(unittest.TestCase):
+    """Guards against a stop of a run that times out once for each connection that went silent."""
+
+    def test_a_call_without_a_response_costs_one_timeout_for_all_silent_connections(self):
+        opened = []
+
+        async def answer_first_request_of_old_connections(peer):
+            opened.append(peer)
+            if len(opened) <= 4:
+                await peer.read_request()
+                while len(opened) < 4:
+                    await curio.sleep(0)
+                await peer.send(EMPTY)
+                await peer.hang()
+            while await peer.read_request():
+                await peer.send(EMPTY)
+
+        async def run_calls():
+            running = support.run_script(PORT, answer_first_request_of_old_connections)
+            async with running as (client, _):
+                call = support.make_endpoint_call(PORT)
+                async with curio.TaskGroup() as group:
+                    for _ in range(4):
+                        await group.spawn(client.perform, call)
+                lost = await client.perform(
+                    support.make_endpoint_call(PORT, support.SHORT_TIMEOUT_SECONDS)
+                )
+                seconds = support.INCREASING_TIMEOUTS_SECONDS[-2]
+                return lost, await client.perform(support.make_endpoint_call(PORT, seconds))
+
+        lost, answered = curio.run(run_calls)
+        self.assertIsInstance(lost, events.EndpointConnectionLost)
+        self.assertIsInstance(answered, events.EndpointAnswered)
+
+
 class FailureCauseTest(unittest.TestCase):
     """Guards against taking a suspended peer for one whose process has ended, and vice versa."""
 
