--- a/crocusrudder/wire/transport.py
+++ b/crocusrudder/wire/transport.py
@@ -36,8 +36,9 @@
 HEARTBEAT_TTL_MS = 15_000
 """Time without a heartbeat after which the receiver closes a connection, to free its descriptor."""
 CONNECT_TIMEOUT_MS = 1_000
-"""Timeout of an attempt to connect. The system repeats the first packet after 1, 3, 7 and 15 s, so
-an attempt that began during a partition could end long after it."""
+"""Timeout of an attempt to connect, and of the handshake that follows. The system repeats the first
+packet after 1, 3, 7 and 15 s, so an attempt that began during a partition could end long after it.
+"""
 MAX_SOCKETS = 4_096
 
 ANY_INCARNATION = codec.ANY_INCARNATION
@@ -61,6 +62,7 @@
         self._socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
         self._socket.setsockopt(zmq.HEARTBEAT_TTL, HEARTBEAT_TTL_MS)
         self._socket.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS)
+        self._socket.setsockopt(zmq.HANDSHAKE_IVL, CONNECT_TIMEOUT_MS)
         self._socket.connect(f"tcp://{address}")
         self._queue: collections.deque[tuple[float, bytes]] = collections.deque(
             maxlen=PEER_QUEUE_MESSAGES
