Decode the entries of a worker's lists one by one

An agent refused the whole response of its worker for one entry that is nested 1,100 deep, holds 1e400, an integer of 5,000 digits, NaN, a lone surrogate or a byte that is not UTF-8: polls failed, and after 6 s the leases of all the worker's runs expired. The JSON decoder refuses such a document as a whole, before single entries are looked at.

A response that cannot be decoded as a whole is split at its brackets, commas and strings, without recursion, and each part is decoded alone. Other parts hold. `list_entry_unreadable` is written once a list with the number of parts and the first error, which is cut to 200 characters, and the agent counts `list_entries_unreadable`. A response whose brackets do not match stays a failed poll.

--- /dev/null
+++ b/crocusrudder/platform/json_parts.py
@@ -0,0 +1,66 @@
+"""Split JSON documents into their parts, so that an odd part does not spoil the others.
+
+A decoder refuses a whole document for one part that is nested too deeply, holds a number that is
+too large or is not UTF-8. The split looks at brackets, commas and strings only.
+"""
+
+import re
+
+import msgspec
+
+from crocusrudder.platform import errors
+
+_WHITESPACE = b" \t\r\n"
+_TOKEN = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*"|["\[\]{},]', re.DOTALL)
+_MEMBER = re.compile(rb'[ \t\r\n]*("[^"\\]*(?:\\.[^"\\]*)*")[ \t\r\n]*:(.*)', re.DOTALL)
+_OPENING = (b"[", b"{")
+_CLOSING = (b"]", b"}")
+
+
+def split_array(document: bytes) -> list[bytes]:
+    """Return the items of an array undecoded.
+
+    Raises ``MalformedInputError`` if the document is no array or its brackets do not match.
+    """
+    return _split(document, b"[]")
+
+
+def split_object(document: bytes) -> dict[str, bytes]:
+    """Return the members of an object by name, undecoded; one with an unreadable name is left out.
+
+    Raises ``MalformedInputError`` if the document is no object or its brackets do not match.
+    """
+    matches = (_MEMBER.fullmatch(part) for part in _split(document, b"{}"))
+    members = {}
+    for match in filter(None, matches):
+        try:
+            members[msgspec.json.decode(match[1], type=str)] = match[2].strip(_WHITESPACE)
+        except (msgspec.MsgspecError, UnicodeError):
+            continue
+    return members
+
+
+def _split(document: bytes, brackets: bytes) -> list[bytes]:
+    text = document.strip(_WHITESPACE)
+    if len(text) < len(brackets) or text[:1] + text[-1:] != brackets:
+        raise errors.MalformedInputError(f"not enclosed in {brackets.decode()}")
+    depth = 0
+    start = 1
+    parts = []
+    for token in _TOKEN.finditer(text):
+        found = token[0]
+        if found in _OPENING:
+            depth += 1
+        elif found in _CLOSING:
+            depth -= 1
+            if depth <= 0 and token.end() < len(text):
+                raise errors.MalformedInputError("text after the closing bracket")
+        elif found == b"," and depth == 1:
+            parts.append(text[start : token.start()])
+            start = token.end()
+        elif found == b'"':
+            raise errors.MalformedInputError("string without an end")
+    if depth:
+        raise errors.MalformedInputError("brackets do not match")
+    last = text[start:-1]
+    return [*parts, last] if parts or last.strip(_WHITESPACE) else []
--- a/crocusrudder/platform/worker.py
+++ b/crocusrudder/platform/worker.py
@@ -1,6 +1,5 @@
 """Client of the worker on the machine of the agent: starts, stops, throttles and lists runs."""
 
-from collections.abc import Iterator
 from typing import Annotated
 from typing import Any
 from typing import TypeVar
@@ -12,6 +11,7 @@
 from crocusrudder.observability import logs
 from crocusrudder.platform import errors
 from crocusrudder.platform import http
+from crocusrudder.platform import json_parts
 from crocusrudder.wire import messages
 from crocusrudder.wire import workflow_messages
 from crocusrudder.workflows import model
@@ -19,6 +19,8 @@
 CALL_TIMEOUT_SECONDS = 1.0
 """A call to a healthy worker takes 2 ms."""
 CONNECTIONS = 10
+MAX_ERROR_CHARACTERS = 200
+"""Length of the quoted decoding error; some errors repeat the input."""
 
 _EXPECTED_WORKER_HEADER = "X-Crocusrudder-Expect-Worker"
 _STATUS_OK = 200
@@ -38,14 +40,6 @@
 _Count = Annotated[int, msgspec.Meta(ge=0, le=messages.MAX_INTEGER)]
 
 
-class _WireResponse(msgspec.Struct):
-    clock_ms: _Count = msgspec.field(default=0, name="clockMs")
-    reason: str = ""
-    running: list[Any] = []
-    ended: list[Any] = []
-    born: _Count = 0
-
-
 class _WireRunning(msgspec.Struct, array_like=True):
     task: str
     run: _Count
@@ -62,7 +56,26 @@
     saved: str | None
 
 
-_Entry = TypeVar("_Entry", _WireRunning, _WireEnded)
+class _WireResponse(msgspec.Struct):
+    clock_ms: _Count = msgspec.field(default=0, name="clockMs")
+    reason: str = ""
+    running: list[_WireRunning] | None = None
+    ended: list[_WireEnded] | None = None
+    born: _Count = 0
+
+
+class _Unreadable(msgspec.Struct):
+    """What a response holds that could not be read."""
+
+    entries: int = 0
+    error: str = ""
+
+    def add(self, error: Exception) -> None:
+        self.entries += 1
+        self.error = self.error or str(error)[:MAX_ERROR_CHARACTERS]
+
+
+_Item = TypeVar("_Item")
 
 
 class RunList(msgspec.Struct, frozen=True):
@@ -71,6 +84,8 @@
     clock_ms: int
     running: tuple[workflow_messages.RunningTask, ...]
     ended: tuple[workflow_messages.EndedRun, ...]
+    unreadable: int = 0
+    """Number of parts of the response that could not be read."""
 
 
 class StartResponse(msgspec.Struct, frozen=True):
@@ -107,7 +122,7 @@
         }
         content |= {"saved": order.checkpoint} if order.checkpoint else {}
         content |= {"ticket": order.ticket} if order.ticket else {}
-        status, response = await self._call("run-start", worker, content)
+        status, response, _ = await self._call("run-start", worker, content)
         if status == _STATUS_OK:
             return StartResponse(response.clock_ms)
         if status == _STATUS_CONFLICT:
@@ -120,7 +135,7 @@
     async def stop(self, worker: str, task: str, run: int, epoch: int) -> bool:
         """Stop a run, or block its later start; return whether the worker accepted the call."""
         content = {"task": task, "runId": run, "fenceToken": epoch}
-        status, _ = await self._call("run-stop", worker, content)
+        status, _, _ = await self._call("run-stop", worker, content)
         return status == _STATUS_OK
 
     async def set_cpu_share(
@@ -128,7 +143,7 @@
     ) -> bool:
         """Set the CPU share of a run in percent; return whether the worker accepted the call."""
         content = {"task": task, "runId": run, "percent": percent, "fenceToken": epoch}
-        status, _ = await self._call("pace", worker, content)
+        status, _, _ = await self._call("pace", worker, content)
         return status == _STATUS_OK
 
     async def poll_runs(
@@ -149,18 +164,23 @@
         content: dict[str, Any] = {"fenceToken": epoch, "lastSeen": acknowledged}
         content |= {"expiresMs": lease_until_ms} if lease_until_ms is not None else {}
         content |= {"waitMs": round(wait_seconds * 1_000)} if wait_seconds else {}
-        status, response = await self._call("hold", worker, content, wait_seconds)
+        status, response, unreadable = await self._call("hold", worker, content, wait_seconds)
         if born_ms and response.born and response.born != born_ms:
             raise errors.WrongWorkerError(f"{worker} has restarted")
         if status == _STATUS_CONFLICT:
             return None
         if status != _STATUS_OK:
             raise errors.NotExecutedError(f"the worker responded with status {status}")
-        return RunList(response.clock_ms, _convert_running(response), _convert_ended(response))
+        return RunList(
+            response.clock_ms,
+            _convert_running(response),
+            _convert_ended(response),
+            unreadable.entries,
+        )
 
     async def _call(
         self, name: str, worker: str, content: dict[str, Any], wait_seconds: float = 0.0
-    ) -> tuple[int, _WireResponse]:
+    ) -> tuple[int, _WireResponse, _Unreadable]:
         headers = (*http.JSON_HEADERS, (_EXPECTED_WORKER_HEADER, worker))
         body = msgspec.json.encode(content)
         request = effects.EndpointRequest("POST", f"/crocusrudder/{name}", headers, body)
@@ -169,13 +189,57 @@
         if response.status == _STATUS_OTHER_WORKER:
             raise errors.WrongWorkerError(f"another incarnation responded instead of {worker}")
         if not response.body:
-            return response.status, _WireResponse()
-        try:
-            return response.status, msgspec.json.decode(response.body, type=_WireResponse)
-        except (msgspec.MsgspecError, RecursionError) as error:
-            raise errors.UnknownOutcomeError(
-                f"cannot decode the response of the worker: {error}"
-            ) from error
+            return response.status, _WireResponse(), _Unreadable()
+        return response.status, *_decode_response(response.body)
+
+
+def _decode_response(body: bytes) -> tuple[_WireResponse, _Unreadable]:
+    """Decode a response, without the parts that cannot be read if there are any."""
+    unreadable = _Unreadable()
+    try:
+        return msgspec.json.decode(body, type=_WireResponse), unreadable
+    except (msgspec.MsgspecError, RecursionError):
+        pass
+    try:
+        members = json_parts.split_object(body)
+    except errors.MalformedInputError as error:
+        raise errors.UnknownOutcomeError(
+            f"cannot decode the response of the worker: {error}"
+        ) from error
+    response = _WireResponse(
+        _decode_part(members.get("clockMs", b"0"), _Count, unreadable) or 0,
+        _decode_part(members.get("reason", b'""'), str, unreadable) or "",
+        _decode_entries(members.get("running", b"[]"), _WireRunning, unreadable),
+        _decode_entries(members.get("ended", b"[]"), _WireEnded, unreadable),
+        _decode_part(members.get("born", b"0"), _Count, unreadable) or 0,
+    )
+    fields = {
+        "code": errors.MalformedInputError.code,
+        "error": unreadable.error,
+        "entries": unreadable.entries,
+    }
+    logs.write_change(effects.LogChange("list_entry_unreadable", fields))
+    return response, unreadable
+
+
+def _decode_entries(part: bytes, type_: type[_Item], unreadable: _Unreadable) -> list[_Item]:
+    if part == b"null":
+        return []
+    try:
+        items = json_parts.split_array(part)
+    except errors.MalformedInputError as error:
+        unreadable.add(error)
+        return []
+    entries = (_decode_part(item, type_, unreadable) for item in items)
+    return [entry for entry in entries if entry is not None]
+
+
+def _decode_part(part: bytes, type_: type[_Item], unreadable: _Unreadable) -> _Item | None:
+    try:
+        return msgspec.json.decode(part, type=type_)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        unreadable.add(error)
+        return None
 
 
 def _convert_running(response: _WireResponse) -> tuple[workflow_messages.RunningTask, ...]:
@@ -183,22 +247,12 @@
         workflow_messages.RunningTask(
             row.task, row.run, row.saved or "", round(row.percent), row.measure
         )
-        for row in _convert_entries(response.running, _WireRunning)
+        for row in response.running or ()
     )
 
 
 def _convert_ended(response: _WireResponse) -> tuple[workflow_messages.EndedRun, ...]:
     return tuple(
         workflow_messages.EndedRun(row.number, row.task, row.run, row.how.value, row.saved or "")
-        for row in _convert_entries(response.ended, _WireEnded)
+        for row in response.ended or ()
     )
-
-
-def _convert_entries(entries: list[Any], type_: type[_Entry]) -> Iterator[_Entry]:
-    """Yield the valid entries of a list; a run whose entry is left out counts as absent."""
-    for entry in entries:
-        try:
-            yield msgspec.convert(entry, type_)
-        except msgspec.MsgspecError as error:
-            fields = {"code": errors.MalformedInputError.code, "error": str(error)}
-            logs.write_change(effects.LogChange("list_entry_unreadable", fields))
--- a/crocusrudder/workflows/agent_daemon.py
+++ b/crocusrudder/workflows/agent_daemon.py
@@ -283,6 +283,8 @@
             self._worker_log.record(False, str(error))
             return False
         self._worker_log.record(True)
+        if listed is not None and listed.unreadable:
+            self._metrics.count("list_entries_unreadable", listed.unreadable)
         if listed is None:
             self._log("owner_superseded", epoch=epoch)
             return False
--- /dev/null
+++ b/tests/platform/oddities.py
@@ -0,0 +1,23 @@
+"""JSON values that other writers have left or may leave and that decoders refuse."""
+
+ODD_JSON = (
+    b"[" * 1_100 + b"]" * 1_100,
+    b"[" * 100_000 + b"]" * 100_000,
+    b'{"a":' * 1_100 + b"1" + b"}" * 1_100,
+    b"1e400",
+    b'["j.0.0.7",1e400,"",0]',
+    b"9" * 5_000,
+    b"18446744073709551616",
+    b"NaN",
+    b"-Infinity",
+    b'"\xff"',
+    b'["\xff",2,"",0]',
+    b'"\\ud800"',
+    b"null",
+    b"{}",
+    b"[]",
+    b"true",
+    b'""',
+    b'[",]",1]',
+)
+"""Each is well formed as to brackets and strings, so that its neighbours can be told apart."""
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -17,6 +17,7 @@
 from crocusrudder.platform import worker
 from crocusrudder.wire import workflow_messages
 from crocusrudder.workflows import model
+from tests.platform import oddities
 
 HEARTBEAT = (
     b'{"service":"s","addr":"10.0.0.9:8080","zone":"z","version":"v1","slots":8,"state":"ready",'
@@ -273,6 +274,19 @@
         self.assertEqual(["j.0.0.0"], [entry.task for entry in listed.running])
         self.assertEqual([58], [entry.number for entry in listed.ended])
 
+    def test_one_odd_entry_leaves_the_others_of_a_list_readable(self):
+        # Guards against a worker whose whole list is refused, so that its leases expire, because of
+        # one entry that a JSON decoder refuses together with the whole document.
+        for odd in oddities.ODD_JSON:
+            with self.subTest(odd=odd[:20]):
+                body = b'{"clockMs":5,"running":[["j.0.0.0",2,"s1",41],%b,["j.0.0.1",2,"",0]],'
+                body += b'"ended":[%b,[58,"j.0.0.9",1,"done",""]]}'
+                response = effects.EndpointResponse(200, (), body % (odd, odd))
+                listed = curio.run(self._client(response).poll_runs(("w1", 0), 7, 57, 900, 0.5))
+                self.assertEqual(["j.0.0.0", "j.0.0.1"], [entry.task for entry in listed.running])
+                self.assertEqual([58], [entry.number for entry in listed.ended])
+                self.assertEqual((5, 2), (listed.clock_ms, listed.unreadable))
+
     def test_response_of_another_incarnation_raises_an_error(self):
         client = self._client(make_response(421, {}))
         with self.assertRaises(errors.WrongWorkerError):
