Do not take a run for absent because its list entry cannot be read

An agent left out an entry that it could not read, such as one with a negative percent, so the run counted as absent. The owner stopped it, the next list did not show it either, and its task was placed again while the worker was still stopping the first run. After a change of the owner it was placed again without a stop.

- An entry of which the task and the run can be read is present; other values that cannot be read get their defaults.
- A list with another unreadable entry, or without any list at all, is incomplete (`RunList.is_complete`, `AgentReport.list_incomplete`; older peers ignore the new last field).
It proves presence only.
The agent keeps the runs of its earlier lists, and the owner does not stop absent runs, detect stalls or count the agent as reconciled.
- This is bounded by INCOMPLETE_LIST_SECONDS (6.3 s, as for a silent agent), so that an entry that can never be read does not keep ended tasks assigned or the worker without tasks.
After that, runs that are not named are stopped, and a stopped run counts as ended STOP_TIMEOUT_SECONDS after the worker accepted the stop, without the evidence of a list.

Not covered: a run whose entry stays unreadable for longer than 6.3 s before the owner changes and whose agent then names it no more is unknown to the new owner, which may start its task again.

--- a/crocusrudder/platform/worker.py
+++ b/crocusrudder/platform/worker.py
@@ -1,5 +1,7 @@
 """Client of the worker on the machine of the agent: starts, stops, throttles and lists runs."""
 
+import contextlib
+import typing
 from typing import Annotated
 from typing import Any
 from typing import TypeVar
@@ -48,6 +50,9 @@
     measure: float = -1.0
 
 
+_RUNNING_TYPES = typing.get_type_hints(_WireRunning, include_extras=True)
+
+
 class _WireEnded(msgspec.Struct, array_like=True):
     number: _Count
     task: str
@@ -69,6 +74,8 @@
 
     entries: int = 0
     error: str = ""
+    hides_runs: bool = False
+    """Whether a running task may be among what could not be read."""
 
     def add(self, error: Exception) -> None:
         self.entries += 1
@@ -86,6 +93,8 @@
     ended: tuple[workflow_messages.EndedRun, ...]
     unreadable: int = 0
     """Number of parts of the response that could not be read."""
+    is_complete: bool = True
+    """Whether a run that ``running`` does not name is not on the worker."""
 
 
 class StartResponse(msgspec.Struct, frozen=True):
@@ -176,6 +185,7 @@
             _convert_running(response),
             _convert_ended(response),
             unreadable.entries,
+            not unreadable.hides_runs and not (response.running is response.ended is None),
         )
 
     async def _call(
@@ -209,7 +219,7 @@
     response = _WireResponse(
         _decode_part(members.get("clockMs", b"0"), _Count, unreadable) or 0,
         _decode_part(members.get("reason", b'""'), str, unreadable) or "",
-        _decode_entries(members.get("running", b"[]"), _WireRunning, unreadable),
+        _decode_running(members.get("running", b"[]"), unreadable),
         _decode_entries(members.get("ended", b"[]"), _WireEnded, unreadable),
         _decode_part(members.get("born", b"0"), _Count, unreadable) or 0,
     )
@@ -230,18 +240,56 @@
     except errors.MalformedInputError as error:
         unreadable.add(error)
         return []
+    if type_ is msgspec.Raw:
+        return items
     entries = (_decode_part(item, type_, unreadable) for item in items)
     return [entry for entry in entries if entry is not None]
 
 
+def _decode_running(part: bytes, unreadable: _Unreadable) -> list[_WireRunning]:
+    """Decode the running tasks; one whose name and run can be read counts as present at least."""
+    count = unreadable.entries
+    entries = _decode_entries(part, msgspec.Raw, unreadable)
+    unreadable.hides_runs = unreadable.entries > count
+    found = []
+    for item in entries:
+        entry = _decode_part(item, _WireRunning, unreadable)
+        entry = _decode_named(item) if entry is None else entry
+        if entry is None:
+            unreadable.hides_runs = True
+        else:
+            found.append(entry)
+    return found
+
+
+def _decode_named(item: bytes) -> _WireRunning | None:
+    """Decode an entry of which only the task and the run have to be valid."""
+    try:
+        task, run, *details = json_parts.split_array(item)
+        entry = _WireRunning(_decode(task, str), _decode(run, _Count), None, 0.0)
+    except (errors.MalformedInputError, ValueError):
+        return None
+    for name, part in zip(("saved", "percent", "measure"), details, strict=False):
+        with contextlib.suppress(errors.MalformedInputError):
+            setattr(entry, name, _decode(part, _RUNNING_TYPES[name]))
+    return entry
+
+
 def _decode_part(part: bytes, type_: type[_Item], unreadable: _Unreadable) -> _Item | None:
     try:
-        return msgspec.json.decode(part, type=type_)
-    except (msgspec.MsgspecError, RecursionError) as error:
+        return _decode(part, type_)
+    except errors.MalformedInputError as error:
         unreadable.add(error)
         return None
 
 
+def _decode(part: bytes, type_: type[_Item]) -> _Item:
+    try:
+        return msgspec.json.decode(part, type=type_)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        raise errors.MalformedInputError(str(error)) from error
+
+
 def _convert_running(response: _WireResponse) -> tuple[workflow_messages.RunningTask, ...]:
     return tuple(
         workflow_messages.RunningTask(
--- a/crocusrudder/wire/workflow_messages.py
+++ b/crocusrudder/wire/workflow_messages.py
@@ -103,6 +103,8 @@
     """Time since the worker made the list that the report repeats."""
     crashes: tuple[WorkerCrash, ...] = ()
     """Crashes of recent incarnations of the worker, oldest first."""
+    list_incomplete: bool = False
+    """Whether runs that the report does not name may be on the worker."""
 
 
 class StartOrder(msgspec.Struct, frozen=True, array_like=True):
--- a/crocusrudder/workflows/agent_state.py
+++ b/crocusrudder/workflows/agent_state.py
@@ -4,12 +4,15 @@
 follows from the last lease grant, and whether an order is recent enough to be executed.
 """
 
+from collections.abc import Set
+
 import msgspec
 
 from crocusrudder.core import ids
 from crocusrudder.platform import worker
 from crocusrudder.wire import workflow_messages
 from crocusrudder.workflows import leases
+from crocusrudder.workflows import list_completeness
 from crocusrudder.workflows import model
 from crocusrudder.workflows.decisions import crash_evidence
 
@@ -48,6 +51,7 @@
         self._listed_at = float("-inf")
         self._list_received_at = now
         self._listed_ends: tuple[int, ...] = ()
+        self._completeness = list_completeness.ListCompleteness()
         self._poll_failed_at = float("-inf")
         self._rejected: dict[model.RunKey, tuple[str, float]] = {}
         self._received: dict[model.RunKey, bool] = {}
@@ -175,17 +179,7 @@
             self._record_received(run, is_stop=True)
             self._rejected.pop(run, None)
             self._stopped[run] = now
-        return workflow_messages.AgentOrders(
-            orders.epoch,
-            orders.number,
-            orders.echo,
-            orders.worker,
-            orders.born_ms,
-            starts,
-            stops,
-            orders.paces,
-            orders.acknowledged,
-        )
+        return msgspec.structs.replace(orders, starts=starts, stops=stops)
 
     def find_rejection(
         self, order: workflow_messages.StartOrder, echo: float, now: float
@@ -269,6 +263,9 @@
         self._responded_at = now
         self._listed_epoch = epoch
         listed_runs = {(entry.task, entry.run): entry for entry in listed.running}
+        ended_runs = {(entry.task, entry.run) for entry in listed.ended}
+        self._completeness.record(listed.is_complete, now)
+        may_miss_runs = self._completeness.may_miss_runs(now)
         ended = {entry.number: entry for entry in listed.ended}
         self._listed_ends = tuple(ended)
         self._ended = {
@@ -277,14 +274,15 @@
         self._started = {
             run: at
             for run, at in self._started.items()
-            if at > requested_at and not self._is_listed_as_ended(run)
+            if (at > requested_at or may_miss_runs) and run not in ended_runs
         }
         # The response to the start of a run that has ended may arrive after the end.
-        self._starting.difference_update((entry.task, entry.run) for entry in listed.ended)
-        self._running = listed_runs
-        ended_runs = {(entry.task, entry.run) for entry in listed.ended}
+        self._starting.difference_update(ended_runs)
+        earlier = self._running if may_miss_runs else {}
+        present = {run: entry for run, entry in earlier.items() if run not in ended_runs}
+        self._running = present | listed_runs
         self._crash_monitor.record_list(set(listed_runs), ended_runs, requested_at, now)
-        self._resolve_blocked(requested_at, now)
+        self._resolve_blocked(listed_runs.keys(), requested_at, now)
         self._discard_old(now)
         return before != (tuple(self._running), tuple(self._ended), self._listed_epoch)
 
@@ -336,15 +334,22 @@
             has_ended,
             now - self._list_received_at,
             self._crash_monitor.list_crashes(now),
+            self._completeness.is_incomplete,
         )
 
-    def _resolve_blocked(self, requested_at: float, now: float) -> None:
-        """Reject stopped runs that are missing from a list requested after the stop."""
+    def _resolve_blocked(self, listed: Set[model.RunKey], requested_at: float, now: float) -> None:
+        """Reject stopped runs that are missing from a list requested after the stop.
+
+        An incomplete list does not show that a run has ended, but the time since the stop does.
+        """
+        if self._completeness.is_incomplete:
+            requested_at = min(requested_at, now - leases.STOP_TIMEOUT_SECONDS)
         resolved = [run for run, stopped_at in self._blocked.items() if stopped_at < requested_at]
         for run in resolved:
             del self._blocked[run]
-            if run not in self._running and not self._is_listed_as_ended(run):
+            if run not in listed and not self._is_listed_as_ended(run):
                 self._started.pop(run, None)
+                self._running.pop(run, None)
                 self._rejected[run] = (model.RejectReason.NO_RESPONSE.value, now)
 
     def _is_lease_expired(self, now: float) -> bool:
@@ -389,6 +394,7 @@
         self._lease_until = now
         self._ended = {}
         self._listed_ends = ()
+        self._completeness = list_completeness.ListCompleteness()
         self._rejected = {}
         self._stopped = {}
         self._acknowledged = 0
--- a/crocusrudder/workflows/fleet.py
+++ b/crocusrudder/workflows/fleet.py
@@ -12,6 +12,7 @@
 from crocusrudder.wire import workflow_messages
 from crocusrudder.workflows import job_registry
 from crocusrudder.workflows import leases
+from crocusrudder.workflows import list_completeness
 from crocusrudder.workflows import model
 from crocusrudder.workflows import waiting_reasons
 
@@ -132,6 +133,7 @@
         self.is_reachable = False
         self.is_reconciled = False
         """Whether the worker's runs have been reported under the current ownership epoch."""
+        self.list_completeness = list_completeness.ListCompleteness()
         self.address = ""
         self.registered_address = ""
         """The agent's address in its stored roster row; empty without a row."""
--- a/crocusrudder/workflows/leases.py
+++ b/crocusrudder/workflows/leases.py
@@ -12,6 +12,14 @@
 A lease never extends more than ``LEASE_SECONDS`` beyond the grant; 0.3 s covers the drift of the
 agents' clocks."""
 
+INCOMPLETE_LIST_SECONDS = LEASE_EXPIRY_SECONDS
+"""Time for which a run that an incomplete list of its worker does not name counts as present.
+
+A new owner waits as long for an agent that is silent."""
+
+STOP_TIMEOUT_SECONDS = 3.0
+"""Time after an accepted stop at which the run has certainly ended; workers take 0.9 s at most."""
+
 ORDER_VALID_SECONDS = 2.0
 """Greatest age, on the agent's clock, of the report that orders are based on."""
 
--- a/crocusrudder/workflows/reports.py
+++ b/crocusrudder/workflows/reports.py
@@ -14,6 +14,7 @@
 from crocusrudder.workflows import health
 from crocusrudder.workflows import job_registry
 from crocusrudder.workflows import leases
+from crocusrudder.workflows import list_completeness
 from crocusrudder.workflows import model
 from crocusrudder.workflows.decisions import durations
 
@@ -93,12 +94,15 @@
             self.release_all(view, now, "worker_lapsed")
         if report.epoch != self._epoch:
             return
-        view.is_reconciled = True
+        view.list_completeness.record(not report.list_incomplete, now)
+        if not view.list_completeness.may_miss_runs(now):
+            view.is_reconciled = True
         self._apply_rejections(view, report, now)
         self._apply_ends(view, report, now, wall_time)
         self._apply_running(view, report, now)
         self._crash_register.record_running(view, report, now)
-        self._check_stall(view, now, report.list_age_seconds)
+        if not view.list_completeness.may_miss_runs(now):
+            self._check_stall(view, now, report.list_age_seconds)
 
     def release_all(self, view: fleet.AgentView, now: float, reason: str) -> None:
         """Release all assignments of a worker on which certainly nothing runs any more."""
@@ -143,6 +147,7 @@
             view.last_processed_end = 0
             view.last_durable_end = 0
             view.is_reconciled = False
+            view.list_completeness = list_completeness.ListCompleteness()
             view.blocked_until = 0.0
             view.set_aside_until = 0.0
             view.cpu_shares_sent = {}
@@ -285,7 +290,8 @@
             assignment = view.assignments.get(key)
             if assignment is not None and assignment.phase is fleet.AssignmentPhase.ORDERED:
                 assignment.phase = fleet.AssignmentPhase.CONFIRMED
-        self._stop_absent(view, report, present)
+        if not view.list_completeness.may_miss_runs(now):
+            self._stop_absent(view, report, present)
         self._release_void(view, report, now)
 
     def _release_void(
--- a/tests/platform/oddities.py
+++ b/tests/platform/oddities.py
@@ -18,6 +18,6 @@
     b"[]",
     b"true",
     b'""',
-    b'[",]",1]',
+    b'[",]"]',
 )
 """Each is well formed as to brackets and strings, so that its neighbours can be told apart."""
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -260,7 +260,7 @@
         content = {
             "clockMs": 5,
             "running": [["j.0.0.0", 2, "s1", 41, 12], ["j.0.0.1", 2, "", None], [7], ["a", "b"]]
-            + [["j.0.0.2", 2**64, "", 41], ["j.0.0.3", 2, "", 1e300]],
+            + [["j.0.0.2", 2**64, "", 41], ["j.0.0.3", 2, "s3", 1e300]],
             "ended": [
                 [58, "j.0.0.9", 1, "done", ""],
                 ["59", "j.0.0.8", 1, "done", ""],
@@ -271,8 +271,34 @@
         listed = curio.run(
             self._client(make_response(200, content)).poll_runs(("w1", 17), 7, 57, 900, 0.5)
         )
-        self.assertEqual(["j.0.0.0"], [entry.task for entry in listed.running])
         self.assertEqual([58], [entry.number for entry in listed.ended])
+        self.assertFalse(listed.is_complete)
+        self.assertEqual(
+            ["j.0.0.0", "j.0.0.1", "j.0.0.3"], [entry.task for entry in listed.running]
+        )
+
+    def test_a_run_of_which_only_the_name_can_be_read_is_present(self):
+        # Guards against TWICE (soak seed 4201): a run with a negative percent counted as absent,
+        # and its task was started on another worker.
+        for odd in (b"-3", b"1e400", b'"\xff"', b"[" * 1_100 + b"]" * 1_100):
+            body = b'{"running":[["j.0.0.0",2,"s0",%b,12]],"ended":[]}' % odd
+            response = effects.EndpointResponse(200, (), body)
+            listed = curio.run(self._client(response).poll_runs(("w1", 0), 7, 57, 900, 0.5))
+            entry = workflow_messages.RunningTask("j.0.0.0", 2, "s0", 0, 12.0)
+            self.assertEqual(((entry,), 1), (listed.running, listed.unreadable))
+            self.assertTrue(listed.is_complete)
+
+    def test_a_list_that_may_not_name_all_runs_is_incomplete(self):
+        for body, is_complete in (
+            (b'{"running":[["",1e400]],"ended":[]}', False),
+            (b'{"running":"","ended":[]}', False),
+            (b'{"clockMs":5}', False),
+            (b'{"running":[],"ended":[[1,2]]}', True),
+            (b'{"running":[],"ended":[],"born":-1}', True),
+        ):
+            response = effects.EndpointResponse(200, (), body)
+            listed = curio.run(self._client(response).poll_runs(("w1", 0), 7, 57, 900, 0.5))
+            self.assertIs(is_complete, listed.is_complete, body)
 
     def test_one_odd_entry_leaves_the_others_of_a_list_readable(self):
         # Guards against a worker whose whole list is refused, so that its leases expire, because of
--- a/tests/workflows/world.py
+++ b/tests/workflows/world.py
@@ -61,6 +61,10 @@
         """Tasks or jobs that crash the worker when they start."""
         self.crashed_at: float | None = None
         self.stopping: dict[tuple[str, int], float] = {}
+        self.unreadable: set[str] = set()
+        """Tasks whose entries no agent can read."""
+        self.has_junk = False
+        """Whether each list has an unreadable entry that stands for no run."""
 
     def set_capacity(self, *capacity: int) -> None:
         """Change the capacity: millicores, memory in MB and accelerators."""
@@ -110,8 +114,13 @@
         """Extend the lease, drop acknowledged ends, and return the running and ended runs."""
         self.lease_until = max(self.lease_until, lease)
         self.ended = [entry for entry in self.ended if entry.number > acknowledged]
-        running = tuple(self._make_running(run, end, now) for run, end in self.running.items())
-        return worker_client.RunList(1, running, tuple(self.ended))
+        running = tuple(
+            self._make_running(run, end, now)
+            for run, end in self.running.items()
+            if run[0] not in self.unreadable
+        )
+        unreadable = len(self.running) - len(running) + self.has_junk
+        return worker_client.RunList(1, running, tuple(self.ended), unreadable, not unreadable)
 
     def _make_running(
         self, run: tuple[str, int], end: float, now: float
