Leave out ends whose numbers cannot follow from a worker's list

One end with the number 2**62 in a worker's list made the owner and the agent acknowledge all numbers up to it. The worker then forgot each later end before it was read, so its tasks counted as absent and ran again and again (LOST).

The client now takes the ends in the order of their numbers and leaves out those from the first gap of more than 1,000,000 on; after a restart of the agent, when nothing is acknowledged, the first number may be up to 2**40. They are counted and logged as unreadable, and are never acknowledged.

--- a/crocusrudder/platform/worker.py
+++ b/crocusrudder/platform/worker.py
@@ -21,6 +21,11 @@
 CALL_TIMEOUT_SECONDS = 1.0
 """A call to a healthy worker takes 2 ms."""
 CONNECTIONS = 10
+MAX_END_GAP = 1_000_000
+"""Greatest distance of the number of an end from that of the one before. Workers number their ends
+from 1 and list 500 at a time, in order."""
+MAX_FIRST_END = 2**40
+"""Greatest number of the first end that an agent reads; 1,000 ends a second for 35 years."""
 MAX_ERROR_CHARACTERS = 200
 """Length of the quoted decoding error; some errors repeat the input."""
 
@@ -81,6 +86,12 @@
         self.entries += 1
         self.error = self.error or str(error)[:MAX_ERROR_CHARACTERS]
 
+    def log(self) -> None:
+        if self.entries:
+            code = errors.MalformedInputError.code
+            fields = {"code": code, "error": self.error, "entries": self.entries}
+            logs.write_change(effects.LogChange("list_entry_unreadable", fields))
+
 
 _Item = TypeVar("_Item")
 
@@ -180,10 +191,12 @@
             return None
         if status != _STATUS_OK:
             raise errors.NotExecutedError(f"the worker responded with status {status}")
+        ended = _convert_ended(response, acknowledged, unreadable)
+        unreadable.log()
         return RunList(
             response.clock_ms,
             _convert_running(response),
-            _convert_ended(response),
+            ended,
             unreadable.entries,
             not unreadable.hides_runs and not (response.running is response.ended is None),
         )
@@ -223,12 +236,6 @@
         _decode_entries(members.get("ended", b"[]"), _WireEnded, unreadable),
         _decode_part(members.get("born", b"0"), _Count, unreadable) or 0,
     )
-    fields = {
-        "code": errors.MalformedInputError.code,
-        "error": unreadable.error,
-        "entries": unreadable.entries,
-    }
-    logs.write_change(effects.LogChange("list_entry_unreadable", fields))
     return response, unreadable
 
 
@@ -299,8 +306,22 @@
     )
 
 
-def _convert_ended(response: _WireResponse) -> tuple[workflow_messages.EndedRun, ...]:
+def _convert_ended(
+    response: _WireResponse, acknowledged: int, unreadable: _Unreadable
+) -> tuple[workflow_messages.EndedRun, ...]:
+    """Return the ends up to the first gap that their numbering cannot have.
+
+    Ends up to the highest processed number are acknowledged, so one number that is far too high
+    would acknowledge all later ends before they are read.
+    """
+    ended = sorted(response.ended or (), key=lambda row: row.number)
+    numbers = [row.number for row in ended]
+    before = [acknowledged or min([*numbers, MAX_FIRST_END]), *numbers]
+    gaps = (number - last > MAX_END_GAP for last, number in zip(before, numbers, strict=False))
+    count = next((index for index, is_gap in enumerate(gaps) if is_gap), len(ended))
+    for row in ended[count:]:
+        unreadable.add(errors.MalformedInputError(f"end number {row.number} is out of sequence"))
     return tuple(
         workflow_messages.EndedRun(row.number, row.task, row.run, row.how.value, row.saved or "")
-        for row in response.ended or ()
+        for row in ended[:count]
     )
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -288,6 +288,23 @@
             self.assertEqual(((entry,), 1), (listed.running, listed.unreadable))
             self.assertTrue(listed.is_complete)
 
+    def test_an_end_with_a_number_that_is_far_too_high_is_left_out(self):
+        # Guards against LOST: the number was acknowledged, and the worker forgot all later ends
+        # before they were read, so that their tasks ran again and again.
+        for acknowledged, numbers, expected in (
+            (57, [58, 2**62, 59], [58, 59]),
+            (57, [2**62], []),
+            (0, [5_000_000, 2**62, 5_000_001], [5_000_000, 5_000_001]),
+            (0, [2**62], []),
+            (0, [], []),
+        ):
+            ended = [[number, "j.0.0.9", number, "done", ""] for number in numbers]
+            response = make_response(200, {"running": [], "ended": ended})
+            poll = self._client(response).poll_runs(("w1", 0), 7, acknowledged, 900, 0.5)
+            listed = curio.run(poll)
+            self.assertEqual(expected, [entry.number for entry in listed.ended])
+            self.assertEqual(len(numbers) - len(expected), listed.unreadable)
+
     def test_a_list_that_may_not_name_all_runs_is_incomplete(self):
         for body, is_complete in (
             (b'{"running":[["",1e400]],"ended":[]}', False),
