Pause between polls while a worker lists ends that cannot be read

A worker that holds an end answers each poll at once. An end that cannot be read is not acknowledged until a later one is, so the agent polled its worker without a pause until then.

--- a/crocusrudder/workflows/agent_state.py
+++ b/crocusrudder/workflows/agent_state.py
@@ -51,6 +51,7 @@
         self._listed_at = float("-inf")
         self._list_received_at = now
         self._listed_ends: tuple[int, ...] = ()
+        self._has_unreadable = False
         self._completeness = list_completeness.ListCompleteness()
         self._poll_failed_at = float("-inf")
         self._rejected: dict[model.RunKey, tuple[str, float]] = {}
@@ -100,8 +101,8 @@
 
     @property
     def has_unacknowledged_ends(self) -> bool:
-        """Return whether the last list holds ends that are not durable yet."""
-        return bool(self._ended)
+        """Return whether the last list holds ends that are not durable yet or cannot be read."""
+        return bool(self._ended) or self._has_unreadable
 
     def is_starting(self, run: model.RunKey) -> bool:
         """Return whether the outcome of a start is unknown and no stop of it was answered."""
@@ -264,6 +265,7 @@
         self._listed_epoch = epoch
         listed_runs = {(entry.task, entry.run): entry for entry in listed.running}
         ended_runs = {(entry.task, entry.run) for entry in listed.ended}
+        self._has_unreadable = listed.unreadable > 0
         self._completeness.record(listed.is_complete, now)
         may_miss_runs = self._completeness.may_miss_runs(now)
         ended = {entry.number: entry for entry in listed.ended}
@@ -338,10 +340,8 @@
         )
 
     def _resolve_blocked(self, listed: Set[model.RunKey], requested_at: float, now: float) -> None:
-        """Reject stopped runs that are missing from a list requested after the stop.
-
-        An incomplete list does not show that a run has ended, but the time since the stop does.
-        """
+        """Reject stopped runs that are missing from a list requested after the stop."""
+        # An incomplete list does not show that a run has ended, but the time since the stop does.
         if self._completeness.is_incomplete:
             requested_at = min(requested_at, now - leases.STOP_TIMEOUT_SECONDS)
         resolved = [run for run, stopped_at in self._blocked.items() if stopped_at < requested_at]
--- a/tests/workflows/test_agent_daemon.py
+++ b/tests/workflows/test_agent_daemon.py
@@ -161,6 +161,29 @@
         self.assertLessEqual(before, 2)
         self.assertEqual(before + 1, after)
 
+    def test_ends_that_cannot_be_read_are_polled_again_only_after_a_pause(self):
+        # Guards against polls without a pause, as an end that is never acknowledged lets the worker
+        # answer at once each time.
+        self._set_constant("UNACKNOWLEDGED_POLL_SECONDS", 3_600.0)
+        client = self.agent._worker = worker.WorkerClient("127.0.0.1:9")
+        content = {"clockMs": 900, "born": 1, "running": [], "ended": [["1", "j.0.0.0", 1]]}
+        response = test_messages.make_response(200, content)
+        client._http = test_messages.FakeHttp(*[response] * ROUNDS)
+        envelope = messages.Envelope(1, 0, ids.ProcessId("e1"), ids.Incarnation("i"), "", "", None)
+
+        async def poll() -> None:
+            self.agent._state.handle_heartbeat(self.worker, 1, 0.0)
+            await self.agent._deliver(envelope, self._make_orders(0))
+            polling = await curio.spawn(self.agent._poll_runs_forever)
+            for _ in range(ROUNDS):
+                await curio.sleep(0)
+            await polling.cancel()
+
+        curio.run(poll())
+        self.assertLessEqual(len(client._http.requests), 2)
+        counters = self.agent._metrics.counters
+        self.assertEqual(len(client._http.requests), counters["list_entries_unreadable"])
+
     def test_a_list_of_another_incarnation_with_the_same_id_is_not_taken_for_the_known_one(self):
         # Guards against ends of the new incarnation that are taken for ends of the old one, whose
         # numbers have already been acknowledged: the task of such an end runs again.
