Read each address of the roster and of the entries alone

A row of the roster or of the entries that is not UTF-8 or has no value ended the task of the new owner while it loaded, and that of each entry that took over after it: nobody owned the workers. The addresses were decoded outside of the `try` that logs unreadable rows.

Each address is now decoded alone and checked (a host and a port up to 65,535). `rows_unreadable` counts such rows; `row_unreadable` names the table, the key and the code.

With the old owner_service.py and rows.py the new test failed with UnicodeDecodeError.

--- a/crocusrudder/workflows/owner_service.py
+++ b/crocusrudder/workflows/owner_service.py
@@ -217,7 +217,7 @@
         for row in entries.rows:
             entry = ids.ProcessId(row.key)
             if entry != self._lease.row.holder:
-                self._link.record_address(entry, row.value.decode())
+                self._link.record_address(entry, self._decode_address(row))
                 self.handle_entry_hello(entry)
         self._restore_estimates(learned)
         self._apply_page(jobs, {row.key: row.value for row in progress.rows})
@@ -226,21 +226,38 @@
         self._log("ownership_begun", jobs=len(jobs.rows), agents=len(roster.rows))
 
     def _send_hellos_to_agents(self, roster: store.Page) -> None:
-        """Request reports from all agents on the roster of earlier owners."""
-        addresses = {ids.ProcessId(row.key): row.value.decode() for row in roster.rows}
+        """Request reports from all agents on the roster of earlier owners.
+
+        An agent without a readable address is awaited like the others, as its worker may run tasks.
+        """
+        addresses = {ids.ProcessId(row.key): self._decode_address(row) for row in roster.rows}
         self._owner.load_roster(addresses)
         hello = workflow_messages.OwnerHello(self._lease.row.epoch)
         for agent, address in addresses.items():
             self._link.record_address(agent, address)
             self._link.send(agent, hello, transport.ANY_INCARNATION)
 
+    def _decode_address(self, row: store.StoreRow) -> str:
+        """Return the address in a row; empty if it cannot be read."""
+        try:
+            return rows.decode_address(row.value)
+        except workflow_errors.UnreadableRowError as error:
+            self._record_unreadable(row.table, row.key, error)
+            return ""
+
+    def _record_unreadable(
+        self, table: str, key: str, error: workflow_errors.UnreadableRowError
+    ) -> None:
+        self._metrics.count("rows_unreadable")
+        self._log("row_unreadable", table=table, key=key, **error.to_dict())
+
     def _restore_estimates(self, row: store.StoreRow | None) -> None:
         if row is None or row.value is None:
             return
         try:
             self._owner.restore_estimates(rows.decode_estimates(row.value))
         except workflow_errors.UnreadableRowError as error:
-            self._log("row_unreadable", key=rows.ESTIMATES_KEY, error=str(error))
+            self._record_unreadable(row.table, row.key, error)
 
     def _list_due_estimates(self, now: float) -> list[store.Write]:
         """Return the write of the interference estimates if it is due."""
@@ -281,7 +298,7 @@
             known = rows.decode_progress(progress) if progress else None
             self._owner.add_job(rows.decode_job(value), version, known)
         except workflow_errors.UnreadableRowError as error:
-            self._log("row_unreadable", key=job, error=str(error))
+            self._record_unreadable(rows.JOBS_TABLE, job, error)
 
     async def _watch_jobs(self) -> None:
         while True:
--- a/crocusrudder/workflows/rows.py
+++ b/crocusrudder/workflows/rows.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from crocusrudder.core import ids
+from crocusrudder.wire import addresses
 from crocusrudder.workflows import errors
 from crocusrudder.workflows import model
 
@@ -23,6 +24,8 @@
 """Key of the owner's estimates of the interference between images."""
 CANCEL_SUFFIX = ".cancel"
 CANCEL_VALUE = b"1"
+MAX_QUOTED = 100
+"""Characters of an unreadable value that an error quotes."""
 
 
 PairEstimates = dict[str, dict[str, tuple[float, float, int]]]
@@ -80,9 +83,20 @@
     return _decode(value, InterferenceEstimates)
 
 
-def _decode(value: bytes, type_: type) -> msgspec.Struct:
+def decode_address(value: bytes | None) -> str:
+    """Decode an address; raise ``UnreadableRowError`` for a malformed value."""
     try:
-        return msgspec.msgpack.decode(value, type=type_)
+        address = (value or b"").decode("ascii")
+    except UnicodeError as error:
+        raise errors.UnreadableRowError(f"row is not an address: {error}") from error
+    if not addresses.is_valid(address):
+        raise errors.UnreadableRowError(f"row is not an address: {address[:MAX_QUOTED]!r}")
+    return address
+
+
+def _decode(value: bytes | None, type_: type) -> msgspec.Struct:
+    try:
+        return msgspec.msgpack.decode(value or b"", type=type_)
     except (msgspec.MsgspecError, RecursionError) as error:
         raise errors.UnreadableRowError(f"row is not a valid {type_.__name__}: {error}") from error
 
--- a/tests/workflows/test_owner_service.py
+++ b/tests/workflows/test_owner_service.py
@@ -30,6 +30,10 @@
 
     def __init__(self) -> None:
         self.sent: list[workflow_messages.AgentOrders] = []
+        self.addresses: dict[ids.ProcessId, str] = {}
+
+    def record_address(self, process, address) -> None:
+        self.addresses[process] = address
 
     def send(self, to, message, incarnation) -> None:
         self.sent.append(message)
@@ -161,6 +165,46 @@
         return None
 
 
+class FakeTables:
+    """A store with the given values, by table and key."""
+
+    def __init__(self, **tables: dict[str, bytes | None]) -> None:
+        self._tables = tables
+
+    async def read(self, table, *_):
+        items = self._tables.get(table, {}).items()
+        return store.Page(tuple(store.StoreRow(table, key, value, 3) for key, value in items), 9)
+
+    async def read_row(self, table, key):
+        page = await self.read(table)
+        return next((row for row in page.rows if row.key == key), None)
+
+
+class UnreadableRowTest(unittest.TestCase):
+    """Guards against one row of another writer that ends the task of each new owner."""
+
+    ODD = (b"\xff\xfe", b"", None, b"host", b"host:", b":80", b"host:99999", b"h\x00:80", b"h:x")
+
+    def _load(self, **tables: dict[str, bytes | None]) -> owner_service.OwnerService:
+        row = rows.OwnerRow(model.OwnerEpoch(2), ids.ProcessId("e1"), "e1:1", 1)
+        lease = ownership.OwnershipLease(row, 5, clocks.read_boot_time())
+        service = owner_service.OwnerService(
+            lease, FakeTables(**tables), FakeLink(), metrics.Metrics(), lambda: None
+        )
+        curio.run(service._load)
+        return service
+
+    def test_an_agent_whose_address_cannot_be_read_is_awaited_beside_the_others(self):
+        # Guards against TWICE: an agent that is left out may have runs that the owner cannot see.
+        odd = {f"odd{number}": value for number, value in enumerate(self.ODD)}
+        service = self._load(roster={**odd, "a1": b"h:1"}, entries={**odd, "e2": b"h:2"})
+        self.assertEqual({*odd, "a1"}, set(service.owner._awaited_agents))
+        self.assertEqual(
+            {"a1": "h:1", "e2": "h:2"}, {k: v for k, v in service._link.addresses.items() if v}
+        )
+        self.assertEqual(2 * len(odd), service._metrics.counters["rows_unreadable"])
+
+
 class EvacuationTest(unittest.TestCase):
     """Guards against EVAC by a new owner whose entry has not learned of an evacuation yet."""
 
