Set aside a job whose rows cannot be used, without running it twice

A progress row with an empty value, which also stands for bad base64, counted as no progress: the new owner ran the job from the start, also tasks that had ended (TWICE). The same happened to a job that was left out for unreadable progress once its row was read again without progress, as after HistoryGoneError. A job row with a task count of 2**40, a dependency on a stage that does not exist or the id of another job was planned as it stood.

A job is now set aside if its progress cannot be read, for the rest of the ownership epoch. A job row is checked against its key and with the limits for submissions (operator.check_stages). Both are logged and counted (`row_unreadable`, `rows_unreadable`); the jobs beside it hold. It is not failed or rewritten, because the row may have been written by a newer release. The attribute _early_reports was not used and is removed.

decode_job needs the key of the row, so the caller in test_entry_http passes it. With the old code both new tests failed: ['j1', 'j3'] were planned instead of ['j3'], and ['another', 'many', 'after', 'negative', 'j1'] instead of ['j1'].

--- a/crocusrudder/platform/operator.py
+++ b/crocusrudder/platform/operator.py
@@ -1,6 +1,7 @@
 """Decode the operator's configuration and the jobs that callers submit."""
 
 from collections.abc import Iterator
+from collections.abc import Sequence
 from typing import Any
 
 import msgspec
@@ -148,12 +149,13 @@
         wire = msgspec.json.decode(body, type=_WireJob)
     except (msgspec.MsgspecError, RecursionError) as error:
         raise errors.MalformedInputError(f"job {job}: {error}") from error
-    _check_job(job, wire)
+    stages = tuple(_convert_stage(stage) for stage in wire.steps)
+    check_stages(job, stages, wire.max_runs)
     return model.Job(
         job,
         queue,
         wire.spec,
-        tuple(_convert_stage(stage) for stage in wire.steps),
+        stages,
         accepted_at,
         wire.max_runs,
         wire.start_at_ms / 1_000,
@@ -161,17 +163,18 @@
     )
 
 
-def _check_job(job: ids.JobId, wire: _WireJob) -> None:
-    for number, stage in enumerate(wire.steps):
-        if stage.count < 1 or any(not 0 <= other < number for other in stage.after):
+def check_stages(job: ids.JobId, stages: Sequence[model.Stage], occurrences: int) -> None:
+    """Raise ``MalformedInputError`` if the stages of a job cannot be planned."""
+    for number, stage in enumerate(stages):
+        if stage.task_count < 1 or any(not 0 <= other < number for other in stage.after):
             raise errors.MalformedInputError(
                 f"job {job}: stage {number} has no tasks or depends on a stage that is not earlier"
             )
-        if min(stage.cpu, stage.memory_mb, stage.gpu) < 0:
+        if min(msgspec.structs.astuple(stage.demand)) < 0:
             raise errors.MalformedInputError(f"job {job}: stage {number} has a negative demand")
-    if wire.max_runs < 0:
+    if occurrences < 0:
         raise errors.MalformedInputError(f"job {job}: maxRuns is negative")
-    tasks = sum(stage.count for stage in wire.steps) * max(wire.max_runs, 1)
+    tasks = sum(stage.task_count for stage in stages) * max(occurrences, 1)
     if tasks > MAX_JOB_TASKS:
         raise errors.MalformedInputError(
             f"job {job}: {tasks} tasks, more than the {MAX_JOB_TASKS} that a job may have"
--- a/crocusrudder/workflows/owner_service.py
+++ b/crocusrudder/workflows/owner_service.py
@@ -119,7 +119,8 @@
         self._cores = cores
         self._entry_cores: dict[ids.ProcessId, float] = {}
         self._started_at = now
-        self._early_reports: list = []
+        self._set_aside: set[ids.JobId] = set()
+        """Jobs with unreadable progress, of which tasks that have ended must not run again."""
         self._is_loaded = False
         self._estimates_stored_at = 0.0
         self._feed_version = 0
@@ -294,11 +295,18 @@
         if is_cancellation:
             self._owner.apply_cancellation(job, time.time())
             return
+        table = rows.JOBS_TABLE
         try:
-            known = rows.decode_progress(progress) if progress else None
-            self._owner.add_job(rows.decode_job(value), version, known)
+            decoded = rows.decode_job(value, job)
+            table = rows.PROGRESS_TABLE
+            known = None if progress is None else rows.decode_progress(progress)
         except workflow_errors.UnreadableRowError as error:
-            self._record_unreadable(rows.JOBS_TABLE, job, error)
+            self._record_unreadable(table, job, error)
+            if progress is not None:
+                self._set_aside.add(job)
+            return
+        if job not in self._set_aside:
+            self._owner.add_job(decoded, version, known)
 
     async def _watch_jobs(self) -> None:
         while True:
--- a/crocusrudder/workflows/rows.py
+++ b/crocusrudder/workflows/rows.py
@@ -5,6 +5,8 @@
 import msgspec
 
 from crocusrudder.core import ids
+from crocusrudder.platform import errors as platform_errors
+from crocusrudder.platform import operator
 from crocusrudder.wire import addresses
 from crocusrudder.workflows import errors
 from crocusrudder.workflows import model
@@ -63,9 +65,16 @@
     return msgspec.msgpack.encode(value)
 
 
-def decode_job(value: bytes) -> model.Job:
-    """Decode a job; raise ``UnreadableRowError`` for a malformed value."""
-    return _decode(value, model.Job)
+def decode_job(value: bytes, key: ids.JobId) -> model.Job:
+    """Decode the job of a key; raise ``UnreadableRowError`` for a malformed value."""
+    job = _decode(value, model.Job)
+    if job.job_id != key:
+        raise errors.UnreadableRowError(f"row holds the job {job.job_id[:MAX_QUOTED]!r}")
+    try:
+        operator.check_stages(job.job_id, job.stages, job.occurrences)
+    except platform_errors.MalformedInputError as error:
+        raise errors.UnreadableRowError(f"row is not a valid Job: {error.message}") from error
+    return job
 
 
 def decode_progress(value: bytes) -> model.Progress:
--- a/tests/workflows/test_entry_http.py
+++ b/tests/workflows/test_entry_http.py
@@ -35,7 +35,7 @@
         body = msgspec.json.encode({"spec": "x", "steps": [{"taskCount": 1, "cpu": 1_000}]})
         request = http_messages.Request("POST", f"/q/{JOB}", (("host", "host"),), body)
         curio.run(self.http.handle(request))
-        return rows.decode_job(self.stored[0])
+        return rows.decode_job(self.stored[0], JOB)
 
     def test_a_job_of_a_removed_queue_runs_after_a_change_of_the_owner(self):
         # Guards against LOST: an owner knew the queues of configurations of its own time only, so
--- a/tests/workflows/test_owner_service.py
+++ b/tests/workflows/test_owner_service.py
@@ -204,6 +204,35 @@
         )
         self.assertEqual(2 * len(odd), service._metrics.counters["rows_unreadable"])
 
+    def test_a_job_whose_progress_cannot_be_read_is_set_aside_beside_the_others(self):
+        # Guards against TWICE: a job without its progress would run from the start. An empty value
+        # stands for bad base64.
+        jobs = {name: self._make_job(name) for name in ("j1", "j2", "j3")}
+        service = self._load(jobs=jobs, progress={"j1": b"", "j2": b"\xc1"})
+        # The feed and reloaded jobs come without progress.
+        service._apply_row(ids.JobId("j1"), jobs["j1"], 12, False)
+        self.assertEqual(["j3"], list(service.owner.job_registry.records))
+        self.assertEqual(2, service._metrics.counters["rows_unreadable"])
+
+    def test_a_job_that_cannot_be_planned_is_set_aside_beside_the_others(self):
+        # Guards against rows that end the owner's task, or take all of its memory, each time.
+        stage = model.Stage(1, messages.Resources(1, 1, 0))
+        odd = {
+            "other": self._make_job("another"),
+            "nested": b"\x91" * 100_000,
+            "none": b"",
+            "many": self._make_job("many", model.Stage(2**40)),
+            "after": self._make_job("after", stage, model.Stage(1, after=(7,))),
+            "negative": self._make_job("negative", model.Stage(1, messages.Resources(-1, 1, 0))),
+        }
+        service = self._load(jobs={**odd, "j1": self._make_job("j1")})
+        self.assertEqual(["j1"], list(service.owner.job_registry.records))
+        self.assertEqual(len(odd), service._metrics.counters["rows_unreadable"])
+
+    def _make_job(self, name: str, *stages: model.Stage) -> bytes:
+        stages = stages or (model.Stage(1, messages.Resources(1, 1, 0)),)
+        return rows.encode(model.Job(ids.JobId(name), QUEUE.name, "", stages, START))
+
 
 class EvacuationTest(unittest.TestCase):
     """Guards against EVAC by a new owner whose entry has not learned of an evacuation yet."""
