Claim an owner's row that cannot be read

With an owner's row that cannot be read, each entry logged row_unreadable four times a second and nobody owned the workers again (all jobs LOST). A row without a value ended the entry with a TypeError, and one with the epoch 2**64 - 1 ended each entry that claimed it, as 2**64 cannot be encoded.

The new epoch is the row's version plus 1. No earlier epoch is higher, because each claim raises the epoch by 1 and the version, which comes from a single counter of the store, by at least 1. Epochs and sequences above 2**53 are not valid. The row is counted in `rows_unreadable`.

With the old entry_daemon.py and rows.py the new test failed: no claim, [41] != [].

--- a/crocusrudder/workflows/entry_daemon.py
+++ b/crocusrudder/workflows/entry_daemon.py
@@ -216,9 +216,8 @@
         started_at = clocks.read_boot_time()
         try:
             found = await self._client.read_row(rows.CONTROL_TABLE, rows.OWNER_KEY)
-            row = rows.decode_owner(found.value) if found else None
+            row = self._decode_owner(found)
             version = found.version if found else 0
-            self._record_owner(row)
             if not challenger.observe(row, version, started_at):
                 return None
             cores = self._document.cores
@@ -240,11 +239,25 @@
             self._log("claim_failed", error=str(error))
             challenger.reset()
             return None
-        except workflow_errors.UnreadableRowError as error:
-            self._log("row_unreadable", key=rows.OWNER_KEY, error=str(error))
-            return None
         return ownership.OwnershipLease(claim, version, started_at)
 
+    def _decode_owner(self, found: store.StoreRow | None) -> rows.OwnerRow | None:
+        """Return the owner's row and record its holder; one that cannot be read has no holder.
+
+        Such a row is claimed like that of a silent owner. Otherwise nobody could ever own the
+        workers again. The owner that wrote it earlier ends with its next commit.
+        """
+        if found is None:
+            return None
+        try:
+            row = rows.decode_owner(found.value)
+        except workflow_errors.UnreadableRowError as error:
+            self._metrics.count("rows_unreadable")
+            self._log("row_unreadable", table=found.table, key=found.key, **error.to_dict())
+            return rows.make_unknown_owner(found.version)
+        self._record_owner(row)
+        return row
+
     async def _register(self) -> None:
         """Store this entry's address, so that each new owner can send it hellos."""
         address = self._document.peer_address.encode()
@@ -301,8 +314,8 @@
             if self._owner == self._document.process:
                 self._owner = None
 
-    def _record_owner(self, row: rows.OwnerRow | None) -> None:
-        if row is None or row.released or row.holder == self._document.process:
+    def _record_owner(self, row: rows.OwnerRow) -> None:
+        if row.released or row.holder == self._document.process:
             return
         self._link.record_address(row.holder, row.address)
         self._owner = row.holder
--- a/crocusrudder/workflows/rows.py
+++ b/crocusrudder/workflows/rows.py
@@ -26,6 +26,8 @@
 """Key of the owner's estimates of the interference between images."""
 CANCEL_SUFFIX = ".cancel"
 CANCEL_VALUE = b"1"
+MAX_EPOCH = 2**53
+"""Limit of epochs and sequences, far below the integers that messages and workers can hold."""
 MAX_QUOTED = 100
 """Characters of an unreadable value that an error quotes."""
 
@@ -84,7 +86,19 @@
 
 def decode_owner(value: bytes) -> OwnerRow:
     """Decode the owner's row; raise ``UnreadableRowError`` for a malformed value."""
-    return _decode(value, OwnerRow)
+    row = _decode(value, OwnerRow)
+    if not (0 < row.epoch <= MAX_EPOCH and 0 <= row.sequence <= MAX_EPOCH):
+        raise errors.UnreadableRowError(f"row has the epoch {row.epoch}, sequence {row.sequence}")
+    return row
+
+
+def make_unknown_owner(version: int) -> OwnerRow:
+    """Return what stands for an owner's row of this version that cannot be read.
+
+    Its epoch is not lower than any earlier one: each claim raises the epoch by 1 and the version,
+    which the store takes from a single counter, by at least 1.
+    """
+    return OwnerRow(model.OwnerEpoch(version), ids.ProcessId(""), "", 0)
 
 
 def decode_estimates(value: bytes) -> InterferenceEstimates:
--- a/tests/workflows/test_entry_daemon.py
+++ b/tests/workflows/test_entry_daemon.py
@@ -13,6 +13,9 @@
 from crocusrudder.wire import workflow_messages
 from crocusrudder.workflows import calls
 from crocusrudder.workflows import entry_daemon
+from crocusrudder.workflows import leases
+from crocusrudder.workflows import model
+from crocusrudder.workflows import rows
 from crocusrudder.workflows import settings
 
 
@@ -36,6 +39,40 @@
     )
 
 
+class FakeOwnerRow:
+    """A store with the given value of the owner's row, at version 40."""
+
+    def __init__(self, value: bytes | None) -> None:
+        self._row = store.StoreRow(rows.CONTROL_TABLE, rows.OWNER_KEY, value, 40)
+        self.claims: list[rows.OwnerRow] = []
+
+    async def read_row(self, *_):
+        return self._row
+
+    async def commit(self, writes, expectations):
+        self.claims.append(rows.decode_owner(writes[0].value))
+        return 41
+
+
+class ClaimTest(unittest.TestCase):
+    def test_an_owner_row_that_cannot_be_read_is_claimed_with_a_higher_epoch(self):
+        # Guards against workers without an owner for good, and against a claim under an epoch that
+        # the workers refuse, as they have seen a higher one.
+        known = rows.OwnerRow(model.OwnerEpoch(2**64 - 1), ids.ProcessId("e2"), "h:1", 1)
+        for value in (None, b"", b"\xff", rows.encode(known)):
+            entry = entry_daemon.EntryProcess(make_settings())
+            self.addCleanup(entry._link.close)
+            client = entry._client = FakeOwnerRow(value)
+            with mock.patch.object(clocks, "read_boot_time") as clock:
+                for clock.return_value in (100.0, 100.1 + leases.TAKEOVER_SECONDS):
+                    self.assertIsNone(curio.run(entry._try_claim))
+                clock.return_value += 2.0
+                lease = curio.run(entry._try_claim)
+            self.assertEqual([41], [claim.epoch for claim in client.claims])
+            self.assertEqual(41, lease.row.epoch)
+            self.assertEqual(3, entry._metrics.counters["rows_unreadable"])
+
+
 class ConfigurationTest(unittest.TestCase):
     def test_an_older_version_never_replaces_a_newer_one(self):
         entry = entry_daemon.EntryProcess(make_settings())
