Read the rows of a store page one by one

One row that is nested deeply, has a version of another type, a key that is not text, a null value, 1e400 or a byte that is not UTF-8 hid the whole page: no owner could load the table, and the feed read the same page again and again without an end.

A page that cannot be decoded as a whole is split, as the lists of workers are. A row with a readable key gets an empty value, which is unreadable for every decoder, so that it does not count as absent; one without a key is left out. `store_row_unreadable` names both. A page whose own version cannot be read, or whose brackets do not match, stays a failed call.

--- a/crocusrudder/platform/json_parts.py
+++ b/crocusrudder/platform/json_parts.py
@@ -4,12 +4,16 @@
 too large or is not UTF-8. The split looks at brackets, commas and strings only.
 """
 
+import contextlib
 import re
+from typing import TypeVar
 
 import msgspec
 
 from crocusrudder.platform import errors
 
+_Type = TypeVar("_Type")
+
 _WHITESPACE = b" \t\r\n"
 _TOKEN = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*"|["\[\]{},]', re.DOTALL)
 _MEMBER = re.compile(rb'[ \t\r\n]*("[^"\\]*(?:\\.[^"\\]*)*")[ \t\r\n]*:(.*)', re.DOTALL)
@@ -33,13 +37,19 @@
     matches = (_MEMBER.fullmatch(part) for part in _split(document, b"{}"))
     members = {}
     for match in filter(None, matches):
-        try:
-            members[msgspec.json.decode(match[1], type=str)] = match[2].strip(_WHITESPACE)
-        except (msgspec.MsgspecError, UnicodeError):
-            continue
+        with contextlib.suppress(errors.MalformedInputError):
+            members[decode(match[1], str)] = match[2].strip(_WHITESPACE)
     return members
 
 
+def decode(part: bytes, type_: type[_Type]) -> _Type:
+    """Decode a part; raises ``MalformedInputError``."""
+    try:
+        return msgspec.json.decode(part, type=type_)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        raise errors.MalformedInputError(str(error)) from error
+
+
 def _split(document: bytes, brackets: bytes) -> list[bytes]:
     text = document.strip(_WHITESPACE)
     if len(text) < len(brackets) or text[:1] + text[-1:] != brackets:
--- a/crocusrudder/platform/store.py
+++ b/crocusrudder/platform/store.py
@@ -1,16 +1,22 @@
 """Client of the metadata store: versioned rows, transactions and a change feed."""
 
 import base64
+import contextlib
+import typing
 import urllib.parse
 from collections.abc import Iterable
+from typing import Annotated
 from typing import Any
 from typing import Self
 
 import msgspec
 
 from crocusrudder.core import effects
+from crocusrudder.observability import logs
 from crocusrudder.platform import errors
 from crocusrudder.platform import http
+from crocusrudder.platform import json_parts
+from crocusrudder.wire import messages
 
 OPERATOR_TABLE = "op"
 CONFIGURATION_KEY = "config"
@@ -26,6 +32,8 @@
 CALL_TIMEOUT_SECONDS = 1.5
 """A call takes about 0.04 s, and up to 0.5 s while the store is slow."""
 CONNECTIONS = 12
+MAX_QUOTED = 200
+"""Characters of a decoding error that the log repeats."""
 
 _STATUS_OK = 200
 _STATUS_CONFLICT = 412
@@ -33,8 +41,14 @@
 _NOT_EXECUTED_STATUSES = (429, 503)
 
 
+_Version = Annotated[int, msgspec.Meta(ge=0, le=messages.MAX_INTEGER)]
+
+
 class StoreRow(msgspec.Struct, frozen=True):
-    """A row as read; in the change feed, ``value`` is None if the row was removed."""
+    """A row as read; in the change feed, ``value`` is None if the row was removed.
+
+    A value that cannot be read is empty, which is invalid for every decoder of this system.
+    """
 
     table: str
     key: str
@@ -71,14 +85,17 @@
 class _WireRow(msgspec.Struct):
     key: str
     table: str = ""
-    value: str = ""
-    ver: int = 0
+    value: str | None = ""
+    ver: _Version = 0
     deleted: bool = False
 
 
+_ROW_TYPES = typing.get_type_hints(_WireRow, include_extras=True)
+
+
 class _WireRows(msgspec.Struct):
     rows: list[_WireRow] = []
-    ver: int = 0
+    ver: _Version = 0
     more: bool = msgspec.field(default=False, name="morePages")
 
 
@@ -195,16 +212,43 @@
 def _decode(response: effects.EndpointResponse) -> _WireRows:
     try:
         return msgspec.json.decode(response.body, type=_WireRows)
-    except (msgspec.MsgspecError, RecursionError) as error:
+    except (msgspec.MsgspecError, RecursionError):
+        pass
+    try:
+        members = json_parts.split_object(response.body)
+        items = json_parts.split_array(members.get("rows", b"[]"))
+        # Without its version and its end, a page cannot be followed by the next one.
+        version = json_parts.decode(members.get("ver", b"0"), _Version)
+        more = json_parts.decode(members.get("morePages", b"false"), bool)
+    except errors.MalformedInputError as error:
         raise errors.UnknownOutcomeError(
             f"cannot decode the response of the store: {error}"
         ) from error
+    return _WireRows([row for row in map(_decode_row, items) if row is not None], version, more)
+
+
+def _decode_row(item: bytes) -> _WireRow | None:
+    """Decode a row; one with a readable key has an empty value if the rest cannot be read."""
+    try:
+        return json_parts.decode(item, _WireRow)
+    except errors.MalformedInputError as error:
+        failure = error
+    row = None
+    with contextlib.suppress(errors.MalformedInputError):
+        members = json_parts.split_object(item)
+        row = _WireRow(json_parts.decode(members.get("key", b""), str))
+        for name in ("table", "ver"):
+            with contextlib.suppress(errors.MalformedInputError):
+                type_ = _ROW_TYPES[name]
+                setattr(row, name, json_parts.decode(members.get(name, b""), type_))
+    fields = {"key": row and row.key, "code": failure.code, "error": failure.message[:MAX_QUOTED]}
+    logs.write_change(effects.LogChange("store_row_unreadable", fields))
+    return row
 
 
 def _convert(row: _WireRow, table: str) -> StoreRow:
     try:
-        value = None if row.deleted else base64.b64decode(row.value)
+        value = None if row.deleted else base64.b64decode(row.value or "")
     except ValueError:
-        # A row of another writer. An empty value is invalid for every decoder of this system.
         value = b""
     return StoreRow(row.table or table, row.key, value, row.ver)
--- a/crocusrudder/platform/worker.py
+++ b/crocusrudder/platform/worker.py
@@ -273,30 +273,25 @@
     """Decode an entry of which only the task and the run have to be valid."""
     try:
         task, run, *details = json_parts.split_array(item)
-        entry = _WireRunning(_decode(task, str), _decode(run, _Count), None, 0.0)
+        entry = _WireRunning(
+            json_parts.decode(task, str), json_parts.decode(run, _Count), None, 0.0
+        )
     except (errors.MalformedInputError, ValueError):
         return None
     for name, part in zip(("saved", "percent", "measure"), details, strict=False):
         with contextlib.suppress(errors.MalformedInputError):
-            setattr(entry, name, _decode(part, _RUNNING_TYPES[name]))
+            setattr(entry, name, json_parts.decode(part, _RUNNING_TYPES[name]))
     return entry
 
 
 def _decode_part(part: bytes, type_: type[_Item], unreadable: _Unreadable) -> _Item | None:
     try:
-        return _decode(part, type_)
+        return json_parts.decode(part, type_)
     except errors.MalformedInputError as error:
         unreadable.add(error)
         return None
 
 
-def _decode(part: bytes, type_: type[_Item]) -> _Item:
-    try:
-        return msgspec.json.decode(part, type=type_)
-    except (msgspec.MsgspecError, RecursionError) as error:
-        raise errors.MalformedInputError(str(error)) from error
-
-
 def _convert_running(response: _WireResponse) -> tuple[workflow_messages.RunningTask, ...]:
     return tuple(
         workflow_messages.RunningTask(
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -204,6 +204,20 @@
         _, page = self._call(make_response(200, first), make_response(200, second), commit=False)
         self.assertEqual(5, page.version)
 
+    def test_one_odd_row_does_not_hide_the_others(self):
+        # Guards against a table or feed that no process can read any more because of one row.
+        for odd in oddities.ODD_JSON:
+            with self.subTest(odd=odd[:20]):
+                body = b'{"rows":[{"key":"a","value":"Ylk=","ver":1},%b,{"key":"c","value":%b},'
+                body += b'{"key":"d","value":"Ylk=","ver":%b},{"key":%b},'
+                body += b'{"key":"z","value":"Ylk=","ver":4}],"ver":9}'
+                response = effects.EndpointResponse(200, (), body % (odd, odd, odd, odd))
+                _, page = self._call(response, commit=False)
+                values = {row.key: row.value for row in page.rows if row.key}
+                self.assertEqual(9, page.version)
+                self.assertEqual(["a", "c", "d", "z"], list(values))
+                self.assertEqual((b"bY", b"", b"", b"bY"), tuple(values.values()))
+
 
 class WorkerTest(unittest.TestCase):
     def _client(self, *responses):
