Refuse invalid addresses of peers, and bound the open connections

An address that is none replaced the valid one of a process, so that it could not be reached until its next message: ZeroMQ connects to h:99999 as port 34463, to a;b:80 and to a name with a NUL, and a lone surrogate raised UnicodeEncodeError in the owner's task. Connections were never closed: in a trial with 6,000 addresses, 4,095 sockets were in use and each further peer could not be reached.

record_address takes only a host and a port from 1 to 65,535, and logs and counts others (wire_addresses_refused). Beyond 2,048 connections the least recently used one is closed (wire_peers_closed); 8,192 addresses are kept.

With the old transport.py the new tests failed: {'a1': 'a;b:80'} was recorded, and there was no limit to set.

--- a/crocusrudder/wire/transport.py
+++ b/crocusrudder/wire/transport.py
@@ -17,6 +17,7 @@
 from crocusrudder.core import effects
 from crocusrudder.core import ids
 from crocusrudder.observability import logs
+from crocusrudder.wire import addresses
 from crocusrudder.wire import codec
 from crocusrudder.wire import errors
 from crocusrudder.wire import messages
@@ -31,6 +32,13 @@
 HEARTBEAT_INTERVAL_MS = 5_000
 HEARTBEAT_TIMEOUT_MS = 15_000
 MAX_SOCKETS = 4_096
+MAX_PEERS = 2_048
+"""Limit of open connections, of which the one used least recently is closed for a further one.
+
+Below ``MAX_SOCKETS``, as closing takes time; a deployment has up to 1,128 machines."""
+MAX_ADDRESSES = 8_192
+MAX_QUOTED = 100
+"""Characters of an invalid address that the log repeats."""
 
 ANY_INCARNATION = codec.ANY_INCARNATION
 
@@ -60,6 +68,11 @@
     def has_queued(self) -> bool:
         return bool(self._queue)
 
+    @property
+    def queued(self) -> int:
+        """Return the number of queued messages."""
+        return len(self._queue)
+
     def enqueue(self, data: bytes, now: float) -> None:
         """Append the message for ``flush`` to send; a full queue drops its oldest message."""
         self._queue.append((now + CONNECT_GRACE_SECONDS, data))
@@ -107,9 +120,20 @@
             raise errors.TransportError(f"cannot bind {address}: {error}") from error
 
     def record_address(self, process: ids.ProcessId, address: str) -> None:
-        """Record the address at which a process listens, as ``host:port``; ignore an empty one."""
-        if address:
-            self._addresses[process] = address
+        """Record the address at which a process listens, as ``host:port``; ignore an empty one.
+
+        An invalid one is logged and counted and does not replace a valid one.
+        """
+        if not address:
+            return
+        if not addresses.is_valid(address):
+            self._count("wire_addresses_refused")
+            self._log_invalid(process, address, "not a host and a port")
+            return
+        self._addresses.pop(process, None)
+        self._addresses[process] = address
+        if len(self._addresses) > MAX_ADDRESSES:
+            del self._addresses[next(iter(self._addresses))]
 
     def send(
         self, to: ids.ProcessId, message: messages.Message, incarnation: ids.Incarnation
@@ -119,9 +143,10 @@
         if address is None:
             self._count("wire_dropped_unknown_peer")
             return
-        peer = self._peers.get(address) or self._connect(to, address)
+        peer = self._peers.pop(address, None) or self._connect(to, address)
         if peer is None:
             return
+        self._peers[address] = peer
         now = time.monotonic()
         peer.enqueue(self._sender.encode(message, incarnation), now)
         self._count_expired(peer.flush(now))
@@ -130,24 +155,33 @@
 
     def _connect(self, to: ids.ProcessId, address: str) -> _Peer | None:
         """Open a connection; count the message as dropped if the address is not one."""
+        if len(self._peers) >= MAX_PEERS:
+            self._close_peer(next(iter(self._peers)))
+            self._count("wire_peers_closed")
         try:
-            peer = self._peers[address] = _Peer(self._context, address)
+            return _Peer(self._context, address)
         except zmq.ZMQError as error:
             self._count("wire_dropped_unknown_peer")
-            fields = {"peer": to, "address": address, "error": str(error)}
-            logs.write_change(effects.LogChange("peer_address_invalid", fields))
+            self._log_invalid(to, address, str(error))
             return None
-        return peer
+
+    def _log_invalid(self, process: ids.ProcessId, address: str, error: str) -> None:
+        fields = {"peer": process, "address": address[:MAX_QUOTED], "error": error}
+        logs.write_change(effects.LogChange("peer_address_invalid", fields))
+
+    def _close_peer(self, address: str) -> None:
+        peer = self._peers.pop(address, None)
+        if peer is not None:
+            self._count_expired(peer.queued)
+            self._unsent.discard(peer)
+            peer.close()
 
     def reconnect(self, process: ids.ProcessId) -> None:
         """Close the connection to a possibly unresponsive process; the next send opens a new one.
 
         Messages queued for the connection are dropped.
         """
-        peer = self._peers.pop(self._addresses.get(process, ""), None)
-        if peer is not None:
-            self._unsent.discard(peer)
-            peer.close()
+        self._close_peer(self._addresses.get(process, ""))
 
     async def retry_unsent(self) -> None:
         """Wake up ``retry_forever`` if there are queued messages."""
