Refuse messages with numbers that cannot be meant

An entry followed an OwnerHello with the epoch 2**62 and ignored the hellos of every later owner; a report sent at NaN or infinity made the owner ignore all later reports of the agent or accept old ones; EntryHello passed on NaN, infinite and negative cores.

Epochs, versions and numbers are limited to 0 to 2**53, and times and cores have to be finite. An epoch within the limits that does not exist has a way back as well: an entry takes over the epoch of the owner's row when it reads it, which it does if the owner is silent for 1.2 s.

Not covered: orders with a wrong epoch within the limits still raise the epoch of an agent and the fence of its worker for good.

--- a/crocusrudder/wire/workflow_messages.py
+++ b/crocusrudder/wire/workflow_messages.py
@@ -4,11 +4,26 @@
 causes a delay.
 """
 
+import math
+from typing import Annotated
+
 import msgspec
 
 from crocusrudder.core import ids
 from crocusrudder.wire import messages
 
+MAX_NUMBER = 2**53
+"""Limit of epochs, versions and numbers. No real one comes near it, and each can still be raised by
+1 and encoded everywhere."""
+
+Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+
+
+def _check_finite(*values: float) -> None:
+    """Raise ``ValueError``, which the decoder turns into its own error, for NaN and infinities."""
+    if not all(map(math.isfinite, values)):
+        raise ValueError(f"not finite: {values}")
+
 
 class WorkerState(msgspec.Struct, frozen=True, array_like=True):
     """One incarnation of a worker, as described in its heartbeats to the agent."""
@@ -85,9 +100,9 @@
     data_centre: ids.DataCentre
     sent_at: float
     """Seconds on the agent's clock; the owner echoes it."""
-    epoch: int
+    epoch: Number
     """Ownership epoch under which the worker's last list was made; 0 for none."""
-    orders_seen: int
+    orders_seen: Number
     worker: WorkerState | None
     reachable: bool
     """Whether the worker has responded to the agent recently."""
@@ -106,6 +121,9 @@
     list_incomplete: bool = False
     """Whether runs that the report does not name may be on the worker."""
 
+    def __post_init__(self) -> None:
+        _check_finite(self.sent_at, self.list_age_seconds)
+
 
 class StartOrder(msgspec.Struct, frozen=True, array_like=True):
     """Order to start a run."""
@@ -122,8 +140,8 @@
 class AgentOrders(messages.Message, frozen=True):
     """Orders of the owner; valid while ``echo`` is recent on the agent's clock."""
 
-    epoch: int
-    number: int
+    epoch: Number
+    number: Number
     echo: float
     """``sent_at`` of the newest report that the owner has."""
     worker: ids.WorkerId
@@ -132,17 +150,20 @@
     stops: tuple[tuple[str, int], ...] = ()
     paces: tuple[tuple[str, int, int], ...] = ()
     """Task, run and its CPU share in percent."""
-    acknowledged: int = 0
+    acknowledged: Number = 0
     """Highest number of an end that is durable in the store."""
 
+    def __post_init__(self) -> None:
+        _check_finite(self.echo)
+
 
 class OwnerHello(messages.Message, frozen=True):
     """Liveness message of the owner to entries and agents."""
 
-    epoch: int
+    epoch: Number
     pending: dict[str, int] = {}
     """Accepted jobs without a started task, by queue."""
-    version: int = 0
+    version: Number = 0
     """Version of the owner's row after its last successful commit."""
     has_stepped_down: bool = False
     """The owner sends no orders until one of its commits succeeds again. While its row has this
@@ -152,10 +173,13 @@
 class EntryHello(messages.Message, frozen=True):
     """Request of an entry for the owner's hellos."""
 
-    configuration: int = 0
-    cores: float = 0.0
+    configuration: Number = 0
+    cores: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     """Processor cores of the entry; 0 if unknown."""
 
+    def __post_init__(self) -> None:
+        _check_finite(self.cores)
+
 
 class JobCall(messages.Message, frozen=True):
     """A caller's request for a job, forwarded to another entry."""
@@ -178,6 +202,6 @@
     """A job or its cancellation was stored; saves the owner the wait for the store's feed."""
 
     job: ids.JobId
-    version: int
+    version: Number
     row: bytes = b""
     """Empty for a cancellation."""
--- a/crocusrudder/workflows/entry_daemon.py
+++ b/crocusrudder/workflows/entry_daemon.py
@@ -319,6 +319,8 @@
             return
         self._link.record_address(row.holder, row.address)
         self._owner = row.holder
+        # The store decides: a hello may have claimed an epoch that does not exist.
+        self._owner_epoch = row.epoch
         self._send_hello()
 
     async def _send_hellos_forever(self) -> None:
--- a/crocusrudder/workflows/rows.py
+++ b/crocusrudder/workflows/rows.py
@@ -8,6 +8,7 @@
 from crocusrudder.platform import errors as platform_errors
 from crocusrudder.platform import operator
 from crocusrudder.wire import addresses
+from crocusrudder.wire import workflow_messages
 from crocusrudder.workflows import errors
 from crocusrudder.workflows import model
 
@@ -26,8 +27,6 @@
 """Key of the owner's estimates of the interference between images."""
 CANCEL_SUFFIX = ".cancel"
 CANCEL_VALUE = b"1"
-MAX_EPOCH = 2**53
-"""Limit of epochs and sequences, far below the integers that messages and workers can hold."""
 MAX_QUOTED = 100
 """Characters of an unreadable value that an error quotes."""
 
@@ -87,7 +86,8 @@
 def decode_owner(value: bytes) -> OwnerRow:
     """Decode the owner's row; raise ``UnreadableRowError`` for a malformed value."""
     row = _decode(value, OwnerRow)
-    if not (0 < row.epoch <= MAX_EPOCH and 0 <= row.sequence <= MAX_EPOCH):
+    limit = workflow_messages.MAX_NUMBER
+    if not (0 < row.epoch <= limit and 0 <= row.sequence <= limit):
         raise errors.UnreadableRowError(f"row has the epoch {row.epoch}, sequence {row.sequence}")
     return row
 
--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -1,5 +1,8 @@
 """Tests of the codec."""
 
+import itertools
+import math
+import struct
 import unittest
 
 import msgspec
@@ -8,6 +11,7 @@
 from crocusrudder.wire import codec
 from crocusrudder.wire import errors
 from crocusrudder.wire import messages
+from crocusrudder.wire import workflow_messages
 
 SENDER = codec.Sender(ids.ProcessId("a"), ids.Incarnation("1"), "127.0.0.1:1")
 ACK = messages.HeartbeatAck(7, ids.CellId("c"), ids.CellEpoch(2), 300.0)
@@ -32,6 +36,32 @@
             with self.subTest(length=length), self.assertRaises(errors.MalformedMessageError):
                 codec.decode(data[:length], ids.Incarnation(""))
 
+    def test_numbers_that_cannot_be_meant_are_refused(self):
+        # Guards against marks that no later message can reach, and against NaN, which is neither
+        # older nor newer than any time: each later report or hello would be ignored.
+        for message in (
+            workflow_messages.OwnerHello(2**62),
+            workflow_messages.OwnerHello(-1),
+            workflow_messages.OwnerHello(1, version=2**64 - 1),
+            workflow_messages.EntryHello(2**62),
+            workflow_messages.EntryHello(1, -1.0),
+            workflow_messages.AgentOrders(2**62, 1, 0.0, ids.WorkerId("w"), 1),
+            workflow_messages.AgentOrders(1, 2**62, 0.0, ids.WorkerId("w"), 1),
+            workflow_messages.AgentReport(ids.DataCentre("z"), 0.0, 2**62, 0, None, True, False),
+            workflow_messages.JobStored(ids.JobId("j"), -1),
+        ):
+            with self.subTest(message=message), self.assertRaises(errors.MalformedMessageError):
+                codec.decode(SENDER.encode(message), ids.Incarnation(""))
+        valid = (
+            workflow_messages.EntryHello(1, 2.5),
+            workflow_messages.AgentOrders(1, 1, 2.5, ids.WorkerId("w"), 1),
+            workflow_messages.AgentReport(ids.DataCentre("z"), 2.5, 1, 0, None, True, False),
+        )
+        for message, odd in itertools.product(valid, (math.nan, math.inf, -math.inf)):
+            data = SENDER.encode(message).replace(struct.pack(">d", 2.5), struct.pack(">d", odd))
+            with self.subTest(message=message), self.assertRaises(errors.MalformedMessageError):
+                codec.decode(data, ids.Incarnation(""))
+
     def test_newer_major_version_is_refused(self):
         envelope = msgspec.msgpack.decode(SENDER.encode(ACK))
         envelope[0] = messages.PROTOCOL_MAJOR + 1
--- a/tests/workflows/test_entry_daemon.py
+++ b/tests/workflows/test_entry_daemon.py
@@ -72,6 +72,18 @@
             self.assertEqual(41, lease.row.epoch)
             self.assertEqual(3, entry._metrics.counters["rows_unreadable"])
 
+    def test_a_hello_of_an_epoch_that_does_not_exist_is_followed_until_the_row_is_read(self):
+        # Guards against an entry that ignores each later owner, so that it answers no count of
+        # pending jobs and sends all calls to the wrong process.
+        entry = entry_daemon.EntryProcess(make_settings())
+        self.addCleanup(entry._link.close)
+        entry._handle_owner_hello(ids.ProcessId("e9"), workflow_messages.OwnerHello(2**53))
+        row = rows.OwnerRow(model.OwnerEpoch(3), ids.ProcessId("e2"), "127.0.0.1:9", 1)
+        entry._client = FakeOwnerRow(rows.encode(row))
+        curio.run(entry._try_claim)
+        entry._handle_owner_hello(ids.ProcessId("e2"), workflow_messages.OwnerHello(3, {"q": 4}))
+        self.assertEqual(("e2", 4), (entry._owner, entry._count_pending(model.QueueName("q"))))
+
 
 class ConfigurationTest(unittest.TestCase):
     def test_an_older_version_never_replaces_a_newer_one(self):
