Accept task names in one spelling only

Callers would see a job that never ends, or a task that runs twice: a worker's list with a run named JOB.0.0.² of a known job (isdigit() holds, int() raises ValueError) ended the handling of every report of that worker half-way. Its later runs were not adopted or confirmed, and absent ones were not released. A run named JOB.0.0.00 was adopted as the run of JOB.0.0.0, which then counted as running and was never started.

find_task now returns a task only under the name that starts use.

--- a/crocusrudder/workflows/job_registry.py
+++ b/crocusrudder/workflows/job_registry.py
@@ -11,6 +11,9 @@
 """Run numbers reserved for one ownership epoch, enough for five hours at 550 starts a second. Each
 epoch has its own range, so that run numbers of a later epoch are always higher."""
 
+MAX_NUMBER_DIGITS = 18
+"""Most digits of a number in a task name; ``int`` raises an error from 4,301 on."""
+
 
 class TaskPhase(enum.Enum):
     """Scheduling state of a task."""
@@ -372,13 +375,22 @@
         self._newly_final.pop(job, None)
 
     def find_task(self, name: str) -> Task | None:
-        """Return a task by name; None for a malformed name or an unknown task."""
+        """Return a task by name; None for a malformed name or an unknown task.
+
+        Only the name that starts use is accepted: a run listed under another spelling, such as an
+        index with a leading zero, is no run of the task.
+        """
         job, *numbers = name.split(".")
         record = self._records.get(ids.JobId(job))
-        if record is None or len(numbers) != 3 or not all(part.isdigit() for part in numbers):
+        if record is None or len(numbers) != 3 or not all(map(_is_number, numbers)):
             return None
         occurrence, number, index = map(int, numbers)
         stage = record.get_stage(occurrence, number)
-        if stage is None or index >= len(stage.tasks):
+        if stage is None or index >= len(stage.tasks) or stage.tasks[index].name != name:
             return None
         return stage.tasks[index]
+
+
+def _is_number(text: str) -> bool:
+    """Return whether a part of a task name is a number; ``int`` refuses some other digits."""
+    return text.isascii() and text.isdigit() and len(text) <= MAX_NUMBER_DIGITS
--- /dev/null
+++ b/tests/workflows/test_odd_lists.py
@@ -0,0 +1,74 @@
+"""Tests of worker lists with entries that no owner has caused, such as those of another writer."""
+
+import unittest
+
+import msgspec
+
+from crocusrudder.wire import messages
+from crocusrudder.wire import workflow_messages
+from crocusrudder.workflows import model
+from tests.workflows import world
+
+ONE_CORE = messages.Resources(1_000, 100, 0)
+MAX_WAIT_SECONDS = 3.0
+"""The users' bound: while capacity is free, no accepted job has nothing running for longer."""
+MISSPELT_NUMBERS = ("00", "²", "٠", "0" * 5_000, "-0", " 0", "")
+"""Other spellings of 0, of which ``int`` accepts some and refuses others."""
+
+
+def add_entries(
+    agent: world.FakeAgent,
+    running: tuple[workflow_messages.RunningTask, ...] = (),
+    ended: tuple[workflow_messages.EndedRun, ...] = (),
+) -> None:
+    """Add entries to all lists of an agent's worker; an end stays until it is acknowledged."""
+    extend_lease = agent.worker.extend_lease
+
+    def list_more(now: float, acknowledged: int, lease: float):
+        listed = extend_lease(now, acknowledged, lease)
+        odd_ends = tuple(entry for entry in ended if entry.number > acknowledged)
+        return msgspec.structs.replace(
+            listed, running=(*running, *listed.running), ended=(*odd_ends, *listed.ended)
+        )
+
+    agent.worker.extend_lease = list_more
+
+
+class OddListTest(unittest.TestCase):
+    def setUp(self):
+        self.system = world.World(2)
+        self.system.run(1.0)
+        self.agents = list(self.system.agents.values())
+        for agent in self.agents:
+            agent.worker.duration = 30.0
+
+    def test_a_misspelt_task_name_does_not_hide_the_runs_listed_after_it(self):
+        # Guards against TWICE and LOST: an error in one entry ended the handling of each report of
+        # the worker, so that its other runs were never adopted, confirmed or released.
+        for number in MISSPELT_NUMBERS:
+            with self.subTest(number=number[:5]):
+                self.setUp()
+                self.system.submit("j", model.Stage(1, ONE_CORE))
+                self.system.run(1.0)
+                odd = workflow_messages.RunningTask(f"j.0.0.{number}", 1)
+                for agent in self.agents:
+                    add_entries(agent, running=(odd,))
+                self.system.replace_owner(2)
+                self.system.run(8.0)
+                self.assertTrue(self.system.owner.job_registry.find_task("j.0.0.0").is_running)
+                self.assertEqual(1, self.system.count_starts("j.0.0.0"))
+
+    def test_a_misspelt_task_name_is_no_run_of_the_task(self):
+        # Guards against LOST: the task counted as running, and was never started.
+        for number in MISSPELT_NUMBERS:
+            with self.subTest(number=number[:5]):
+                self.setUp()
+                odd = workflow_messages.RunningTask(f"j.0.0.{number}", 1)
+                add_entries(self.agents[0], running=(odd,))
+                self.system.submit("j", model.Stage(1, ONE_CORE))
+                self.system.run(MAX_WAIT_SECONDS)
+                self.assertEqual(1, self.system.count_starts("j.0.0.0"))
+
+
+if __name__ == "__main__":
+    unittest.main()
