--- a/tests/workflows/test_odd_lists.py
+++ b/tests/workflows/test_odd_lists.py
@@ -7,6 +7,7 @@
 from crocusrudder.wire import messages
 from crocusrudder.wire import workflow_messages
 from crocusrudder.workflows import model
+from crocusrudder.workflows import reports
 from tests.workflows import world
 
 ONE_CORE = messages.Resources(1_000, 100, 0)
@@ -69,6 +70,38 @@
                 self.system.run(MAX_WAIT_SECONDS)
                 self.assertEqual(1, self.system.count_starts("j.0.0.0"))
 
+    def test_an_end_with_a_number_far_ahead_does_not_discard_the_later_ends(self):
+        # Guards against jobs that run again and again: after one end with a late number, all others
+        # of the worker counted as known, and were acknowledged without having been read.
+        for number in (1_000_000, 2**62):
+            with self.subTest(number=number):
+                self.setUp()
+                odd = workflow_messages.EndedRun(number, "x.0.0.0", 1, "done")
+                for agent in self.agents:
+                    agent.worker.duration = 0.5
+                self.system.submit("first", model.Stage(8, ONE_CORE))
+                self.system.run(1.5)
+                for agent in self.agents:
+                    add_entries(agent, ended=(odd,))
+                self.system.run(1.0)
+                self.system.submit("later", model.Stage(8, ONE_CORE))
+                self.system.run(2.0)
+                self.assertIs(model.JobState.COMPLETED, self.system.get_state("later"))
+                self.assertEqual(1, self.system.count_starts("later.0.0.0"))
+
+    def test_an_end_with_a_number_far_ahead_is_left_out_by_a_new_owner(self):
+        odd = workflow_messages.EndedRun(2**62, "x.0.0.0", 1, "done")
+        for agent in self.agents:
+            agent.worker.duration = 0.5
+            add_entries(agent, ended=(odd,))
+        self.system.replace_owner(2)
+        self.system.run(1.0)
+        self.system.submit("later", model.Stage(8, ONE_CORE))
+        self.system.run(2.0)
+        self.assertIs(model.JobState.COMPLETED, self.system.get_state("later"))
+        logged = [change.name for change in self.system.owner.drain_log()]
+        self.assertEqual(len(self.agents), logged.count(reports.END_LEFT_OUT))
+
 
 if __name__ == "__main__":
     unittest.main()
