Bound how long a run of an unknown task keeps its worker from starts

Callers would see accepted jobs that run nowhere on an empty fleet: a worker that lists a run of a task that no job has gets no starts, as what the run takes is unknown. An entry that is no run, or whose stop the worker refuses, stays listed, so the worker got no starts for good; with one such entry on each worker nothing ran any more.

The stop is still repeated. What a real run takes that outlasts its stop by 2 s is not counted.

--- a/crocusrudder/workflows/fleet.py
+++ b/crocusrudder/workflows/fleet.py
@@ -36,6 +36,7 @@
         "is_adopted",
         "is_comparable",
         "is_far",
+        "is_ignored",
         "checkpoint",
         "order_echo",
         "order_number",
@@ -44,6 +45,7 @@
         "planned_on",
         "run",
         "stop_number",
+        "stop_seen_at",
         "task",
         "task_name",
         "ticket",
@@ -60,6 +62,10 @@
         """Number of the first orders with the start; 0 if none were sent."""
         self.stop_number = 0
         """Number of the first orders with the stop; 0 if none were sent."""
+        self.stop_seen_at: float | None = None
+        """When the first report confirmed the stop of a run whose task is unknown."""
+        self.is_ignored = False
+        """Whether the run's task is unknown and it is listed long after its stop."""
         self.order_echo = float("-inf")
         """``sent_at`` of the report that the last orders with the start echoed; infinite if an
         earlier process of the agent may have received them."""
@@ -115,7 +121,9 @@
     best_effort_by_image: dict[str, int] = {}
     """Millicores requested by the runs in ``best_effort``."""
     has_unknown: bool = False
-    """Whether a run's task is unknown, and so is what it takes; such a run is being stopped."""
+    """Whether a run's task is unknown, and so is what it takes; such a run is being stopped.
+
+    False once the stop has had no effect for ``reports.UNKNOWN_RUN_SECONDS``."""
 
 
 class AgentView:
@@ -289,6 +297,11 @@
             self.has_updates = True
             self._usage = None
 
+    def ignore_run(self, assignment: Assignment) -> None:
+        """Give starts to the worker despite a run of an unknown task."""
+        assignment.is_ignored = True
+        self._usage = None
+
     def take_changed_cpu_shares(self, now: float) -> tuple[tuple[str, int, int], ...]:
         """Return the CPU shares to send, by task and run, and record them as sent.
 
@@ -318,7 +331,7 @@
     has_unknown = False
     for assignment in assignments:
         if assignment.task is None:
-            has_unknown = True
+            has_unknown = has_unknown or not assignment.is_ignored
             continue
         spec = assignment.task.stage.spec
         demand = spec.demand
--- a/crocusrudder/workflows/reports.py
+++ b/crocusrudder/workflows/reports.py
@@ -28,6 +28,12 @@
 lists 500 at a time, of which some may be unreadable."""
 MAX_FIRST_END_NUMBER = 100_000_000
 """Greatest number of the first end that is read from a worker: 1,000 ends a second for a day."""
+UNKNOWN_RUN_SECONDS = 2.0
+"""Time after an agent has received the stop of a run of an unknown task from which the run no
+longer keeps its worker from starts. A stop takes 0.2 s in the users' deployments, and accepted jobs
+wait for 3 s at most."""
+UNKNOWN_RUN_IGNORED = "unknown_run_ignored"
+"""Log event of such a run that is still listed."""
 END_LEFT_OUT = "end_number_implausible"
 """Log event of an end whose number cannot be the worker's; its run counts as absent."""
 CAPACITY_EXCEEDED = "capacity_exceeded"
@@ -304,6 +310,26 @@
                 assignment.phase = fleet.AssignmentPhase.CONFIRMED
         self._stop_absent(view, report, present)
         self._release_void(view, report, now)
+        if view.usage.has_unknown:
+            self._ignore_unknown(view, report, now)
+
+    def _ignore_unknown(
+        self, view: fleet.AgentView, report: workflow_messages.AgentReport, now: float
+    ) -> None:
+        """Ignore the runs of unknown tasks that the worker lists although they are stopped.
+
+        Such an entry may be no run at all, so it must not keep the worker from starts for good.
+        """
+        for assignment in view.assignments.values():
+            if assignment.task is not None or assignment.is_ignored or not report.reachable:
+                continue
+            if not 0 < assignment.stop_number <= report.orders_seen:
+                continue
+            if assignment.stop_seen_at is None:
+                assignment.stop_seen_at = now
+            elif now - assignment.stop_seen_at >= UNKNOWN_RUN_SECONDS:
+                view.ignore_run(assignment)
+                self._log_run(UNKNOWN_RUN_IGNORED, assignment, view)
 
     def _release_void(
         self, view: fleet.AgentView, report: workflow_messages.AgentReport, now: float
--- a/tests/workflows/test_odd_lists.py
+++ b/tests/workflows/test_odd_lists.py
@@ -102,6 +102,39 @@
         logged = [change.name for change in self.system.owner.drain_log()]
         self.assertEqual(len(self.agents), logged.count(reports.END_LEFT_OUT))
 
+    def test_runs_of_an_unknown_task_on_all_workers_keep_no_job_waiting(self):
+        # Guards against LOST: a worker with a run of an unknown task got no starts, for as long as
+        # it listed the run, whether or not it accepted the stop.
+        odd = workflow_messages.RunningTask("x.0.0.0", 1)
+        for accepts in (True, False):
+            with self.subTest(accepts=accepts):
+                self.setUp()
+                for agent in self.agents:
+                    add_entries(agent, running=(odd,))
+                    agent.worker.stop = lambda *_, accepts=accepts: accepts
+                self.system.submit("j", model.Stage(1, ONE_CORE))
+                self.system.run(MAX_WAIT_SECONDS)
+                self.assertEqual(1, self.system.count_starts("j.0.0.0"))
+                logged = [change.name for change in self.system.owner.drain_log()]
+                self.assertEqual(len(self.agents), logged.count(reports.UNKNOWN_RUN_IGNORED))
+
+    def test_a_run_of_an_unknown_task_that_is_being_stopped_keeps_its_worker_from_starts(self):
+        # Guards against LIMIT: what such a run takes is not known.
+        self.system.submit("j", model.Stage(1, ONE_CORE))
+        self.system.run(1.0)
+        (agent,) = (agent for agent in self.agents if agent.worker.running)
+        agent.worker.stop_seconds = 1.5
+        other = next(other for other in self.agents if other is not agent)
+        other.is_connected = False
+        self.system.take_over(2, 100)
+        self.system.run(1.0)
+        self.system.submit("later", model.Stage(1, ONE_CORE))
+        while any(task == "j.0.0.0" for task, _ in agent.worker.running):
+            self.assertEqual(0, self.system.count_starts("later.0.0.0"))
+            self.system.step()
+        self.system.run(1.0)
+        self.assertEqual(1, self.system.count_starts("later.0.0.0"))
+
 
 if __name__ == "__main__":
     unittest.main()
