Release a run whose start can no longer begin

Callers would see an accepted job that never runs: the owner held a task for as long as its agent listed the start as unanswered, or for as long as the worker refused the stop of a run that it does not list. Neither has a bound while the worker answers polls.

A run that is in no list requested after that is released, logged (start_expired) and counted (starts_expired); its task prefers other workers, and its gang is planned again. The wait is longer than the 3 s of LOST by design: before that, the start may still be carried out.

--- a/crocusrudder/workflows/fleet.py
+++ b/crocusrudder/workflows/fleet.py
@@ -37,6 +37,7 @@
         "is_comparable",
         "is_far",
         "is_ignored",
+        "listed_at",
         "checkpoint",
         "order_echo",
         "order_number",
@@ -70,6 +71,8 @@
         """``sent_at`` of the report that the last orders with the start echoed; infinite if an
         earlier process of the agent may have received them."""
         self.ordered_at = 0.0
+        self.listed_at = 0.0
+        """When a report last listed the run as running."""
         self.checkpoint = ""
         self.ticket = ""
         self.planned_on = float("inf")
--- a/crocusrudder/workflows/leases.py
+++ b/crocusrudder/workflows/leases.py
@@ -19,6 +19,12 @@
 """Time for which an unconfirmed start is repeated, enough for one repetition. With the validity of
 an order and the interval of reports, its task is placed again about 3 s after the first order."""
 
+START_EXPIRY_SECONDS = START_REPEAT_SECONDS + ORDER_VALID_SECONDS + LEASE_EXPIRY_SECONDS
+"""Time after the first order of a start from which it can no longer begin.
+
+The agent calls the worker while the last order is valid, and the call names the end of the lease at
+that time, after which the worker refuses it."""
+
 OWNER_LEASE_SECONDS = 2.0
 """Time for which an owner may send orders, from the start of its last successful commit."""
 
--- a/crocusrudder/workflows/reports.py
+++ b/crocusrudder/workflows/reports.py
@@ -28,6 +28,10 @@
 lists 500 at a time, of which some may be unreadable."""
 MAX_FIRST_END_NUMBER = 100_000_000
 """Greatest number of the first end that is read from a worker: 1,000 ends a second for a day."""
+POLL_SECONDS = 1.5
+"""Longest time from the request of a list to its receipt by the agent."""
+START_EXPIRED = "start_expired"
+"""Log event of a run that was never listed, or is no longer, and cannot begin any more."""
 UNKNOWN_RUN_SECONDS = 2.0
 """Time after an agent has received the stop of a run of an unknown task from which the run no
 longer keeps its worker from starts. A stop takes 0.2 s in the users' deployments, and accepted jobs
@@ -294,6 +298,7 @@
             key = (running.task, running.run)
             present.add(key)
             assignment = view.assignments.get(key) or self._adopt(view, *key)
+            assignment.listed_at = now
             if assignment.phase is fleet.AssignmentPhase.ORDERED:
                 assignment.phase = fleet.AssignmentPhase.CONFIRMED
             assignment.checkpoint = running.checkpoint or assignment.checkpoint
@@ -310,6 +315,7 @@
                 assignment.phase = fleet.AssignmentPhase.CONFIRMED
         self._stop_absent(view, report, present)
         self._release_void(view, report, now)
+        self._release_expired(view, report, now)
         if view.usage.has_unknown:
             self._ignore_unknown(view, report, now)
 
@@ -349,6 +355,32 @@
                 if assignment.task is not None and assignment.task.stage.spec.gang:
                     self._incomplete_gangs.add((assignment.task.stage, assignment.run))
 
+    def _release_expired(
+        self, view: fleet.AgentView, report: workflow_messages.AgentReport, now: float
+    ) -> None:
+        """Release the runs that are not listed and whose start can no longer begin.
+
+        Their agents get no answer to the start and to the stop, or the worker refuses the stop.
+        """
+        requested_at = now - report.list_age_seconds - POLL_SECONDS
+        for assignment in list(view.assignments.values()):
+            assigned_at = assignment.task.assigned_at if assignment.task else 0.0
+            known_at = max(assigned_at, assignment.ordered_at, assignment.listed_at)
+            if requested_at - known_at >= leases.START_EXPIRY_SECONDS:
+                self._log_run(START_EXPIRED, assignment, view, phase=assignment.phase.value)
+                self._release(view, assignment, now)
+                self._record_unstarted(view, assignment)
+
+    def _record_unstarted(self, view: fleet.AgentView, assignment: fleet.Assignment) -> None:
+        """Prefer other workers for a task whose run could not be started; plan its gang again."""
+        if assignment.task is None:
+            return
+        stage = assignment.task.stage
+        for task in stage.tasks if stage.spec.gang else [assignment.task]:
+            task.avoided_agents.add(view.agent)
+        if stage.spec.gang:
+            self._incomplete_gangs.add((stage, assignment.run))
+
     def _stop_absent(
         self,
         view: fleet.AgentView,
--- a/tests/workflows/test_void_orders.py
+++ b/tests/workflows/test_void_orders.py
@@ -60,6 +60,95 @@
         return [task for agent in self.agents.values() for task, _ in agent.worker.running]
 
 
+class UnansweredAgent(DelayingAgent):
+    """An agent whose calls to start and to stop runs reach the worker but get no usable answer."""
+
+    def __init__(self, name: str, now: float) -> None:
+        super().__init__(name, now)
+        self.is_unanswered = False
+        self.is_stop_refused = False
+        self.start_delay = float("inf")
+        """Time after which the worker carries out a start without an answer."""
+        self.late_starts: list[tuple[float, tuple]] = []
+
+    def deliver(self, now: float) -> None:
+        for item in [item for item in self.late_starts if item[0] <= now]:
+            self.late_starts.remove(item)
+            order, epoch, lease = item[1]
+            # The worker refuses a start that names a lease in the past.
+            if lease > now:
+                self.worker.start(now, order, epoch, lease)
+        super().deliver(now)
+
+    def _call_start(self, order, epoch: int, lease: float, now: float) -> None:
+        if not self.is_unanswered:
+            super()._call_start(order, epoch, lease, now)
+        else:
+            self.late_starts.append((now + self.start_delay, (order, epoch, lease)))
+            run = (order.task, order.run)
+            if self.is_stop_refused:
+                self.state.record_stop_result(run, False, now)
+            else:
+                self.state.record_stop_failure(run)
+
+    def handle_orders(self, orders: workflow_messages.AgentOrders, now: float) -> None:
+        if not self.is_unanswered:
+            super().handle_orders(orders, now)
+            return
+        accepted = self.state.handle_orders(orders, now)
+        for order in accepted.starts if accepted else ():
+            self._start(order, orders, now)
+        for run in accepted.stops if accepted else ():
+            if self.is_stop_refused:
+                self.state.record_stop_result(run, False, now)
+            else:
+                self.state.record_stop_failure(run)
+
+
+class UnansweredStartTest(unittest.TestCase):
+    """Guards against LOST: a task was held for good by a run that could not begin any more."""
+
+    def setUp(self):
+        self.system = DelayingWorld(0)
+        self.system.agents = {
+            agent.process: agent
+            for agent in (UnansweredAgent(f"a{number}", self.system.now) for number in range(4))
+        }
+        self.system.run(1.0)
+        for agent in self.system.agents.values():
+            agent.worker.duration = 60.0
+        self.agent = self.system.agents[ids.ProcessId("a0")]
+        self.agent.is_unanswered = True
+
+    def test_a_task_whose_start_and_stop_are_not_answered_is_placed_elsewhere(self):
+        for is_stop_refused in (False, True):
+            with self.subTest(is_stop_refused=is_stop_refused):
+                self.setUp()
+                self.agent.is_stop_refused = is_stop_refused
+                self.system.submit("j", model.Stage(1, ONE_CORE))
+                self.system.run(leases.START_EXPIRY_SECONDS + 3.0)
+                self.assertEqual(["j.0.0.0"], self.system.list_running())
+                self.assertFalse(self.agent.worker.started)
+
+    def test_a_gang_of_which_one_start_is_not_answered_is_placed_again(self):
+        self.system.submit("j", model.Stage(3, ONE_CORE, gang=True, max_per_worker=1))
+        self.system.run(leases.START_EXPIRY_SECONDS + 4.0)
+        self.assertEqual([f"j.0.0.{i}" for i in range(3)], sorted(self.system.list_running()))
+
+    def test_a_start_that_is_carried_out_late_makes_no_second_run(self):
+        # Guards against TWICE: the task is placed elsewhere only when the start cannot begin.
+        for tenths in range(0, 140, 7):
+            with self.subTest(delay=tenths / 10):
+                self.setUp()
+                self.agent.is_stop_refused = bool(tenths % 2)
+                self.agent.start_delay = tenths / 10
+                self.system.submit("j", model.Stage(1, ONE_CORE))
+                for _ in range(160):
+                    self.system.step()
+                    self.assertLessEqual(len(self.system.list_running()), 1)
+                self.assertEqual(["j.0.0.0"], self.system.list_running())
+
+
 class VoidOrderTest(unittest.TestCase):
     def setUp(self):
         self.system = DelayingWorld(4)
