Let no unlisted run keep the rest of its job from a last resort

Callers would see a job of many tasks that stands still on a free fleet: a starved job gets one task placed as a last resort, but none while any of its tasks is assigned. A run on an agent that has gone silent, or whose order was lost, is assigned and runs nowhere for up to a lease.

test_one_task_starts_at_the_lowest_cpu_share_after_a_bounded_wait made plans without any report and took the assigned run for a running one. It now lists the run as a report does, and a new test checks that an unlisted one does not count.

--- a/crocusrudder/workflows/decisions/starvation.py
+++ b/crocusrudder/workflows/decisions/starvation.py
@@ -42,11 +42,11 @@
 
 def record_passed_over(task: job_registry.Task, now: float) -> bool:
     """Record that no worker was found for a task; return whether its stage or job is starved."""
-    if not task.stage.spec.long_running and task.record.assigned_count:
-        return False
     waiting = _get_waiting_unit(task)
     if waiting.passed_over_since is None:
         waiting.passed_over_since = now
+    if not task.stage.spec.long_running and _may_be_starting(task.record, now):
+        return False
     return now >= task.stage.retry_at and now - waiting.passed_over_since >= STARVED_SECONDS
 
 
@@ -58,6 +58,15 @@
     task.stage.retry_at = now + RETRY_SECONDS
 
 
+def _may_be_starting(record: job_registry.JobRecord, now: float) -> bool:
+    """Return whether a run of the job was ordered so lately that no report may have listed it.
+
+    An assigned run that is not listed for longer, as on a silent agent, counts for nothing; each
+    report that lists one resets ``passed_over_since``.
+    """
+    return bool(record.assigned_count) and now - record.last_assigned_at < STARVED_SECONDS
+
+
 def _get_waiting_unit(task: job_registry.Task) -> job_registry.StageRecord | job_registry.JobRecord:
     """Return the stage of a long-running task, else the job."""
     return task.stage if task.stage.spec.long_running else task.record
--- a/crocusrudder/workflows/job_registry.py
+++ b/crocusrudder/workflows/job_registry.py
@@ -150,7 +150,7 @@
         self.needs_planning = True
         """Whether a task may have become ready to start since the job was last planned."""
         self.passed_over_since: float | None = None
-        """Since when no worker was found for a ready task while nothing was running."""
+        """Since when no worker was found for a ready task while no run was listed or completed."""
         self.registry: JobRegistry | None = None
         self._has_unsaved_changes = False
         self.stored_state = self.progress.state
@@ -160,6 +160,8 @@
         """Worst outlook that was logged while the job waited; see ``decisions.waiting``."""
         self.plan_not_before = 0.0
         """When the job may be planned again after an error."""
+        self.last_assigned_at = 0.0
+        """When a task of the job was last assigned to a worker."""
         self.assigned_count = 0
         """Number of tasks in the phase ``ASSIGNED``."""
         self._stages: dict[tuple[int, int], StageRecord] = {}
@@ -247,6 +249,7 @@
             return
         task.phase = TaskPhase.DONE
         task.agent = None
+        self.passed_over_since = None
         stage = task.stage
         stage.done_count += 1
         bits = bytearray(self.progress.done.get(stage.key, bytes(-(-len(stage.tasks) // 8))))
--- a/crocusrudder/workflows/planning.py
+++ b/crocusrudder/workflows/planning.py
@@ -374,6 +374,7 @@
         task.agent = view.agent
         task.run = run
         task.assigned_at = now
+        task.record.last_assigned_at = now
         task.progressed_at = now
         task.percent = 0
         fields = {
--- a/tests/workflows/decisions/test_starvation.py
+++ b/tests/workflows/decisions/test_starvation.py
@@ -112,8 +112,18 @@
         self.assertEqual({}, self._plan(101.0))
         self.assertEqual(["j1.0.0.0"], list(self._plan(100.0 + LATER)))
         self.assertEqual([20], self._list_cpu_shares())
+        # As a report does that lists the run.
+        self.registry.get(ids.JobId("j1")).mark_started()
         self.assertEqual(1, len(self._plan(100.0 + 2 * LATER)))
 
+    def test_an_assigned_task_that_is_not_listed_keeps_no_other_from_a_last_resort(self):
+        # Guards against LOST: the job waited for as long as its only assigned run was nowhere.
+        self._submit("j1", msgspec.structs.replace(test_throttling.BEST_EFFORT, task_count=3))
+        self._plan(100.0)
+        self.assertEqual(1, len(self._plan(100.0 + LATER)))
+        self.assertEqual(1, len(self._plan(100.0 + LATER + 1.0)))
+        self.assertEqual(2, len(self._plan(100.0 + 2 * LATER)))
+
     def test_the_worker_whose_latency_is_near_target_is_chosen_last_and_the_run_paused(self):
         self.views["a1"].measurements = {self.serving[0].name: 19.0}
         self._submit("j1")
--- a/tests/workflows/test_waiting_bounds.py
+++ b/tests/workflows/test_waiting_bounds.py
@@ -139,6 +139,31 @@
         self._serve(latency_ms=10.0)
         self._check_start(msgspec.structs.replace(FILLING, task_count=3, gang=True))
 
+    def test_while_the_only_assigned_task_of_the_job_is_on_a_silent_agent(self):
+        # Guards against a job whose assigned task runs nowhere, but keeps the others from a place
+        # as a last resort until the lease has expired.
+        self._serve()
+        for number in range(WORKERS // 2):
+            image = msgspec.structs.replace(FILLING, task_count=2, image=f"other{number}")
+            self.system.submit(f"testing{number}", image)
+        self.system.run(5.0)
+        self.system.submit("waiting", msgspec.structs.replace(FILLING, task_count=9))
+        while not self._list_running():
+            self.system.step()
+        (agent,) = self._list_running()
+        agent.is_connected = False
+        agent.worker.lease_until = 0.0
+        self.system.run(MAX_WAIT_SECONDS)
+        self.assertTrue(self._list_running())
+
+    def _list_running(self) -> list[world.FakeAgent]:
+        """Return the agents on whose workers the waiting job runs."""
+        return [
+            agent
+            for agent in self.system.agents.values()
+            if any(task.startswith("waiting") for task, _ in agent.worker.running)
+        ]
+
     def test_after_a_planned_takeover_while_an_idle_agent_is_silent(self):
         self.system.agents[ids.ProcessId("a0")].is_connected = False
         self.system.run(30.0)
