--- a/crocusrudder/workflows/rows.py
+++ b/crocusrudder/workflows/rows.py
@@ -5,6 +5,10 @@
 import msgspec
 
 from crocusrudder.core import ids
+from crocusrudder.platform import errors as platform_errors
+from crocusrudder.platform import operator
+from crocusrudder.wire import addresses
+from crocusrudder.wire import workflow_messages
 from crocusrudder.workflows import errors
 from crocusrudder.workflows import model
 
@@ -23,6 +27,8 @@
 """Key of the owner's estimates of the interference between images."""
 CANCEL_SUFFIX = ".cancel"
 CANCEL_VALUE = b"1"
+MAX_QUOTED = 100
+"""Characters of an unreadable value that an error quotes."""
 
 
 PairEstimates = dict[str, dict[str, tuple[float, float, int]]]
@@ -60,9 +66,16 @@
     return msgspec.msgpack.encode(value)
 
 
-def decode_job(value: bytes) -> model.Job:
-    """Decode a job; raise ``UnreadableRowError`` for a malformed value."""
-    return _decode(value, model.Job)
+def decode_job(value: bytes, key: ids.JobId) -> model.Job:
+    """Decode the job of a key; raise ``UnreadableRowError`` for a malformed value."""
+    job = _decode(value, model.Job)
+    if job.job_id != key:
+        raise errors.UnreadableRowError(f"row holds the job {job.job_id[:MAX_QUOTED]!r}")
+    try:
+        operator.check_stages(job.job_id, job.stages, job.occurrences)
+    except platform_errors.MalformedInputError as error:
+        raise errors.UnreadableRowError(f"row is not a valid Job: {error.message}") from error
+    return job
 
 
 def decode_progress(value: bytes) -> model.Progress:
@@ -72,7 +85,20 @@
 
 def decode_owner(value: bytes) -> OwnerRow:
     """Decode the owner's row; raise ``UnreadableRowError`` for a malformed value."""
-    return _decode(value, OwnerRow)
+    row = _decode(value, OwnerRow)
+    limit = workflow_messages.MAX_NUMBER
+    if not (0 < row.epoch <= limit and 0 <= row.sequence <= limit):
+        raise errors.UnreadableRowError(f"row has the epoch {row.epoch}, sequence {row.sequence}")
+    return row
+
+
+def make_unknown_owner(version: int) -> OwnerRow:
+    """Return what stands for an owner's row of this version that cannot be read.
+
+    Its epoch is not lower than any earlier one: each claim raises the epoch by 1 and the version,
+    which the store takes from a single counter, by at least 1.
+    """
+    return OwnerRow(model.OwnerEpoch(version), ids.ProcessId(""), "", 0)
 
 
 def decode_estimates(value: bytes) -> InterferenceEstimates:
@@ -80,9 +106,20 @@
     return _decode(value, InterferenceEstimates)
 
 
-def _decode(value: bytes, type_: type) -> msgspec.Struct:
+def decode_address(value: bytes | None) -> str:
+    """Decode an address; raise ``UnreadableRowError`` for a malformed value."""
+    try:
+        address = (value or b"").decode("ascii")
+    except UnicodeError as error:
+        raise errors.UnreadableRowError(f"row is not an address: {error}") from error
+    if not addresses.is_valid(address):
+        raise errors.UnreadableRowError(f"row is not an address: {address[:MAX_QUOTED]!r}")
+    return address
+
+
+def _decode(value: bytes | None, type_: type) -> msgspec.Struct:
     try:
-        return msgspec.msgpack.decode(value, type=type_)
+        return msgspec.msgpack.decode(value or b"", type=type_)
     except (msgspec.MsgspecError, RecursionError) as error:
         raise errors.UnreadableRowError(f"row is not a valid {type_.__name__}: {error}") from error
 
