Refuse heartbeats with capacities that no machine has or with texts without bound

Callers would see: tasks planned on room that does not exist (LIMIT where workers do not check it), or an agent whose reports exceed the size limit of messages. Cause: capacities up to 2**63 - 1 and any number and length of labels were believed. Change: capacity figures up to 2**31 - 1 (two million processors, two petabytes), 100 labels and 1,000 characters a text; anything else has another writer and is refused with a coded error. A smaller odd capacity under the worker's real id and time of birth still counts until the next heartbeat. Result: on the code before, the test accepts all 4 new bodies; with the change the HeartbeatTest passes.

--- a/crocusrudder/platform/heartbeats.py
+++ b/crocusrudder/platform/heartbeats.py
@@ -21,23 +21,33 @@
 
 _Count = Annotated[int, msgspec.Meta(ge=0, le=messages.MAX_INTEGER)]
 
+MAX_CAPACITY = 2**31 - 1
+"""Greatest figure of a capacity that is believed: two million processors or two petabytes, which no
+machine has. Sums over all workers stay far below 64 bits."""
+MAX_TEXT_CHARACTERS = 1_000
+MAX_LABELS = 100
+"""Far above what workers send, and small enough for a report, which repeats them all."""
+
+_CapacityFigure = Annotated[int, msgspec.Meta(ge=0, le=MAX_CAPACITY)]
+_Text = Annotated[str, msgspec.Meta(max_length=MAX_TEXT_CHARACTERS)]
+
 _DRAINING_BY_STATE = {"ready": False, "draining": True}
 
 
 class _WireCapacity(msgspec.Struct):
-    cpu: _Count
-    memory_mb: _Count = msgspec.field(name="memMb")
-    gpu: _Count = 0
+    cpu: _CapacityFigure
+    memory_mb: _CapacityFigure = msgspec.field(name="memMb")
+    gpu: _CapacityFigure = 0
 
 
 class _WireHeartbeat(msgspec.Struct):
-    service: str
+    service: _Text
     state: str
     seq: _Count
     capacity: _WireCapacity
-    zone: str = ""
+    zone: _Text = ""
     cold_left_ms: float = msgspec.field(default=0.0, name="coldLeftMs")
-    labels: list[str] = []
+    labels: Annotated[list[_Text], msgspec.Meta(max_length=MAX_LABELS)] = []
     born: _Count = 0
 
 
@@ -61,7 +71,9 @@
     except errors.MalformedInputError as error:
         raise errors.MalformedInputError(f"heartbeat of {worker}: {error}") from error
     if wire.state not in _DRAINING_BY_STATE:
-        raise errors.MalformedInputError(f"heartbeat of {worker}: unknown state {wire.state!r}")
+        raise errors.MalformedInputError(
+            f"heartbeat of {worker}: unknown state {wire.state[:99]!r}"
+        )
     capacity = messages.Resources(wire.capacity.cpu, wire.capacity.memory_mb, wire.capacity.gpu)
     state = workflow_messages.WorkerState(
         ids.WorkerId(worker),
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -79,6 +79,12 @@
             # Guards against the end of the agent's process: the report could not be encoded.
             HEARTBEAT.replace(b'"cpu":16000', b'"cpu":%d' % 2**64),
             HEARTBEAT.replace(b'"born":17', b'"born":%d' % 2**64),
+            # Guards against tasks that are planned on a capacity which no machine has (LIMIT).
+            HEARTBEAT.replace(b'"cpu":16000', b'"cpu":%d' % (2**63 - 1)),
+            HEARTBEAT.replace(b'"memMb":32768', b'"memMb":%d' % 2**31),
+            # Guards against a report above the size limit of messages, as it repeats these fields.
+            HEARTBEAT.replace(b'["a",', b'["a",' + b'"a",' * 1_000),
+            HEARTBEAT.replace(b'"zone":"z"', b'"zone":"%b"' % (b"z" * 2_000)),
         ):
             with self.subTest(body=body), self.assertRaises(errors.MalformedInputError):
                 heartbeats.decode_heartbeat("w1", body)
