Keep a worker without a time of birth beside a heartbeat that adds one

Callers would see: two runs of one task (TWICE) on platforms whose workers state no `born`. Cause: where responses hold no `born`, the larger one of the heartbeats decides among incarnations of one id, and any is larger than none. Result: on the code before, the new test fails; with the change the module's tests pass.

--- a/crocusrudder/workflows/worker_identity.py
+++ b/crocusrudder/workflows/worker_identity.py
@@ -209,9 +209,10 @@
         if known is None or known.worker != claimed.worker:
             return True
         # Only the heartbeats tell these incarnations apart. A delayed one of the earlier does not
-        # count while the later one sends its own.
+        # count while the later one sends its own, nor does a time of birth beside heartbeats
+        # without any, which another writer must have added.
         is_silent = now - self._sequences.admitted_at >= FOLLOWED_SILENCE_SECONDS
-        return claimed.born_ms > known.born_ms or is_silent
+        return claimed.born_ms > known.born_ms > 0 or is_silent
 
     def _add_candidate(
         self, state: workflow_messages.WorkerState, sequence: int, now: float
--- a/tests/workflows/test_worker_identity.py
+++ b/tests/workflows/test_worker_identity.py
@@ -134,6 +134,16 @@
         self.state.handle_heartbeat(earlier, 9, 100.2)
         self.assertFalse(self._answer(earlier.incarnation, 0))
 
+    def test_a_worker_without_any_time_of_birth_is_not_replaced_by_one_with_its_id(self):
+        # Guards against TWICE: the owner released the runs of a worker that had not restarted.
+        plain = test_agent_state.make_worker("w2", 0)
+        self.state.handle_heartbeat(plain, 1, 100.1)
+        self._answer(plain.incarnation, 0, 100.1)
+        odd = test_agent_state.make_worker("w2", FAR_FUTURE_MS)
+        self.state.handle_heartbeat(odd, 1, 100.2)
+        self.assertFalse(self._answer(odd.incarnation, 0))
+        self.assertEqual(plain, self.state.current_worker)
+
     def test_without_a_time_of_birth_in_responses_a_silent_incarnation_gives_way(self):
         # Guards against a time of birth of another writer that no restart ever exceeds.
         odd = test_agent_state.make_worker(born_ms=FAR_FUTURE_MS)
