Refuse callers' and operators' numbers that cannot be stored

A submission with an integer of more than 64 bits (cpu, memMb, gpu, antiAffinity, mayMiss) raised OverflowError while the job was encoded, and an X-Crocusrudder-Timeout-Ms of "²" or of 5,000 digits raised ValueError: the caller got no coded response. Negative and absurd times were accepted. A configuration with the version 2**62 made an entry ignore every later one.

A timeout that is no number counts as none, as before for other text. A configuration whose version is outside of 0 to 2**53 is unreadable and leaves the current one. A wrong version within these limits still hides later ones that are lower; the operator has to go above it.

With the old code the new tests failed: cpu 2**63 was accepted (200 instead of 400), "²" raised ValueError, and the configuration stayed at version 2**64.

--- a/crocusrudder/platform/operator.py
+++ b/crocusrudder/platform/operator.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 from collections.abc import Sequence
+from typing import Annotated
 from typing import Any
 
 import msgspec
@@ -14,9 +15,18 @@
 
 MAX_JOB_TASKS = 100_000
 """Limit of a job's tasks over all its runs; each task takes about 0.5 KB of the owner's memory."""
+MAX_COUNT = 2**53
+"""Limit of integers: many JSON decoders round larger ones, and those above 64 bits cannot be
+stored."""
+MAX_MILLISECONDS = 1e15
+"""Limit of times; 30,000 years."""
 CALLER_TIMEOUT_HEADER = "x-crocusrudder-timeout-ms"
 
 
+_Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+_Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_MILLISECONDS)]
+
+
 class _WireRoute(msgspec.Struct):
     name: str
     host: str
@@ -43,7 +53,7 @@
 
 
 class _WireConfiguration(msgspec.Struct):
-    version: int
+    version: _Count
     routes: list[_WireRoute] = []
     services: list[_WireService] = []
     limits: _WireLimits = msgspec.field(default_factory=_WireLimits)
@@ -55,23 +65,23 @@
 
 class _WireStage(msgspec.Struct):
     count: int = msgspec.field(name="taskCount")
-    cpu: int = 0
-    memory_mb: int = msgspec.field(default=0, name="memMb")
-    gpu: int = 0
-    estimated_ms: float = msgspec.field(default=0, name="estRuntimeMs")
+    cpu: _Count = 0
+    memory_mb: _Count = msgspec.field(default=0, name="memMb")
+    gpu: _Count = 0
+    estimated_ms: _Milliseconds = msgspec.field(default=0, name="estRuntimeMs")
     after: list[int] = []
     gang: bool = False
     same_rack: bool = msgspec.field(default=False, name="sameRack")
     requires: str = ""
     data_rack: str = msgspec.field(default="", name="dataRack")
     # Maximum number of tasks per worker, not an anti-affinity label.
-    max_per_worker: int = msgspec.field(default=0, name="antiAffinity")
+    max_per_worker: _Count = msgspec.field(default=0, name="antiAffinity")
     speculative: bool = False
     long_running: bool = msgspec.field(default=False, name="longRunning")
     image: str = ""
-    target_ms: float = msgspec.field(default=0, name="targetMs")
+    target_ms: _Milliseconds = msgspec.field(default=0, name="targetMs")
     best_effort: bool = msgspec.field(default=False, name="fills")
-    may_miss: int = msgspec.field(default=0, name="mayMiss")
+    may_miss: _Count = msgspec.field(default=0, name="mayMiss")
     checkpoint: bool = False
 
 
@@ -79,8 +89,8 @@
     spec: str
     steps: list[_WireStage]
     max_runs: int = msgspec.field(default=0, name="maxRuns")
-    start_at_ms: float = msgspec.field(default=0, name="startAtMs")
-    interval_ms: float = msgspec.field(default=0, name="intervalMs")
+    start_at_ms: _Milliseconds = msgspec.field(default=0, name="startAtMs")
+    interval_ms: _Milliseconds = msgspec.field(default=0, name="intervalMs")
 
 
 def decode_configuration(body: bytes) -> model.Configuration:
--- a/crocusrudder/workflows/entry_http.py
+++ b/crocusrudder/workflows/entry_http.py
@@ -29,6 +29,9 @@
     "cancel": "cancellation_requested",
 }
 
+_TIMEOUT = re.compile(r"[0-9]{1,9}")
+"""Timeouts that are read, up to 11 days; callers with others get the default."""
+
 CallExecutor = Callable[[str, ids.JobId, bytes, float], Awaitable[calls.Outcome]]
 """Execute a call, given its kind, the job, the job's row and the timeout in seconds."""
 
@@ -113,7 +116,7 @@
 
 def _get_timeout(request: http_messages.Request) -> float:
     text = request.get_header(operator.CALLER_TIMEOUT_HEADER)
-    return int(text) / 1_000 if text.isdigit() else DEFAULT_TIMEOUT_SECONDS
+    return int(text) / 1_000 if _TIMEOUT.fullmatch(text) else DEFAULT_TIMEOUT_SECONDS
 
 
 def _make_response(method: str, outcome: calls.Outcome) -> http_messages.Response:
--- a/tests/platform/oddities.py
+++ b/tests/platform/oddities.py
@@ -21,3 +21,16 @@
     b'[",]"]',
 )
 """Each is well formed as to brackets and strings, so that its neighbours can be told apart."""
+
+ODD_NUMBERS = (
+    b"1e400",
+    b"1e300",
+    b"9" * 5_000,
+    b"9223372036854775808",
+    b"18446744073709551616",
+    b"NaN",
+    b"null",
+    b'"1"',
+    b"[1]",
+)
+"""JSON values in place of a number."""
--- a/tests/workflows/test_entry_daemon.py
+++ b/tests/workflows/test_entry_daemon.py
@@ -94,6 +94,14 @@
             entry._apply_configuration(store.StoreRow("op", "config", body, version))
         self.assertEqual(9, entry._configuration.version)
 
+    def test_a_version_that_cannot_be_meant_does_not_hide_later_configurations(self):
+        entry = entry_daemon.EntryProcess(make_settings())
+        self.addCleanup(entry._link.close)
+        for version in (7, 2**62, 2**64, 8):
+            body = msgspec.json.encode({"version": version})
+            entry._apply_configuration(store.StoreRow("op", "config", body, 1))
+        self.assertEqual(8, entry._configuration.version)
+
     def test_an_unreadable_configuration_leaves_the_current_one(self):
         entry = entry_daemon.EntryProcess(make_settings())
         self.addCleanup(entry._link.close)
--- a/tests/workflows/test_entry_http.py
+++ b/tests/workflows/test_entry_http.py
@@ -7,11 +7,13 @@
 
 from crocusrudder.core import ids
 from crocusrudder.hosting import http_messages
+from crocusrudder.platform import operator
 from crocusrudder.workflows import calls
 from crocusrudder.workflows import entry_http
 from crocusrudder.workflows import model
 from crocusrudder.workflows import owner
 from crocusrudder.workflows import rows
+from tests.platform import oddities
 from tests.workflows import world
 
 JOB = ids.JobId("0123456789abcdef")
@@ -37,6 +39,29 @@
         curio.run(self.http.handle(request))
         return rows.decode_job(self.stored[0], JOB)
 
+    def _post(self, body: bytes, *headers: tuple[str, str]) -> int:
+        request = http_messages.Request("POST", f"/q/{JOB}", (("host", "host"), *headers), body)
+        return curio.run(self.http.handle(request)).status
+
+    def test_numbers_that_cannot_be_stored_are_refused_with_a_coded_error(self):
+        # Guards against a response of 500: integers of more than 64 bits cannot be encoded.
+        fields = ("cpu", "memMb", "gpu", "antiAffinity", "mayMiss", "estRuntimeMs", "targetMs")
+        for name in fields:
+            for value in (*oddities.ODD_NUMBERS, b"-1"):
+                body = b'{"spec":"x","steps":[{"taskCount":1,"%b":%b}]}' % (name.encode(), value)
+                self.assertEqual(400, self._post(body), (name, value[:30]))
+        for name in ("maxRuns", "startAtMs", "intervalMs"):
+            for value in (*oddities.ODD_NUMBERS, b"-1"):
+                body = b'{"spec":"x","steps":[{"taskCount":1}],"%b":%b}' % (name.encode(), value)
+                self.assertEqual(400, self._post(body), (name, value[:30]))
+        self.assertEqual([], self.stored)
+
+    def test_a_timeout_that_is_no_number_counts_as_none(self):
+        # Guards against a response of 500: str.isdigit holds for digits that int refuses.
+        body = msgspec.json.encode({"spec": "x", "steps": [{"taskCount": 1}]})
+        for text in ("\u00b2", "\u0663", "9" * 5_000, "-1", "1e400", "NaN", ""):
+            self.assertEqual(200, self._post(body, (operator.CALLER_TIMEOUT_HEADER, text)), text)
+
     def test_a_job_of_a_removed_queue_runs_after_a_change_of_the_owner(self):
         # Guards against LOST: an owner knew the queues of configurations of its own time only, so
         # that jobs accepted before the queue was removed were never planned again.
