Do not let odd calls between entries cancel a job or block the receiver

A JobCall of an unknown kind was carried out as a cancellation, and a second JobAnswer to a call whose caller had left blocked the entry's receiver for good, without a log line. The kind is now checked when a message is decoded, and further answers to a call are dropped.

With the old code both tests failed: the message was accepted, and the second delivery did not end within 20 turns of the event loop.

--- a/crocusrudder/wire/workflow_messages.py
+++ b/crocusrudder/wire/workflow_messages.py
@@ -6,6 +6,7 @@
 
 import math
 from typing import Annotated
+from typing import Literal
 
 import msgspec
 
@@ -185,8 +186,7 @@
     """A caller's request for a job, forwarded to another entry."""
 
     call: str
-    kind: str
-    """``submit``, ``cancel`` or ``status``."""
+    kind: Literal["submit", "cancel", "status"]
     job: ids.JobId
     row: bytes = b""
 
--- a/crocusrudder/workflows/entry_daemon.py
+++ b/crocusrudder/workflows/entry_daemon.py
@@ -355,7 +355,8 @@
                 await curio.spawn(self._handle_job_call, sender, message, daemon=True)
             case workflow_messages.JobAnswer():
                 waiting = self._open_calls.get(message.call)
-                if waiting is not None:
+                # A second answer would block the receiver, as its caller may have left.
+                if waiting is not None and not waiting.full():
                     await waiting.put(calls.Outcome(message.outcome))
 
     def _handle_owner_hello(
--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -49,6 +49,8 @@
             workflow_messages.AgentOrders(1, 2**62, 0.0, ids.WorkerId("w"), 1),
             workflow_messages.AgentReport(ids.DataCentre("z"), 0.0, 2**62, 0, None, True, False),
             workflow_messages.JobStored(ids.JobId("j"), -1),
+            # Guards against a call of an unknown kind that is carried out as a cancellation.
+            workflow_messages.JobCall("c", "delete", ids.JobId("j")),
         ):
             with self.subTest(message=message), self.assertRaises(errors.MalformedMessageError):
                 codec.decode(SENDER.encode(message), ids.Incarnation(""))
--- a/tests/workflows/test_entry_daemon.py
+++ b/tests/workflows/test_entry_daemon.py
@@ -10,6 +10,7 @@
 from crocusrudder.core import clocks
 from crocusrudder.core import ids
 from crocusrudder.platform import store
+from crocusrudder.wire import messages
 from crocusrudder.wire import workflow_messages
 from crocusrudder.workflows import calls
 from crocusrudder.workflows import entry_daemon
@@ -85,6 +86,30 @@
         self.assertEqual(("e2", 4), (entry._owner, entry._count_pending(model.QueueName("q"))))
 
 
+class AnswerTest(unittest.TestCase):
+    def test_a_repeated_answer_does_not_block_the_receiver(self):
+        # Guards against an entry that handles no message any more: it waited for a caller to take
+        # the second answer.
+        entry = entry_daemon.EntryProcess(make_settings())
+        self.addCleanup(entry._link.close)
+        envelope = messages.Envelope(1, 0, ids.ProcessId("e2"), ids.Incarnation("i"), "", "", None)
+
+        async def deliver_twice() -> int:
+            entry._open_calls["c"] = curio.Queue(maxsize=1)
+            delivering = await curio.spawn(self._deliver, entry, envelope)
+            for _ in range(20):
+                await curio.sleep(0)
+            is_done = delivering.terminated
+            await delivering.cancel()
+            return is_done
+
+        self.assertTrue(curio.run(deliver_twice))
+
+    async def _deliver(self, entry, envelope) -> None:
+        for outcome in (calls.Outcome.ACCEPTED, calls.Outcome.UNCERTAIN):
+            await entry._deliver(envelope, workflow_messages.JobAnswer("c", outcome.value))
+
+
 class ConfigurationTest(unittest.TestCase):
     def test_an_older_version_never_replaces_a_newer_one(self):
         entry = entry_daemon.EntryProcess(make_settings())
