--- a/crocusrudder/workflows/job_registry.py
+++ b/crocusrudder/workflows/job_registry.py
@@ -11,6 +11,9 @@
 """Run numbers reserved for one ownership epoch, enough for five hours at 550 starts a second. Each
 epoch has its own range, so that run numbers of a later epoch are always higher."""
 
+MAX_NUMBER_DIGITS = 18
+"""Most digits of a number in a task name; ``int`` raises an error from 4,301 on."""
+
 
 class TaskPhase(enum.Enum):
     """Scheduling state of a task."""
@@ -147,7 +150,7 @@
         self.needs_planning = True
         """Whether a task may have become ready to start since the job was last planned."""
         self.passed_over_since: float | None = None
-        """Since when no worker was found for a ready task while nothing was running."""
+        """Since when no worker was found for a ready task while no run was listed or completed."""
         self.registry: JobRegistry | None = None
         self._has_unsaved_changes = False
         self.stored_state = self.progress.state
@@ -157,6 +160,8 @@
         """Worst outlook that was logged while the job waited; see ``decisions.waiting``."""
         self.plan_not_before = 0.0
         """When the job may be planned again after an error."""
+        self.last_assigned_at = 0.0
+        """When a task of the job was last assigned to a worker."""
         self.assigned_count = 0
         """Number of tasks in the phase ``ASSIGNED``."""
         self._stages: dict[tuple[int, int], StageRecord] = {}
@@ -244,6 +249,7 @@
             return
         task.phase = TaskPhase.DONE
         task.agent = None
+        self.passed_over_since = None
         stage = task.stage
         stage.done_count += 1
         bits = bytearray(self.progress.done.get(stage.key, bytes(-(-len(stage.tasks) // 8))))
@@ -372,13 +378,22 @@
         self._newly_final.pop(job, None)
 
     def find_task(self, name: str) -> Task | None:
-        """Return a task by name; None for a malformed name or an unknown task."""
+        """Return a task by name; None for a malformed name or an unknown task.
+
+        Only the name that starts use is accepted: a run listed under another spelling, such as an
+        index with a leading zero, is no run of the task.
+        """
         job, *numbers = name.split(".")
         record = self._records.get(ids.JobId(job))
-        if record is None or len(numbers) != 3 or not all(part.isdigit() for part in numbers):
+        if record is None or len(numbers) != 3 or not all(map(_is_number, numbers)):
             return None
         occurrence, number, index = map(int, numbers)
         stage = record.get_stage(occurrence, number)
-        if stage is None or index >= len(stage.tasks):
+        if stage is None or index >= len(stage.tasks) or stage.tasks[index].name != name:
             return None
         return stage.tasks[index]
+
+
+def _is_number(text: str) -> bool:
+    """Return whether a part of a task name is a number; ``int`` refuses some other digits."""
+    return text.isascii() and text.isdigit() and len(text) <= MAX_NUMBER_DIGITS
--- a/crocusrudder/workflows/reports.py
+++ b/crocusrudder/workflows/reports.py
@@ -24,6 +24,23 @@
 UNHEALTHY_BLOCK_SECONDS = 1.0
 RETRY_DELAY_SECONDS = 0.2
 """Delay before a task whose run was rejected is placed again."""
+MAX_END_GAP = 1_000
+"""Greatest difference between the numbers of successive ends. A worker numbers them one by one and
+lists 500 at a time, of which some may be unreadable."""
+MAX_FIRST_END_NUMBER = 100_000_000
+"""Greatest number of the first end that is read from a worker: 1,000 ends a second for a day."""
+POLL_SECONDS = 1.5
+"""Longest time from the request of a list to its receipt by the agent."""
+START_EXPIRED = "start_expired"
+"""Log event of a run that was never listed, or is no longer, and cannot begin any more."""
+UNKNOWN_RUN_SECONDS = 2.0
+"""Time after an agent has received the stop of a run of an unknown task from which the run no
+longer keeps its worker from starts. A stop takes 0.2 s in the users' deployments, and accepted jobs
+wait for 3 s at most."""
+UNKNOWN_RUN_IGNORED = "unknown_run_ignored"
+"""Log event of such a run that is still listed."""
+END_LEFT_OUT = "end_number_implausible"
+"""Log event of an end whose number cannot be the worker's; its run counts as absent."""
 CAPACITY_EXCEEDED = "capacity_exceeded"
 """Log event of a change after which the runs on a worker take more than its capacity."""
 
@@ -110,12 +127,19 @@
             self._log_run("run_gone", assignment, view, reason=reason)
             self._release(view, assignment, now)
 
-    def stop_runs(self, record: job_registry.JobRecord, views: Iterable[fleet.AgentView]) -> None:
-        """Stop all runs of a job."""
-        for view in views:
-            for assignment in view.assignments.values():
-                if assignment.task is not None and assignment.task.record is record:
-                    view.mark_stopping(assignment)
+    def stop_runs(
+        self, record: job_registry.JobRecord, views: Iterable[fleet.AgentView]
+    ) -> list[tuple[fleet.AgentView, fleet.Assignment]]:
+        """Stop all runs of a job; return them."""
+        runs = [
+            (view, assignment)
+            for view in views
+            for assignment in view.assignments.values()
+            if assignment.task is not None and assignment.task.record is record
+        ]
+        for view, assignment in runs:
+            view.mark_stopping(assignment)
+        return runs
 
     def stop_incomplete_gangs(self, views: Iterable[fleet.AgentView]) -> None:
         """Stop the other members of gangs of which a member was rejected, as they cannot work."""
@@ -146,6 +170,7 @@
             self.release_all(view, now, "worker_replaced")
             view.last_processed_end = 0
             view.last_durable_end = 0
+            view.ends_left_out.clear()
             view.is_reconciled = False
             view.list_completeness = list_completeness.ListCompleteness()
             view.blocked_until = 0.0
@@ -192,9 +217,18 @@
         for ended in report.ended:
             if ended.number <= view.last_processed_end:
                 continue
+            if not _is_plausible(ended.number, view.last_processed_end):
+                self._log_left_out(view, ended)
+                continue
             view.last_processed_end = ended.number
             self._apply_end(view, ended, now, wall_time)
 
+    def _log_left_out(self, view: fleet.AgentView, ended: workflow_messages.EndedRun) -> None:
+        if ended.number not in view.ends_left_out:
+            view.ends_left_out.add(ended.number)
+            fields = {"task": ended.task, "run": ended.run, "number": ended.number}
+            self._log(END_LEFT_OUT, agent=view.agent, last=view.last_processed_end, **fields)
+
     def _apply_end(
         self,
         view: fleet.AgentView,
@@ -276,6 +310,7 @@
             key = (running.task, running.run)
             present.add(key)
             assignment = view.assignments.get(key) or self._adopt(view, *key)
+            assignment.listed_at = now
             if assignment.phase is fleet.AssignmentPhase.ORDERED:
                 assignment.phase = fleet.AssignmentPhase.CONFIRMED
             assignment.checkpoint = running.checkpoint or assignment.checkpoint
@@ -293,6 +328,27 @@
         if not view.list_completeness.may_miss_runs(now):
             self._stop_absent(view, report, present)
         self._release_void(view, report, now)
+        self._release_expired(view, report, now)
+        if view.usage.has_unknown:
+            self._ignore_unknown(view, report, now)
+
+    def _ignore_unknown(
+        self, view: fleet.AgentView, report: workflow_messages.AgentReport, now: float
+    ) -> None:
+        """Ignore the runs of unknown tasks that the worker lists although they are stopped.
+
+        Such an entry may be no run at all, so it must not keep the worker from starts for good.
+        """
+        for assignment in view.assignments.values():
+            if assignment.task is not None or assignment.is_ignored or not report.reachable:
+                continue
+            if not 0 < assignment.stop_number <= report.orders_seen:
+                continue
+            if assignment.stop_seen_at is None:
+                assignment.stop_seen_at = now
+            elif now - assignment.stop_seen_at >= UNKNOWN_RUN_SECONDS:
+                view.ignore_run(assignment)
+                self._log_run(UNKNOWN_RUN_IGNORED, assignment, view)
 
     def _release_void(
         self, view: fleet.AgentView, report: workflow_messages.AgentReport, now: float
@@ -312,6 +368,32 @@
                 if assignment.task is not None and assignment.task.stage.spec.gang:
                     self._incomplete_gangs.add((assignment.task.stage, assignment.run))
 
+    def _release_expired(
+        self, view: fleet.AgentView, report: workflow_messages.AgentReport, now: float
+    ) -> None:
+        """Release the runs that are not listed and whose start can no longer begin.
+
+        Their agents get no answer to the start and to the stop, or the worker refuses the stop.
+        """
+        requested_at = now - report.list_age_seconds - POLL_SECONDS
+        for assignment in list(view.assignments.values()):
+            assigned_at = assignment.task.assigned_at if assignment.task else 0.0
+            known_at = max(assigned_at, assignment.ordered_at, assignment.listed_at)
+            if requested_at - known_at >= leases.START_EXPIRY_SECONDS:
+                self._log_run(START_EXPIRED, assignment, view, phase=assignment.phase.value)
+                self._release(view, assignment, now)
+                self._record_unstarted(view, assignment)
+
+    def _record_unstarted(self, view: fleet.AgentView, assignment: fleet.Assignment) -> None:
+        """Prefer other workers for a task whose run could not be started; plan its gang again."""
+        if assignment.task is None:
+            return
+        stage = assignment.task.stage
+        for task in stage.tasks if stage.spec.gang else [assignment.task]:
+            task.avoided_agents.add(view.agent)
+        if stage.spec.gang:
+            self._incomplete_gangs.add((stage, assignment.run))
+
     def _stop_absent(
         self,
         view: fleet.AgentView,
@@ -396,3 +478,12 @@
 
     def _log(self, name: str, **fields: object) -> None:
         self._logged.append(effects.LogChange(name, {"epoch": self._epoch, **fields}))
+
+
+def _is_plausible(number: int, last: int) -> bool:
+    """Return whether a worker may have given an end its number; ``last`` is 0 for the first one.
+
+    All ends up to a number are acknowledged and never listed again, so a number far ahead would
+    discard all later ends of the worker.
+    """
+    return number - last <= MAX_END_GAP if last else number <= MAX_FIRST_END_NUMBER
