--- a/crocusrudder/platform/worker.py
+++ b/crocusrudder/platform/worker.py
@@ -117,6 +117,14 @@
     rejected: model.RejectReason | None = None
 
 
+class ProbeResponse(msgspec.Struct, frozen=True):
+    """Response of a worker that has the id that was asked for."""
+
+    born_ms: int
+    """Time of birth of the incarnation that responded; 0 if the response has none."""
+    is_stale_epoch: bool
+
+
 class WorkerClient:
     """Call one worker; ``worker`` names the incarnation that a call is meant for.
 
@@ -203,6 +211,17 @@
             not unreadable.hides_runs and not (response.running is response.ended is None),
         )
 
+    async def probe(self, worker: ids.WorkerId, epoch: int) -> ProbeResponse:
+        """Ask which incarnation of a worker responds.
+
+        The call extends no lease and acknowledges no end.
+        """
+        content = {"fenceToken": epoch, "lastSeen": 0}
+        status, response, _ = await self._call("hold", worker, content)
+        if status not in (_STATUS_OK, _STATUS_CONFLICT):
+            raise errors.NotExecutedError(f"the worker responded with status {status}")
+        return ProbeResponse(response.born, status == _STATUS_CONFLICT)
+
     async def _call(
         self, name: str, worker: str, content: dict[str, Any], wait_seconds: float = 0.0
     ) -> tuple[int, _WireResponse, _Unreadable]:
--- a/crocusrudder/workflows/agent_daemon.py
+++ b/crocusrudder/workflows/agent_daemon.py
@@ -27,6 +27,7 @@
 from crocusrudder.workflows import model
 from crocusrudder.workflows import rows
 from crocusrudder.workflows import settings
+from crocusrudder.workflows import worker_prober
 
 POLL_WAIT_SECONDS = 0.5
 """Longest time the worker waits for an end before it responds; measurements cover half a second."""
@@ -54,6 +55,7 @@
         self._worker = worker.WorkerClient(document.worker_address)
         self._state = agent_state.AgentState(document.lease_max_ms / 1_000, clocks.read_boot_time())
         self._owner: ids.ProcessId | None = None
+        self._prober = worker_prober.WorkerProber(self._state, self._worker, self._handle_probe)
         self._updates = curio.Event()
         self._acknowledgements = curio.Event()
         self._worker_log = logs.DependencyMonitor("worker")
@@ -71,6 +73,7 @@
         async with curio.TaskGroup(wait=any) as group:
             await group.spawn(self._link.receive_forever, self._deliver)
             await group.spawn(self._link.retry_forever)
+            await group.spawn(self._prober.run_forever)
             await group.spawn(self._poll_runs_forever)
             await group.spawn(self._report_forever)
             await group.spawn(self._find_owner_forever)
@@ -91,16 +94,15 @@
         heartbeat_match = heartbeats.HEARTBEAT_PATH.fullmatch(request.target)
         deregistration_match = heartbeats.DEREGISTER_PATH.fullmatch(request.target)
         if deregistration_match:
-            self._state.handle_deregistration(deregistration_match[1], clocks.read_boot_time())
-            self._log("worker_signed_off", worker=deregistration_match[1])
-            await curio.spawn(
-                self._report_after, agent_state.DEREGISTRATION_TIMEOUT_SECONDS, daemon=True
-            )
+            await self._handle_deregistration(deregistration_match[1])
         elif heartbeat_match:
             try:
                 heartbeat = heartbeats.decode_heartbeat(heartbeat_match[1], request.body)
             except errors.MalformedInputError as error:
-                self._log("heartbeat_unreadable", **error.to_dict())
+                self._state.identity.record_unreadable(
+                    heartbeat_match[1], str(error), clocks.read_boot_time()
+                )
+                self._perform_effects()
                 return http_messages.make_json_response(400, error.to_dict())
             await self._handle_heartbeat(heartbeat)
         else:
@@ -108,19 +110,48 @@
         return http_messages.make_json_response(200, {})
 
     async def _handle_heartbeat(self, heartbeat: heartbeats.Heartbeat) -> None:
-        state = heartbeat.state
-        if self._state.handle_heartbeat(state, heartbeat.sequence, clocks.read_boot_time()):
-            self._log(
-                "worker_seen",
-                worker=state.worker,
-                born_ms=state.born_ms,
-                draining=state.draining,
-                cold=state.cold,
-                capacity=state.capacity.millicores,
-                memory_mb=state.capacity.memory_mb,
-                accelerators=state.capacity.accelerators,
-            )
-            await self._updates.set()
+        now = clocks.read_boot_time()
+        if self._state.handle_heartbeat(heartbeat.state, heartbeat.sequence, now):
+            await self._report_worker()
+        await self._prober.notify(now)
+        self._perform_effects()
+
+    async def _handle_deregistration(self, worker_id: str) -> None:
+        if not self._state.handle_deregistration(worker_id, clocks.read_boot_time()):
+            self._metrics.count("deregistrations_ignored")
+            return
+        self._log("worker_signed_off", worker=worker_id)
+        await curio.spawn(
+            self._report_after, agent_state.DEREGISTRATION_TIMEOUT_SECONDS, daemon=True
+        )
+
+    async def _handle_probe(self, is_followed: bool) -> None:
+        if is_followed:
+            await self._report_worker()
+        self._perform_effects()
+
+    async def _report_worker(self) -> None:
+        state = self._state.current_worker
+        self._log(
+            "worker_seen",
+            worker=state.worker,
+            born_ms=state.born_ms,
+            draining=state.draining,
+            cold=state.cold,
+            capacity=state.capacity.millicores,
+            memory_mb=state.capacity.memory_mb,
+            accelerators=state.capacity.accelerators,
+        )
+        await self._updates.set()
+
+    def _perform_effects(self) -> None:
+        """Perform the effects of heartbeats and probes."""
+        for effect in self._state.identity.drain_effects():
+            match effect:
+                case effects.Count():
+                    self._metrics.count(effect.name, effect.amount)
+                case effects.LogChange():
+                    logs.write_change(effect)
 
     # Orders of the owner
 
@@ -339,6 +370,7 @@
         if self._owner is not None:
             self._link.reconnect(self._owner)
         self._owner = row.holder
+        self._prober.record_row_epoch(row.epoch)
         self._link.record_address(row.holder, row.address)
         if self._document.process not in row.lost:
             self._state.record_grant(row.epoch, requested_at)
@@ -346,7 +378,12 @@
 
     def _dump(self) -> dict[str, object]:
         report = self._state.make_report(self._document.data_centre, clocks.read_boot_time())
-        return {"process": self._document.process, "owner": self._owner, "report": report}
+        return {
+            "process": self._document.process,
+            "owner": self._owner,
+            "report": report,
+            "heartbeats": self._state.identity.describe(),
+        }
 
     def _log(self, name: str, **fields: object) -> None:
         logs.write_change(effects.LogChange(name, fields))
--- a/crocusrudder/workflows/agent_state.py
+++ b/crocusrudder/workflows/agent_state.py
@@ -14,6 +14,7 @@
 from crocusrudder.workflows import leases
 from crocusrudder.workflows import list_completeness
 from crocusrudder.workflows import model
+from crocusrudder.workflows import worker_identity
 from crocusrudder.workflows.decisions import crash_evidence
 
 REACHABLE_SECONDS = 1.5
@@ -33,8 +34,7 @@
 
     def __init__(self, lease_seconds: float, now: float) -> None:
         self._lease_seconds = min(leases.LEASE_SECONDS, lease_seconds)
-        self._worker: workflow_messages.WorkerState | None = None
-        self._sequence = -1
+        self._identity = worker_identity.WorkerIdentity()
         # An earlier agent process may have known of a greater capacity than this one.
         self._capacity_shrunk_at = now
         self._epoch = 0
@@ -61,13 +61,17 @@
         self._orders_seen = 0
         self._acknowledged = 0
         self._owner_heard_at = float("-inf")
-        self._deregistered_at: float | None = None
         self._crash_monitor = crash_evidence.CrashMonitor()
 
     @property
     def current_worker(self) -> workflow_messages.WorkerState | None:
         """Return the state that the current worker sent last; None before the first heartbeat."""
-        return self._worker
+        return self._identity.followed
+
+    @property
+    def identity(self) -> worker_identity.WorkerIdentity:
+        """Return which worker is current, and the candidates to replace it."""
+        return self._identity
 
     @property
     def epoch(self) -> int:
@@ -115,32 +119,36 @@
     def handle_heartbeat(
         self, state: workflow_messages.WorkerState, sequence: int, now: float
     ) -> bool:
-        """Apply a heartbeat; return whether it changes the known state."""
-        known = self._worker
-        if known is not None and known.incarnation == state.incarnation:
-            if sequence <= self._sequence:
-                return False
-            self._sequence = sequence
-            self._worker = state
-            if not known.capacity.is_within(state.capacity):
-                self._capacity_shrunk_at = now
-            return known != state
-        if known is not None and state.born_ms < known.born_ms:
-            # A delayed heartbeat of an earlier incarnation.
+        """Apply a heartbeat; return whether it changes the known state.
+
+        That of an incarnation other than the current one changes nothing until the worker has
+        answered a probe of it (see ``worker_identity``).
+        """
+        known = self.current_worker
+        self._identity.handle_heartbeat(state, sequence, now)
+        current = self.current_worker
+        if current is None or known == current:
+            return False
+        if not known.capacity.is_within(current.capacity):
+            self._capacity_shrunk_at = now
+        return True
+
+    def record_probe_answer(
+        self, incarnation: worker_identity.Incarnation, born_ms: int, now: float
+    ) -> bool:
+        """Record a worker's response to a probe; return whether it is the current one now."""
+        known = self.current_worker
+        has_deregistered = self._identity.deregistered_at is not None
+        if not self._identity.record_probe_answer(incarnation, born_ms, now):
             return False
-        self._worker = state
-        self._sequence = sequence
         if known is not None:
-            has_deregistered = self._deregistered_at is not None
             self._crash_monitor.handle_replacement(known, has_deregistered, now)
             self._start_incarnation(now)
         return True
 
-    def handle_deregistration(self, worker_id: str, now: float) -> None:
-        """Record that a worker is ending, and all its runs with it."""
-        if self._worker is not None and self._worker.worker == worker_id:
-            self._worker = msgspec.structs.replace(self._worker, draining=True)
-            self._deregistered_at = now
+    def handle_deregistration(self, worker_id: str, now: float) -> bool:
+        """Record that a worker is ending with its runs; return whether it is the current one."""
+        return self._identity.handle_deregistration(worker_id, now)
 
     def record_grant(self, epoch: int, requested_at: float) -> None:
         """Record that the owner's row granted renewals as of a time on the agent's clock.
@@ -163,7 +171,7 @@
             self._epoch = orders.epoch
         self._owner_heard_at = now
         self._granted_at = max(self._granted_at, orders.echo)
-        current = self._worker
+        current = self.current_worker
         if now - orders.echo > leases.ORDER_VALID_SECONDS or current is None:
             return None
         if current.incarnation != (orders.worker, orders.born_ms):
@@ -303,7 +311,7 @@
         self, worker_id: ids.WorkerId, is_connection_closed: bool, now: float
     ) -> None:
         """Record that a call to a worker failed, and whether its machine closed the connection."""
-        known = self._worker
+        known = self.current_worker
         if is_connection_closed and known is not None and known.worker == worker_id:
             self._crash_monitor.record_connection_closed(now)
 
@@ -323,7 +331,7 @@
             now,
             self._listed_epoch,
             self._orders_seen,
-            self._worker,
+            self.current_worker,
             now - self._responded_at < REACHABLE_SECONDS,
             expired,
             (*self._running.values(), *unlisted),
@@ -360,11 +368,10 @@
 
     def _has_worker_ended(self, now: float) -> bool:
         """Return whether the worker has deregistered and no longer responds."""
-        if self._deregistered_at is None:
+        at = self._identity.deregistered_at
+        if at is None:
             return False
-        return (
-            now - max(self._deregistered_at, self._responded_at) >= DEREGISTRATION_TIMEOUT_SECONDS
-        )
+        return now - max(at, self._responded_at) >= DEREGISTRATION_TIMEOUT_SECONDS
 
     def _is_listed_as_ended(self, run: model.RunKey) -> bool:
         return any((entry.task, entry.run) == run for entry in self._ended.values())
@@ -388,7 +395,6 @@
     def _start_incarnation(self, now: float) -> None:
         self._clear_runs()
         self._clock = None
-        self._deregistered_at = None
         self._listed_epoch = 0
         self._responded_at = float("-inf")
         self._lease_until = now
