Give the stops of cancelled runs their own limit of calls

What callers would see: a run that goes on for seconds after its cancellation. Cause: starts, changes of CPU shares, stops of unanswered starts and ordered stops shared eight places, and each call without a response holds its place for 1 s. Change: starts and shares, stops of unanswered starts and ordered stops have a limit each, and the pool of connections covers all of them. Measured: with 40 starts and 40 CPU shares that get no response, an ordered stop is sent at once; before the change the new test failed, as no stop was sent ([('j.0.0.0', 1)] != []).

--- a/crocusrudder/platform/worker.py
+++ b/crocusrudder/platform/worker.py
@@ -18,7 +18,8 @@
 
 CALL_TIMEOUT_SECONDS = 1.0
 """A call to a healthy worker takes 2 ms."""
-CONNECTIONS = 10
+CONNECTIONS = 30
+"""Covers all calls that an agent makes at once, so that none waits for a connection."""
 
 _EXPECTED_WORKER_HEADER = "X-Crocusrudder-Expect-Worker"
 _STATUS_OK = 200
--- a/crocusrudder/workflows/agent_daemon.py
+++ b/crocusrudder/workflows/agent_daemon.py
@@ -36,7 +36,13 @@
 RETRY_DELAY_SECONDS = 0.1
 OWNER_READ_INTERVAL_SECONDS = 0.7
 """Interval at which the owner's row is read while the owner is unresponsive."""
-MAX_CONCURRENT_CALLS = 8
+MAX_STARTS = 8
+"""Starts and changes of CPU shares in progress; each may take ``worker.CALL_TIMEOUT_SECONDS``."""
+MAX_BLOCKS = 4
+"""Stops of unanswered starts in progress."""
+MAX_STOPS = 16
+"""Ordered stops in progress. They have their own limit, so that the run of a cancelled job does not
+go on while calls without a response take up the others."""
 CLOSE_TIMEOUT_SECONDS = 0.5
 """Grace period for requests in flight at shutdown; heartbeats take some milliseconds."""
 
@@ -58,7 +64,9 @@
         self._acknowledgements = curio.Event()
         self._worker_log = logs.DependencyMonitor("worker")
         self._store_log = logs.DependencyMonitor("owner_row")
-        self._calls = curio.Semaphore(MAX_CONCURRENT_CALLS)
+        self._start_calls = curio.Semaphore(MAX_STARTS)
+        self._block_calls = curio.Semaphore(MAX_BLOCKS)
+        self._stop_calls = curio.Semaphore(MAX_STOPS)
 
     async def run(self) -> None:
         """Serve until a stop signal; runs continue until their leases expire."""
@@ -165,7 +173,7 @@
     ) -> None:
         run = (order.task, order.run)
         try:
-            async with self._calls:
+            async with self._start_calls:
                 rejected = await self._call_start(orders, order)
         except errors.PlatformError as error:
             self._record_call_failure(orders.worker, error)
@@ -209,14 +217,21 @@
 
         Attempts end once the worker accepts one, or has no lease or another incarnation.
         """
-        while self._state.is_starting(run) and not await self._stop(orders, run):
+        while self._state.is_starting(run) and not await self._try_stop(
+            orders, run, self._block_calls
+        ):
             await curio.sleep(RETRY_DELAY_SECONDS)
 
     async def _stop(self, orders: workflow_messages.AgentOrders, run: model.RunKey) -> bool:
+        return await self._try_stop(orders, run, self._stop_calls)
+
+    async def _try_stop(
+        self, orders: workflow_messages.AgentOrders, run: model.RunKey, limit: curio.Semaphore
+    ) -> bool:
         """Stop a run; return whether the worker accepted the order."""
         accepted = False
         try:
-            async with self._calls:
+            async with limit:
                 accepted = await self._worker.stop(orders.worker, *run, orders.epoch)
         except errors.PlatformError as error:
             self._record_call_failure(orders.worker, error)
@@ -233,7 +248,7 @@
     ) -> None:
         task, run, percent = cpu_share
         try:
-            async with self._calls:
+            async with self._start_calls:
                 accepted = await self._worker.set_cpu_share(
                     orders.worker, task, run, percent, orders.epoch
                 )
--- a/tests/workflows/test_agent_daemon.py
+++ b/tests/workflows/test_agent_daemon.py
@@ -16,6 +16,7 @@
 from tests.platform import test_messages
 
 ENDED = workflow_messages.EndedRun(1, "j.0.0.0", 1, "done")
+RUN = ("j.0.0.0", 1)
 ROUNDS = 50
 """Turns of the event loop, far more than a poll without a pause needs."""
 
@@ -49,6 +50,28 @@
         return True
 
 
+class SilentStartClient:
+    """A worker that responds to stops only."""
+
+    def __init__(self) -> None:
+        self.starts = 0
+        self.stopped: list[tuple[str, int]] = []
+
+    async def start(self, name, order, epoch, lease_until_ms):
+        self.starts += 1
+        await curio.Event().wait()
+
+    async def set_cpu_share(self, name, task, run, percent, epoch):
+        await curio.Event().wait()
+
+    async def stop(self, name, task, run, epoch):
+        self.stopped.append((task, run))
+        return True
+
+    async def poll_runs(self, incarnation, epoch, acknowledged, lease_until_ms, wait_seconds):
+        return worker.RunList(1, (), ())
+
+
 class AgentTestCase(unittest.TestCase):
     def setUp(self):
         with socket.socket() as probe:
@@ -80,6 +103,14 @@
             1, acknowledged + 1, now, self.worker.worker, 1, acknowledged=acknowledged
         )
 
+    async def _deliver(self, **orders: object) -> None:
+        """Deliver orders as a message, after a heartbeat and a list."""
+        now = agent_daemon.clocks.read_boot_time()
+        self.agent._state.handle_heartbeat(self.worker, 1, now)
+        self.agent._state.handle_list(worker.RunList(1, (), ()), 0, now, now)
+        envelope = messages.Envelope(1, 0, ids.ProcessId("e1"), ids.Incarnation("i"), "", "", None)
+        await self.agent._deliver(envelope, msgspec.structs.replace(self._make_orders(0), **orders))
+
     def _set_constant(self, name: str, value: float) -> None:
         """Set a constant of the daemon until the end of the test."""
         self.addCleanup(setattr, agent_daemon, name, getattr(agent_daemon, name))
@@ -133,6 +164,28 @@
         self.assertEqual((run,), curio.run(stop()).stops)
 
 
+class ConcurrencyTest(AgentTestCase):
+    def test_a_stop_does_not_wait_behind_starts_and_blocks_without_a_response(self):
+        # Guards against a run of a cancelled job that goes on for the timeouts of other calls.
+        client = self.agent._worker = SilentStartClient()
+        starts = tuple(
+            workflow_messages.StartOrder(f"k.0.0.{number}", 1, "spec") for number in range(40)
+        )
+        paces = tuple((f"p.0.0.{number}", 1, 50) for number in range(40))
+
+        async def play() -> None:
+            await self._deliver(starts=starts, paces=paces)
+            for _ in range(ROUNDS):
+                await curio.sleep(0)
+            await self._deliver(stops=(RUN,))
+            for _ in range(ROUNDS):
+                await curio.sleep(0)
+
+        curio.run(play())
+        self.assertLess(0, client.starts)
+        self.assertEqual([RUN], client.stopped)
+
+
 class PollTest(AgentTestCase):
     def setUp(self):
         super().setUp()
