Repeat a stop in the agent until the worker accepts it or the run ends

What callers would see: a run that goes on after its cancellation, or starts late. Cause: an agent made one attempt and left the next to the owner, which could order it only after the next list (no bound if lists do not come) and for a stop that was accepted not for 5 s. A stop refused with 429 or 409 also ended the blocking of an unanswered start, and a start that waited for its turn was sent although its stop had been received. Change: the agent repeats an ordered stop, under the epoch of the newest owner, until the worker accepts it or lists the end, or the lease has expired or another incarnation follows; an order repeats an accepted stop after 1 s, whether or not lists come; only an accepted stop ends the blocking of a start.

Replaced test: the one that expected a further order after the next list, which is no longer needed. Its replacement requires that no order and no list is needed, and that the attempt is repeated each time until it is accepted.

--- a/crocusrudder/workflows/agent_daemon.py
+++ b/crocusrudder/workflows/agent_daemon.py
@@ -2,6 +2,7 @@
 
 import secrets
 import signal
+from collections.abc import Callable
 
 import curio
 
@@ -34,6 +35,8 @@
 UNACKNOWLEDGED_POLL_SECONDS = 0.04
 """Interval between polls while ends are not durable yet, which takes about 0.05 s."""
 RETRY_DELAY_SECONDS = 0.1
+MAX_STOP_DELAY_SECONDS = 0.4
+"""Greatest delay between attempts to stop a run, each of which takes a log line if it fails."""
 OWNER_READ_INTERVAL_SECONDS = 0.7
 """Interval at which the owner's row is read while the owner is unresponsive."""
 MAX_STARTS = 8
@@ -217,28 +220,47 @@
 
         Attempts end once the worker accepts one, or has no lease or another incarnation.
         """
-        while self._state.is_starting(run) and not await self._try_stop(
-            orders, run, self._block_calls
-        ):
-            await curio.sleep(RETRY_DELAY_SECONDS)
+        await self._stop_while(self._state.is_starting, orders, run, self._block_calls)
 
-    async def _stop(self, orders: workflow_messages.AgentOrders, run: model.RunKey) -> bool:
-        return await self._try_stop(orders, run, self._stop_calls)
+    async def _stop(self, orders: workflow_messages.AgentOrders, run: model.RunKey) -> None:
+        """Carry out an ordered stop.
+
+        Attempts end once the worker accepts one or lists the end, or has no lease or another
+        incarnation.
+        """
+        try:
+            await self._stop_while(self._state.is_stopping, orders, run, self._stop_calls)
+        finally:
+            self._state.record_stop_failure(run)
+
+    async def _stop_while(
+        self,
+        is_needed: Callable[[model.RunKey], bool],
+        orders: workflow_messages.AgentOrders,
+        run: model.RunKey,
+        limit: curio.Semaphore,
+    ) -> None:
+        delay = RETRY_DELAY_SECONDS
+        while is_needed(run) and not await self._try_stop(orders, run, limit):
+            await curio.sleep(delay)
+            delay = min(2 * delay, MAX_STOP_DELAY_SECONDS)
 
     async def _try_stop(
         self, orders: workflow_messages.AgentOrders, run: model.RunKey, limit: curio.Semaphore
     ) -> bool:
-        """Stop a run; return whether the worker accepted the order."""
+        """Make one attempt to stop a run; return whether the worker accepted it."""
         accepted = False
         try:
             async with limit:
-                accepted = await self._worker.stop(orders.worker, *run, orders.epoch)
+                # The worker refuses the epoch of an owner that has been replaced since the order.
+                epoch = self._state.epoch
+                accepted = await self._worker.stop(orders.worker, *run, epoch)
         except errors.PlatformError as error:
             self._record_call_failure(orders.worker, error)
             self._log("stop_unanswered", task=run[0], run=run[1], error=str(error))
-            self._state.record_stop_failure(run)
+            self._metrics.count("stops_unanswered")
         else:
-            self._log("run_stopped", task=run[0], run=run[1], taken=accepted, epoch=orders.epoch)
+            self._log("run_stopped", task=run[0], run=run[1], taken=accepted, epoch=epoch)
             self._state.record_stop_result(run, accepted, clocks.read_boot_time())
         await self._updates.set()
         return accepted
--- a/crocusrudder/workflows/agent_state.py
+++ b/crocusrudder/workflows/agent_state.py
@@ -17,6 +17,8 @@
 """Greatest age of the last response of a reachable worker; lists are requested every 1 s."""
 REJECTION_RETENTION_SECONDS = 5.0
 """Time for which reports repeat a rejection."""
+STOP_REPEAT_SECONDS = 1.0
+"""Time after an accepted stop from which an order of the owner repeats it; a stop takes 0.2 s."""
 DEREGISTRATION_TIMEOUT_SECONDS = 0.7
 """Time without a response after which a deregistered worker has ended; calls take 0.5 s at most."""
 MAX_ORDERS_REMEMBERED = 4_096
@@ -51,7 +53,10 @@
         self._poll_failed_at = float("-inf")
         self._rejected: dict[model.RunKey, tuple[str, float]] = {}
         self._received: dict[model.RunKey, bool] = {}
+        self._stopping: set[model.RunKey] = set()
+        """Runs of which the agent itself repeats the stop until the worker accepts it."""
         self._stopped: dict[model.RunKey, float] = {}
+        """When the worker accepted the stop of a run."""
         self._blocked: dict[model.RunKey, float] = {}
         self._orders_seen = 0
         self._acknowledged = 0
@@ -103,6 +108,10 @@
         """Return whether the outcome of a start is unknown and no stop of it was answered."""
         return run in self._starting
 
+    def is_stopping(self, run: model.RunKey) -> bool:
+        """Return whether an ordered stop has been neither accepted nor made obsolete by an end."""
+        return run in self._stopping
+
     def is_owner_unresponsive(self, now: float) -> bool:
         """Return whether the owner has to be looked up in the store."""
         return now - self._owner_heard_at >= leases.OWNER_TIMEOUT_SECONDS
@@ -170,11 +179,11 @@
         )
         for order in starts:
             self._record_received((order.task, order.run), is_stop=False)
-        stops = tuple(run for run in orders.stops if run not in self._stopped)
+        stops = tuple(run for run in orders.stops if self._is_stop_due(run, now))
         for run in stops:
             self._record_received(run, is_stop=True)
             self._rejected.pop(run, None)
-            self._stopped[run] = now
+            self._stopping.add(run)
         return workflow_messages.AgentOrders(
             orders.epoch,
             orders.number,
@@ -197,6 +206,9 @@
         """
         if now - echo > leases.ORDER_VALID_SECONDS:
             return model.RejectReason.NOT_READY
+        if self._received.get((order.task, order.run)):
+            # The stop of the run was received while the start waited for its turn.
+            return model.RejectReason.STALE_RUN
         if order.planned_on < self._capacity_shrunk_at:
             return model.RejectReason.NO_CAPACITY
         if self._may_have_restarted:
@@ -223,21 +235,21 @@
             self._rejected[run] = (rejected.value, now)
 
     def record_stop_result(self, run: model.RunKey, accepted: bool, now: float) -> None:
-        """Record the response to a stop; a stop that was not accepted may be repeated.
+        """Record the response to a stop; one that was not accepted had no effect.
 
         The next list shows what became of the run: it is still stopping, has ended, or will never
         start.
         """
-        self._starting.discard(run)
         if accepted:
+            self._starting.discard(run)
+            self._stopping.discard(run)
+            self._stopped[run] = now
             self._blocked[run] = now
             self._crash_monitor.record_start_blocked(run)
-        else:
-            self._stopped.pop(run, None)
 
     def record_stop_failure(self, run: model.RunKey) -> None:
-        """Record that a stop was not answered; it may be repeated after the next list."""
-        self._stopped[run] = float("-inf")
+        """Record that the agent no longer repeats a stop; the owner's next order repeats it."""
+        self._stopping.discard(run)
 
     def get_lease_end_ms(self, now: float) -> int | None:
         """Return the end of the lease on the worker's clock; None if it cannot be renewed.
@@ -280,9 +292,10 @@
             if at > requested_at and not self._is_listed_as_ended(run)
         }
         # The response to the start of a run that has ended may arrive after the end.
-        self._starting.difference_update((entry.task, entry.run) for entry in listed.ended)
-        self._running = listed_runs
         ended_runs = {(entry.task, entry.run) for entry in listed.ended}
+        self._starting -= ended_runs
+        self._stopping -= ended_runs
+        self._running = listed_runs
         self._crash_monitor.record_list(set(listed_runs), ended_runs, requested_at, now)
         self._resolve_blocked(requested_at, now)
         self._discard_old(now)
@@ -347,6 +360,10 @@
                 self._started.pop(run, None)
                 self._rejected[run] = (model.RejectReason.NO_RESPONSE.value, now)
 
+    def _is_stop_due(self, run: model.RunKey, now: float) -> bool:
+        stopped_at = self._stopped.get(run, float("-inf"))
+        return run not in self._stopping and now - stopped_at >= STOP_REPEAT_SECONDS
+
     def _is_lease_expired(self, now: float) -> bool:
         """Return whether the worker cannot be running anything."""
         # An unanswered start carries the end of the lease, so the run cannot start after that.
@@ -378,6 +395,7 @@
         self._running = {}
         self._started = {}
         self._starting = set()
+        self._stopping = set()
         self._blocked = {}
 
     def _start_incarnation(self, now: float) -> None:
--- a/tests/workflows/test_agent_daemon.py
+++ b/tests/workflows/test_agent_daemon.py
@@ -17,6 +17,7 @@
 
 ENDED = workflow_messages.EndedRun(1, "j.0.0.0", 1, "done")
 RUN = ("j.0.0.0", 1)
+START = workflow_messages.StartOrder(*RUN, "spec")
 ROUNDS = 50
 """Turns of the event loop, far more than a poll without a pause needs."""
 
@@ -35,19 +36,30 @@
 
 
 class RefusingWorkerClient:
-    """A worker that leaves a start unanswered and then refuses a number of calls."""
+    """A worker that leaves a start unanswered, then refuses and then rejects a number of stops."""
 
-    def __init__(self, refused_stops: int) -> None:
+    def __init__(self, refused_stops: int, rejected_stops: int = 0, fence: int = 0) -> None:
         self.refused_stops = refused_stops
+        self.rejected_stops = rejected_stops
+        self.fence = fence
+        self.starts = 0
+        self.stops = 0
+        self.epoch = 0
 
     async def start(self, name, order, epoch, lease_until_ms):
+        self.starts += 1
         raise errors.UnknownOutcomeError("connection reset")
 
     async def stop(self, name, task, run, epoch):
+        self.stops += 1
+        self.epoch = epoch
         if self.refused_stops:
             self.refused_stops -= 1
             raise errors.NotExecutedError("connection refused")
-        return True
+        if self.rejected_stops:
+            self.rejected_stops -= 1
+            return False
+        return epoch >= self.fence
 
 
 class SilentStartClient:
@@ -103,11 +115,18 @@
             1, acknowledged + 1, now, self.worker.worker, 1, acknowledged=acknowledged
         )
 
+    def _receive(self, epoch: int = 1, **orders: object) -> workflow_messages.AgentOrders:
+        """Receive orders, after a heartbeat and a list; return those to carry out."""
+        state = self.agent._state
+        now = agent_daemon.clocks.read_boot_time()
+        state.handle_heartbeat(self.worker, 1, now)
+        state.handle_list(worker.RunList(1, (), ()), epoch, now, now)
+        orders = msgspec.structs.replace(self._make_orders(0), epoch=epoch, **orders)
+        return state.handle_orders(orders, now)
+
     async def _deliver(self, **orders: object) -> None:
         """Deliver orders as a message, after a heartbeat and a list."""
-        now = agent_daemon.clocks.read_boot_time()
-        self.agent._state.handle_heartbeat(self.worker, 1, now)
-        self.agent._state.handle_list(worker.RunList(1, (), ()), 0, now, now)
+        self._receive()
         envelope = messages.Envelope(1, 0, ids.ProcessId("e1"), ids.Incarnation("i"), "", "", None)
         await self.agent._deliver(envelope, msgspec.structs.replace(self._make_orders(0), **orders))
 
@@ -145,23 +164,61 @@
         self.assertEqual((), report.starting)
         self.assertEqual(["j.0.0.0"], [rejected.task for rejected in report.rejected])
 
-    def test_a_stop_without_an_answer_is_repeated_as_soon_as_the_worker_responds(self):
-        # Guards against a run that is held for 5 s after one lost call: the repeated orders of the
-        # owner counted as carried out.
-        self.agent._worker = RefusingWorkerClient(refused_stops=1)
-        run = ("j.0.0.0", 1)
+    def test_a_stop_without_an_answer_is_repeated_without_another_order_or_list(self):
+        # Guards against a run that goes on after one lost call: the stop was repeated only by the
+        # owner's next order after the next list, and each of them may be lost too.
+        self._set_constant("RETRY_DELAY_SECONDS", 0.0)
+        client = self.agent._worker = RefusingWorkerClient(refused_stops=5)
+        orders = self._receive(stops=(RUN,))
+
+        async def stop() -> None:
+            await self.agent._stop(orders, RUN)
 
-        async def stop() -> workflow_messages.AgentOrders:
-            state = self.agent._state
-            now = agent_daemon.clocks.read_boot_time()
-            state.handle_heartbeat(self.worker, 1, now)
-            orders = msgspec.structs.replace(self._make_orders(0), stops=(run,))
-            await self.agent._stop(state.handle_orders(orders, now), run)
-            self.assertEqual((), state.handle_orders(orders, now).stops)
-            state.handle_list(worker.RunList(1, (), ()), 1, now, now)
-            return state.handle_orders(orders, now)
+        self.assertEqual((RUN,), orders.stops)
+        curio.run(stop())
+        self.assertEqual(6, client.stops)
+        self.assertEqual((), self._receive(stops=(RUN,)).stops)
+
+    def test_a_stop_is_repeated_under_the_epoch_of_the_newest_owner(self):
+        # Guards against a stop that the worker refuses for ever, as it has been fenced meanwhile.
+        self._set_constant("RETRY_DELAY_SECONDS", 0.0)
+        client = self.agent._worker = RefusingWorkerClient(refused_stops=0, fence=2)
+        orders = self._receive(stops=(RUN,))
 
-        self.assertEqual((run,), curio.run(stop()).stops)
+        async def stop() -> None:
+            task = await curio.spawn(self.agent._stop, orders, RUN)
+            for _ in range(ROUNDS):
+                await curio.sleep(0)
+            self._receive(epoch=2)
+            await task.join()
+
+        curio.run(stop())
+        self.assertEqual(2, client.epoch)
+
+    def test_an_unanswered_start_is_blocked_although_the_worker_refuses_the_first_stop(self):
+        # Guards against a run that starts late: a refused stop (429) counted as an answered one.
+        self._set_constant("RETRY_DELAY_SECONDS", 0.0)
+        client = self.agent._worker = RefusingWorkerClient(refused_stops=0, rejected_stops=3)
+        orders = self._receive(starts=(START,))
+
+        async def start() -> None:
+            self.agent._state.record_start_sent(RUN, 0.0)
+            await self.agent._block(orders, RUN)
+
+        curio.run(start())
+        self.assertEqual(4, client.stops)
+
+    def test_a_start_whose_stop_was_received_while_it_waited_is_not_sent(self):
+        # Guards against UNASKED: a start of a cancelled job that waited behind other calls.
+        client = self.agent._worker = RefusingWorkerClient(refused_stops=0)
+        self._receive(stops=(RUN,), starts=(START,))
+        orders = self._receive()
+
+        async def start() -> None:
+            await self.agent._start(orders, START)
+
+        curio.run(start())
+        self.assertEqual(0, client.starts)
 
 
 class ConcurrencyTest(AgentTestCase):
--- a/tests/workflows/test_agent_state.py
+++ b/tests/workflows/test_agent_state.py
@@ -111,6 +111,24 @@
         report = self._report(100.8)
         self.assertEqual(((), 1), (report.rejected, len(report.running)))
 
+    def test_an_accepted_stop_is_repeated_on_order_whether_or_not_lists_come(self):
+        # Guards against a run that goes on for 5 s or longer: an accepted stop counted as done
+        # until a later list, although the run was still listed or no list came.
+        orders = make_orders(1, 100.0, stops=(RUN,))
+        self.assertEqual((RUN,), self.state.handle_orders(orders, 100.0).stops)
+        self.state.record_stop_result(RUN, True, 100.0)
+        for seconds, expected in ((0.5, ()), (agent_state.STOP_REPEAT_SECONDS, (RUN,))):
+            accepted = self.state.handle_orders(orders, 100.0 + seconds)
+            self.assertEqual(expected, accepted.stops)
+
+    def test_a_stop_in_progress_ends_with_the_run(self):
+        # Guards against stops that are sent for ever to a worker on which the run has ended.
+        orders = make_orders(1, 100.0, stops=(RUN,))
+        self.state.handle_orders(orders, 100.0)
+        self.assertTrue(self.state.is_stopping(RUN))
+        self._list(100.5, ended=(workflow_messages.EndedRun(1, *RUN, "done"),))
+        self.assertFalse(self.state.is_stopping(RUN))
+
     def test_a_started_run_stays_listed_until_a_list_from_after_its_start(self):
         self.state.record_start_sent(RUN, 100.4)
         self.state.record_start_result(RUN, None, 100.5)
