--- a/crocusrudder/platform/worker.py
+++ b/crocusrudder/platform/worker.py
@@ -22,7 +22,8 @@
 
 CALL_TIMEOUT_SECONDS = 1.0
 """A call to a healthy worker takes 2 ms."""
-CONNECTIONS = 10
+CONNECTIONS = 30
+"""Covers all calls that an agent makes at once, so that none waits for a connection."""
 MAX_END_GAP = 1_000
 """Greatest distance of the number of an end from that of the one before. Workers number their ends
 from 1 and list 500 at a time, in order, of which some may be unreadable."""
--- a/crocusrudder/workflows/agent_daemon.py
+++ b/crocusrudder/workflows/agent_daemon.py
@@ -2,6 +2,7 @@
 
 import secrets
 import signal
+from collections.abc import Callable
 
 import curio
 
@@ -35,9 +36,17 @@
 UNACKNOWLEDGED_POLL_SECONDS = 0.04
 """Interval between polls while ends are not durable yet, which takes about 0.05 s."""
 RETRY_DELAY_SECONDS = 0.1
+MAX_STOP_DELAY_SECONDS = 0.4
+"""Greatest delay between attempts to stop a run, each of which takes a log line if it fails."""
 OWNER_READ_INTERVAL_SECONDS = 0.7
 """Interval at which the owner's row is read while the owner is unresponsive."""
-MAX_CONCURRENT_CALLS = 8
+MAX_STARTS = 8
+"""Starts and changes of CPU shares in progress; each may take ``worker.CALL_TIMEOUT_SECONDS``."""
+MAX_BLOCKS = 4
+"""Stops of unanswered starts in progress."""
+MAX_STOPS = 16
+"""Ordered stops in progress. They have their own limit, so that the run of a cancelled job does not
+go on while calls without a response take up the others."""
 CLOSE_TIMEOUT_SECONDS = 0.5
 """Grace period for requests in flight at shutdown; heartbeats take some milliseconds."""
 
@@ -60,7 +69,9 @@
         self._acknowledgements = curio.Event()
         self._worker_log = logs.DependencyMonitor("worker")
         self._store_log = logs.DependencyMonitor("owner_row")
-        self._calls = curio.Semaphore(MAX_CONCURRENT_CALLS)
+        self._start_calls = curio.Semaphore(MAX_STARTS)
+        self._block_calls = curio.Semaphore(MAX_BLOCKS)
+        self._stop_calls = curio.Semaphore(MAX_STOPS)
 
     async def run(self) -> None:
         """Serve until a stop signal; runs continue until their leases expire."""
@@ -196,7 +207,7 @@
     ) -> None:
         run = (order.task, order.run)
         try:
-            async with self._calls:
+            async with self._start_calls:
                 rejected = await self._call_start(orders, order)
         except errors.PlatformError as error:
             self._record_call_failure(orders.worker, error)
@@ -240,21 +251,47 @@
 
         Attempts end once the worker accepts one, or has no lease or another incarnation.
         """
-        while self._state.is_starting(run) and not await self._stop(orders, run):
-            await curio.sleep(RETRY_DELAY_SECONDS)
+        await self._stop_while(self._state.is_starting, orders, run, self._block_calls)
 
-    async def _stop(self, orders: workflow_messages.AgentOrders, run: model.RunKey) -> bool:
-        """Stop a run; return whether the worker accepted the order."""
+    async def _stop(self, orders: workflow_messages.AgentOrders, run: model.RunKey) -> None:
+        """Carry out an ordered stop.
+
+        Attempts end once the worker accepts one or lists the end, or has no lease or another
+        incarnation.
+        """
+        try:
+            await self._stop_while(self._state.is_stopping, orders, run, self._stop_calls)
+        finally:
+            self._state.record_stop_failure(run)
+
+    async def _stop_while(
+        self,
+        is_needed: Callable[[model.RunKey], bool],
+        orders: workflow_messages.AgentOrders,
+        run: model.RunKey,
+        limit: curio.Semaphore,
+    ) -> None:
+        delay = RETRY_DELAY_SECONDS
+        while is_needed(run) and not await self._try_stop(orders, run, limit):
+            await curio.sleep(delay)
+            delay = min(2 * delay, MAX_STOP_DELAY_SECONDS)
+
+    async def _try_stop(
+        self, orders: workflow_messages.AgentOrders, run: model.RunKey, limit: curio.Semaphore
+    ) -> bool:
+        """Make one attempt to stop a run; return whether the worker accepted it."""
         accepted = False
         try:
-            async with self._calls:
-                accepted = await self._worker.stop(orders.worker, *run, orders.epoch)
+            async with limit:
+                # The worker refuses the epoch of an owner that has been replaced since the order.
+                epoch = self._state.epoch
+                accepted = await self._worker.stop(orders.worker, *run, epoch)
         except errors.PlatformError as error:
             self._record_call_failure(orders.worker, error)
             self._log("stop_unanswered", task=run[0], run=run[1], error=str(error))
-            self._state.record_stop_failure(run)
+            self._metrics.count("stops_unanswered")
         else:
-            self._log("run_stopped", task=run[0], run=run[1], taken=accepted, epoch=orders.epoch)
+            self._log("run_stopped", task=run[0], run=run[1], taken=accepted, epoch=epoch)
             self._state.record_stop_result(run, accepted, clocks.read_boot_time())
         await self._updates.set()
         return accepted
@@ -264,7 +301,7 @@
     ) -> None:
         task, run, percent = cpu_share
         try:
-            async with self._calls:
+            async with self._start_calls:
                 accepted = await self._worker.set_cpu_share(
                     orders.worker, task, run, percent, orders.epoch
                 )
