Log and count a worker's response without lists

Such a response makes the list incomplete, which no log line or counter showed. It is now written as list_entry_unreadable and counted. A worker that leaves out one empty list is not affected.

--- a/crocusrudder/platform/worker.py
+++ b/crocusrudder/platform/worker.py
@@ -191,6 +191,9 @@
             return None
         if status != _STATUS_OK:
             raise errors.NotExecutedError(f"the worker responded with status {status}")
+        if response.running is response.ended is None:
+            unreadable.add(errors.MalformedInputError("the response has no lists"))
+            unreadable.hides_runs = True
         ended = _convert_ended(response, acknowledged, unreadable)
         unreadable.log()
         return RunList(
@@ -198,7 +201,7 @@
             _convert_running(response),
             ended,
             unreadable.entries,
-            not unreadable.hides_runs and not (response.running is response.ended is None),
+            not unreadable.hides_runs,
         )
 
     async def _call(
