Check the numbers in jobs, progress and estimates as they are read

- An estimate of 1e300 raised OverflowError while a new owner loaded, and one of -1e300 raised ValueError when the estimates were stored: each entry that took over ended its ownership in turn.
- Progress with fewer bits than the stage has tasks raised IndexError at the end of a task, with each report of the agent, so that none of its later reports was applied.
- A job with an infinite estimated duration did the same with ValueError.

The rows are checked when they are read. Estimates out of range make their whole row unreadable, as they are learned again; the limits are far above what is learned. A job whose progress does not fit it, or with a number that is not finite, is set aside like one whose row cannot be decoded.

--- a/crocusrudder/workflows/owner_service.py
+++ b/crocusrudder/workflows/owner_service.py
@@ -305,6 +305,8 @@
             decoded = rows.decode_job(value, job)
             table = rows.PROGRESS_TABLE
             known = None if progress is None else rows.decode_progress(progress)
+            if known is not None:
+                rows.check_progress(decoded, known)
         except workflow_errors.UnreadableRowError as error:
             self._record_unreadable(table, job, error)
             if progress is not None:
--- a/crocusrudder/workflows/rows.py
+++ b/crocusrudder/workflows/rows.py
@@ -1,5 +1,6 @@
 """Tables, keys and encoding of the rows in the store."""
 
+import itertools
 import math
 
 import msgspec
@@ -11,6 +12,7 @@
 from crocusrudder.wire import workflow_messages
 from crocusrudder.workflows import errors
 from crocusrudder.workflows import model
+from crocusrudder.workflows.decisions import latency_model
 
 JOBS_TABLE = "jobs"
 """One row per accepted job, and another one per cancellation."""
@@ -27,6 +29,10 @@
 """Key of the owner's estimates of the interference between images."""
 CANCEL_SUFFIX = ".cancel"
 CANCEL_VALUE = b"1"
+MAX_ESTIMATE = 1e15
+"""Limit of logarithms, their squares, weights and numbers of reports in estimates."""
+MAX_FLOOR = 100.0
+"""Limit of the logarithm of an image's least latency in ms; exp(710) has no value."""
 MAX_QUOTED = 100
 """Characters of an unreadable value that an error quotes."""
 
@@ -75,12 +81,28 @@
         operator.check_stages(job.job_id, job.stages, job.occurrences)
     except platform_errors.MalformedInputError as error:
         raise errors.UnreadableRowError(f"row is not a valid Job: {error.message}") from error
+    _check_finite(job.accepted_at, job.first_due_at, job.interval_seconds)
+    _check_finite(*(s.estimated_seconds for s in job.stages))
+    _check_finite(*(s.latency_target_ms for s in job.stages))
     return job
 
 
 def decode_progress(value: bytes) -> model.Progress:
     """Decode a job's progress; raise ``UnreadableRowError`` for a malformed value."""
-    return _decode(value, model.Progress)
+    progress = _decode(value, model.Progress)
+    _check_finite(progress.finished_at)
+    return progress
+
+
+def check_progress(job: model.Job, progress: model.Progress) -> None:
+    """Raise ``UnreadableRowError`` if the progress does not fit the job's stages."""
+    sizes = {str(number): -(-s.task_count // 8) for number, s in enumerate(job.stages)}
+    for key, bits in progress.done.items():
+        number = key.rpartition(".")[2]
+        if len(bits) != sizes.get(number, len(bits)):
+            raise errors.UnreadableRowError(
+                f"row has {len(bits)} bytes of bits for {key[:MAX_QUOTED]}"
+            )
 
 
 def decode_owner(value: bytes) -> OwnerRow:
@@ -102,8 +124,23 @@
 
 
 def decode_estimates(value: bytes) -> InterferenceEstimates:
-    """Decode interference estimates; raise ``UnreadableRowError`` for a malformed value."""
-    return _decode(value, InterferenceEstimates)
+    """Decode interference estimates; raise ``UnreadableRowError`` for a malformed value.
+
+    One odd estimate makes all of them unreadable, as they are learned anew within minutes.
+    """
+    estimates = _decode(value, InterferenceEstimates)
+    pairs = list(itertools.chain(estimates.slowdowns.values(), estimates.inflations.values()))
+    values = [
+        *estimates.durations.values(),
+        *itertools.chain.from_iterable(p.values() for p in pairs),
+    ]
+    floors = [pair[latency_model.FLOOR][0] for pair in pairs if latency_model.FLOOR in pair]
+    if not (
+        all(abs(number) <= MAX_ESTIMATE for number in itertools.chain.from_iterable(values))
+        and all(abs(floor) <= MAX_FLOOR for floor in floors)
+    ):
+        raise errors.UnreadableRowError("row holds an estimate that is out of range")
+    return estimates
 
 
 def decode_address(value: bytes | None) -> str:
@@ -124,6 +161,11 @@
         raise errors.UnreadableRowError(f"row is not a valid {type_.__name__}: {error}") from error
 
 
+def _check_finite(*values: float) -> None:
+    if not all(map(math.isfinite, values)):
+        raise errors.UnreadableRowError("row holds a number that is not finite")
+
+
 def encode_cores(cores: float) -> bytes:
     return f"{cores:.3f}".encode()
 
--- a/tests/workflows/test_owner_service.py
+++ b/tests/workflows/test_owner_service.py
@@ -1,5 +1,6 @@
 """Tests of the input and output of an ownership epoch."""
 
+import math
 import unittest
 from unittest import mock
 
@@ -222,6 +223,7 @@
             "nested": b"\x91" * 100_000,
             "none": b"",
             "many": self._make_job("many", model.Stage(2**40)),
+            "endless": self._make_job("endless", model.Stage(1, estimated_seconds=math.inf)),
             "after": self._make_job("after", stage, model.Stage(1, after=(7,))),
             "negative": self._make_job("negative", model.Stage(1, messages.Resources(-1, 1, 0))),
         }
@@ -229,6 +231,27 @@
         self.assertEqual(["j1"], list(service.owner.job_registry.records))
         self.assertEqual(len(odd), service._metrics.counters["rows_unreadable"])
 
+    def test_progress_that_does_not_fit_the_job_sets_it_aside(self):
+        # Guards against an agent whose reports are never applied again: the end of a task raised
+        # IndexError with each report.
+        progress = model.Progress(model.JobState.RUNNING, {"0.0": b""})
+        late = model.Progress(model.JobState.COMPLETED, finished_at=math.nan)
+        service = self._load(
+            jobs={name: self._make_job(name) for name in ("j1", "j2", "j3")},
+            progress={"j1": rows.encode(progress), "j2": rows.encode(late)},
+        )
+        self.assertEqual(["j3"], list(service.owner.job_registry.records))
+
+    def test_estimates_out_of_range_are_left_out(self):
+        # Guards against an error that ends each new owner, as exp(1e300) has no value.
+        for odd in (1e300, -1e300, math.nan, math.inf, 710.0, -1e4, 100.0):
+            pairs = {"i": {"": (odd, 0.1, 3), "k": (1.0, odd, 2**40)}}
+            estimates = rows.InterferenceEstimates({}, {"q": (1.0, odd, 1.0)}, pairs)
+            service = self._load(control={rows.ESTIMATES_KEY: rows.encode(estimates)})
+            rows.encode(service.owner.export_estimates())
+            expected = {} if odd == 100.0 else {"rows_unreadable": 1}
+            self.assertEqual(expected, service._metrics.counters)
+
     def _make_job(self, name: str, *stages: model.Stage) -> bytes:
         stages = stages or (model.Stage(1, messages.Resources(1, 1, 0)),)
         return rows.encode(model.Job(ids.JobId(name), QUEUE.name, "", stages, START))
