Read the queues and services of a configuration one by one

One odd queue or service in the operator's configuration made all of it unreadable: an entry kept the previous one, and an entry that had restarted answered all callers with 503.

Items that cannot be read are left out, logged (configuration_unreadable) and counted (configuration_items_unreadable). As an item that cannot be read may be one that is known, known queues and services that the new configuration does not name stay in force until all of it can be read.

With the old code the new test failed at its first case: only the known queues were in force.

--- a/crocusrudder/platform/operator.py
+++ b/crocusrudder/platform/operator.py
@@ -4,11 +4,13 @@
 from collections.abc import Sequence
 from typing import Annotated
 from typing import Any
+from typing import TypeVar
 
 import msgspec
 
 from crocusrudder.core import ids
 from crocusrudder.platform import errors
+from crocusrudder.platform import json_parts
 from crocusrudder.platform import store
 from crocusrudder.wire import messages
 from crocusrudder.workflows import model
@@ -20,6 +22,8 @@
 stored."""
 MAX_MILLISECONDS = 1e15
 """Limit of times; 30,000 years."""
+MAX_QUOTED = 200
+"""Characters of a decoding error that are repeated."""
 CALLER_TIMEOUT_HEADER = "x-crocusrudder-timeout-ms"
 
 
@@ -27,6 +31,9 @@
 _Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_MILLISECONDS)]
 
 
+_Item = TypeVar("_Item")
+
+
 class _WireRoute(msgspec.Struct):
     name: str
     host: str
@@ -94,17 +101,51 @@
 
 
 def decode_configuration(body: bytes) -> model.Configuration:
-    """Decode the configuration; raises ``MalformedInputError``."""
+    """Decode the configuration without the queues and services that cannot be read.
+
+    Raises ``MalformedInputError`` if the rest cannot be read.
+    """
+    unreadable: list[str] = []
     try:
         wire = msgspec.json.decode(body, type=_WireConfiguration)
-    except (msgspec.MsgspecError, RecursionError) as error:
-        raise errors.MalformedInputError(f"configuration: {error}") from error
+    except (msgspec.MsgspecError, RecursionError):
+        wire = _decode_items(body, unreadable)
     queues = tuple(_convert_route(route) for route in wire.routes)
     services = tuple(
         model.Service(ids.ServiceName(service.name), service.guards) for service in wire.services
     )
     unserved = tuple(_list_unserved(wire))
-    return model.Configuration(wire.version, queues, services, wire.limits.body_bytes, unserved)
+    return model.Configuration(
+        wire.version, queues, services, wire.limits.body_bytes, unserved, tuple(unreadable)
+    )
+
+
+def _decode_items(body: bytes, unreadable: list[str]) -> _WireConfiguration:
+    """Decode a configuration item by item, and add an error for each that cannot be read."""
+    try:
+        members = json_parts.split_object(body)
+        version = json_parts.decode(members.get("version", b""), _Count)
+        limits = json_parts.decode(members.get("limits", b"{}"), _WireLimits)
+        routes = json_parts.split_array(members.get("routes", b"[]"))
+        services = json_parts.split_array(members.get("services", b"[]"))
+    except errors.MalformedInputError as error:
+        raise errors.MalformedInputError(f"configuration: {error.message}") from error
+    return _WireConfiguration(
+        version,
+        list(_decode_each(routes, _WireRoute, "queue", unreadable)),
+        list(_decode_each(services, _WireService, "service", unreadable)),
+        limits,
+    )
+
+
+def _decode_each(
+    items: list[bytes], type_: type[_Item], kind: str, unreadable: list[str]
+) -> Iterator[_Item]:
+    for number, item in enumerate(items):
+        try:
+            yield json_parts.decode(item, type_)
+        except errors.MalformedInputError as error:
+            unreadable.append(f"{kind} {number}: {error.message[:MAX_QUOTED]}")
 
 
 def _list_unserved(wire: _WireConfiguration) -> Iterator[str]:
--- a/crocusrudder/workflows/entry_daemon.py
+++ b/crocusrudder/workflows/entry_daemon.py
@@ -186,6 +186,13 @@
             return
         if self._configuration and configuration.version <= self._configuration.version:
             return
+        if configuration.unreadable:
+            # A queue that cannot be read may be one of those that are known.
+            known = self._configuration or model.Configuration()
+            configuration = configuration.add_known(known)
+            failure = errors.MalformedInputError("; ".join(configuration.unreadable))
+            self._metrics.count("configuration_items_unreadable", len(configuration.unreadable))
+            self._log("configuration_unreadable", **failure.to_dict())
         self._configuration = configuration
         self._log(
             "configuration_taken", version=configuration.version, queues=len(configuration.queues)
--- a/crocusrudder/workflows/model.py
+++ b/crocusrudder/workflows/model.py
@@ -140,6 +140,18 @@
     body_bytes: int = 262_144
     unserved: tuple[str, ...] = ()
     """Descriptions of what is configured and not served."""
+    unreadable: tuple[str, ...] = ()
+    """Errors of the queues and services that could not be read and are left out."""
+
+    def add_known(self, known: "Configuration") -> "Configuration":
+        """Return the configuration with the known queues and services that it does not name."""
+        queues = {queue.name for queue in self.queues}
+        services = {service.name for service in self.services}
+        return msgspec.structs.replace(
+            self,
+            queues=(*self.queues, *(q for q in known.queues if q.name not in queues)),
+            services=(*self.services, *(s for s in known.services if s.name not in services)),
+        )
 
     def find_queue(self, host: str, path: str) -> Queue | None:
         """Return the host's queue whose path prefix is the longest match; None if none matches.
--- a/tests/workflows/test_entry_daemon.py
+++ b/tests/workflows/test_entry_daemon.py
@@ -18,6 +18,7 @@
 from crocusrudder.workflows import model
 from crocusrudder.workflows import rows
 from crocusrudder.workflows import settings
+from tests.platform import oddities
 
 
 class FakeService:
@@ -40,6 +41,10 @@
     )
 
 
+def make_route(name: bytes) -> bytes:
+    return b'{"name":"%b","host":"h","service":"s","pathPrefix":"/%b/"}' % (name, name)
+
+
 class FakeOwnerRow:
     """A store with the given value of the owner's row, at version 40."""
 
@@ -119,6 +124,22 @@
             entry._apply_configuration(store.StoreRow("op", "config", body, version))
         self.assertEqual(9, entry._configuration.version)
 
+    def test_one_odd_queue_does_not_hide_the_others(self):
+        # Guards against an entry that refuses all jobs after a restart, and against queues that
+        # count as removed because their items cannot be read.
+        known = b'{"version":7,"routes":[%b,%b]}' % (make_route(b"a"), make_route(b"b"))
+        for odd in oddities.ODD_JSON:
+            services = b'[{"name":"s"},%b]' % odd
+            routes = b"[%b,%b]" % (make_route(b"c"), odd)
+            body = b'{"version":8,"routes":%b,"services":%b}' % (routes, services)
+            for before, expected in ((known, {"a", "b", "c"}), (b"", {"c"})):
+                entry = entry_daemon.EntryProcess(make_settings())
+                for value in (before, body):
+                    entry._apply_configuration(store.StoreRow("op", "config", value, 1))
+                entry._link.close()
+                self.assertEqual(expected, {q.name for q in entry._configuration.queues}, odd[:20])
+                self.assertEqual(2, entry._metrics.counters["configuration_items_unreadable"])
+
     def test_a_version_that_cannot_be_meant_does_not_hide_later_configurations(self):
         entry = entry_daemon.EntryProcess(make_settings())
         self.addCleanup(entry._link.close)
