Leave out rows of other partitions in the change feed

The feed of a table covers all of its partitions, while all rows of this system and the operator's rows are in one. A row of another writer with the same key in another partition was taken for one of them, as a configuration, a job or the cancellation of a job. Reads name the partition already.

With the old store.py the new test failed: 2 rows instead of 1.

--- a/crocusrudder/platform/store.py
+++ b/crocusrudder/platform/store.py
@@ -85,6 +85,7 @@
 class _WireRow(msgspec.Struct):
     key: str
     table: str = ""
+    part: str = ""
     value: str | None = ""
     ver: _Version = 0
     deleted: bool = False
@@ -165,7 +166,9 @@
         """
         query = {"table": table, "after": after, "waitMs": round(wait_seconds * 1_000)}
         page = await self._get("rows-feed", query, wait_seconds + CALL_TIMEOUT_SECONDS)
-        return Page(tuple(_convert(row, table) for row in page.rows), page.ver)
+        # The feed of a table covers all partitions.
+        rows = (row for row in page.rows if row.part == PARTITION)
+        return Page(tuple(_convert(row, table) for row in rows), page.ver)
 
     async def _get(self, name: str, query: dict[str, Any], timeout: float) -> _WireRows:
         target = f"/crocusrudder/{name}?{urllib.parse.urlencode(query)}"
@@ -237,7 +240,7 @@
     with contextlib.suppress(errors.MalformedInputError):
         members = json_parts.split_object(item)
         row = _WireRow(json_parts.decode(members.get("key", b""), str))
-        for name in ("table", "ver"):
+        for name in ("table", "part", "ver"):
             with contextlib.suppress(errors.MalformedInputError):
                 type_ = _ROW_TYPES[name]
                 setattr(row, name, json_parts.decode(members.get(name, b""), type_))
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -204,6 +204,15 @@
         _, page = self._call(make_response(200, first), make_response(200, second), commit=False)
         self.assertEqual(5, page.version)
 
+    def test_rows_of_other_partitions_are_not_taken_for_those_of_this_system(self):
+        # Guards against UNASKED and LOST: such a row would replace a configuration, or add or
+        # cancel a job.
+        changes = [{"key": "k", "part": part, "value": "Ylk=", "ver": 5} for part in ("x", "")]
+        client = store.StoreClient(
+            "h:80", FakeHttp(make_response(200, {"rows": changes, "ver": 9}))
+        )
+        self.assertEqual(1, len(curio.run(client.watch("t", 3, 0.0)).rows))
+
     def test_one_odd_row_does_not_hide_the_others(self):
         # Guards against a table or feed that no process can read any more because of one row.
         for odd in oddities.ODD_JSON:
