Ignore impossible seconds of a lost agent in the owner's row

Callers would see no job start that was stored before a takeover: the owner's row lists each lost agent with the seconds since its last grant, and the next owner waits for the rest of the lease. With nan or a negative number that wait had no end; with an infinite one there was none, so a task could run twice. msgpack holds all three.

Such a value now counts as 0, the full wait.

tests.workflows.test_owner against owner.py before: 3 failures (2 starts expected, 1 seen, for nan and -1e9; two runs at once for inf); with the change all pass.

--- a/crocusrudder/workflows/owner.py
+++ b/crocusrudder/workflows/owner.py
@@ -5,6 +5,7 @@
 """
 
 import itertools
+import math
 import types
 from collections.abc import Mapping
 
@@ -330,6 +331,8 @@
         for agent, seconds in lost.items():
             view = self._get_view(agent)
             view.is_declared_lost = True
+            # Seconds that no owner can have stored would end the wait at once or never.
+            seconds = seconds if 0.0 <= seconds < math.inf else 0.0
             view.lost_stored_at = self._started_at - seconds
             self._awaited_agents[agent] = view.lost_stored_at + leases.LEASE_EXPIRY_SECONDS
 
--- a/tests/workflows/test_owner.py
+++ b/tests/workflows/test_owner.py
@@ -280,6 +280,22 @@
         system.run(1.0)
         self.assertEqual(2, system.count_starts("j1.0.0.0"))
 
+    def test_impossible_seconds_of_a_lost_agent_count_as_none(self):
+        # Guards against LOST (nan and negative seconds: the wait for the lease had no end) and
+        # against TWICE (infinite seconds: there was no wait).
+        for seconds in (float("nan"), -1e9, float("inf")):
+            with self.subTest(seconds=seconds):
+                system = self._start_long_task()
+                holder = next(agent for agent in system.agents.values() if agent.worker.running)
+                holder.is_connected = False
+                previous = system.owner
+                previous.list_lost_agents = lambda *_, s=seconds, a=holder.process: {a: s}
+                system.replace_owner(2)
+                for _ in range(round((leases.LEASE_EXPIRY_SECONDS + 1.0) / world.TICK)):
+                    system.step()
+                    self.assertLessEqual(self._count_running(system), 1, "two runs of one task")
+                self.assertEqual(2, system.count_starts("j1.0.0.0"))
+
     def test_successive_owners_do_not_restart_the_wait_for_a_lost_agent(self):
         system = self._start_long_task()
         holder = next(agent for agent in system.agents.values() if agent.worker.running)
