Leave out listed runs that no owner can have numbered

Callers would see a job that never runs, or one shown as done that has not run: a listed entry with the name of a waiting task and any run number was adopted as its run, and an end of any number completed the task. Stopping such a run is no way out, as the worker then refuses all lower runs of the task for good.

An owner numbers its runs in the range of its epoch, and the list of a worker that has seen a later epoch is refused. A run below the range of the first epoch or above that of the next one is now left out, logged once (run_number_implausible) and counted (runs_left_out). If it is a run of something else, what it takes is not counted.

tests.workflows.test_odd_lists against reports.py before: 6 failures (0 starts for run 0, 1, 4e7 and 2**62; task not ASSIGNED after the end of run 1 or 2**62); with the change all pass.

--- a/crocusrudder/workflows/fleet.py
+++ b/crocusrudder/workflows/fleet.py
@@ -172,6 +172,8 @@
         self.last_durable_end = 0
         self.ends_left_out: set[int] = set()
         """Numbers of listed ends that cannot be the worker's and have been logged."""
+        self.runs_left_out: set[model.RunKey] = set()
+        """Listed runs that no owner can have ordered and that have been logged."""
         self.blocked_until = 0.0
         self.set_aside_until = 0.0
         """Until when the worker counts as faulty; see ``health.select_set_aside``."""
--- a/crocusrudder/workflows/owner_service.py
+++ b/crocusrudder/workflows/owner_service.py
@@ -58,6 +58,7 @@
 _COUNTED_EVENTS = {
     reports.CAPACITY_EXCEEDED: "capacity_exceeded",
     reports.END_LEFT_OUT: "ends_left_out",
+    reports.RUN_LEFT_OUT: "runs_left_out",
     reports.START_EXPIRED: "starts_expired",
     reports.UNKNOWN_RUN_IGNORED: "unknown_runs_ignored",
     "worker_crashed": "workers_crashed",
--- a/crocusrudder/workflows/reports.py
+++ b/crocusrudder/workflows/reports.py
@@ -30,6 +30,8 @@
 """Greatest number of the first end that is read from a worker: 1,000 ends a second for a day."""
 POLL_SECONDS = 1.5
 """Longest time from the request of a list to its receipt by the agent."""
+RUN_LEFT_OUT = "run_number_implausible"
+"""Log event of a listed run or end that no owner can have ordered; it is left out."""
 START_EXPIRED = "start_expired"
 """Log event of a run that was never listed, or is no longer, and cannot begin any more."""
 UNKNOWN_RUN_SECONDS = 2.0
@@ -160,6 +162,7 @@
             view.last_processed_end = 0
             view.last_durable_end = 0
             view.ends_left_out.clear()
+            view.runs_left_out.clear()
             view.is_reconciled = False
             view.blocked_until = 0.0
             view.set_aside_until = 0.0
@@ -209,7 +212,22 @@
                 self._log_left_out(view, ended)
                 continue
             view.last_processed_end = ended.number
-            self._apply_end(view, ended, now, wall_time)
+            if self._is_possible(view, ended.task, ended.run):
+                self._apply_end(view, ended, now, wall_time)
+
+    def _is_possible(self, view: fleet.AgentView, task: str, run: int) -> bool:
+        """Return whether an owner may have numbered a listed run; log one that none has.
+
+        It is not stopped: the worker would then refuse all lower runs of the task.
+        """
+        lowest = job_registry.RUNS_PER_EPOCH
+        # An epoch with more runs than are reserved for it uses numbers of the next one.
+        if lowest < run <= (self._epoch + 2) * job_registry.RUNS_PER_EPOCH:
+            return True
+        if (task, run) not in view.runs_left_out:
+            view.runs_left_out.add((task, run))
+            self._log(RUN_LEFT_OUT, agent=view.agent, task=task, run=run)
+        return False
 
     def _log_left_out(self, view: fleet.AgentView, ended: workflow_messages.EndedRun) -> None:
         if ended.number not in view.ends_left_out:
@@ -295,6 +313,8 @@
         present = set(report.starting)
         view.measurements = {}
         for running in report.running:
+            if not self._is_possible(view, running.task, running.run):
+                continue
             key = (running.task, running.run)
             present.add(key)
             assignment = view.assignments.get(key) or self._adopt(view, *key)
