--- a/crocusrudder/workflows/reports.py
+++ b/crocusrudder/workflows/reports.py
@@ -26,6 +26,8 @@
 """Delay before a task whose run was rejected is placed again."""
 POLL_SECONDS = 1.5
 """Longest time from the request of a list to its receipt by the agent."""
+RUN_LEFT_OUT = "run_number_implausible"
+"""Log event of a listed run or end that no owner can have ordered; it is left out."""
 START_EXPIRED = "start_expired"
 """Log event of a run that was never listed, or is no longer, and cannot begin any more."""
 UNKNOWN_RUN_SECONDS = 2.0
@@ -163,6 +165,7 @@
             self.release_all(view, now, "worker_replaced")
             view.last_processed_end = 0
             view.last_durable_end = 0
+            view.runs_left_out.clear()
             view.is_reconciled = False
             view.list_completeness = list_completeness.ListCompleteness()
             view.blocked_until = 0.0
@@ -210,7 +213,22 @@
             if ended.number <= view.last_processed_end:
                 continue
             view.last_processed_end = ended.number
-            self._apply_end(view, ended, now, wall_time)
+            if self._is_possible(view, ended.task, ended.run):
+                self._apply_end(view, ended, now, wall_time)
+
+    def _is_possible(self, view: fleet.AgentView, task: str, run: int) -> bool:
+        """Return whether an owner may have numbered a listed run; log one that none has.
+
+        It is not stopped: the worker would then refuse all lower runs of the task.
+        """
+        lowest = job_registry.RUNS_PER_EPOCH
+        # An epoch with more runs than are reserved for it uses numbers of the next one.
+        if lowest < run <= (self._epoch + 2) * job_registry.RUNS_PER_EPOCH:
+            return True
+        if (task, run) not in view.runs_left_out:
+            view.runs_left_out.add((task, run))
+            self._log(RUN_LEFT_OUT, agent=view.agent, task=task, run=run)
+        return False
 
     def _apply_end(
         self,
@@ -290,6 +308,8 @@
         present = set(report.starting)
         view.measurements = {}
         for running in report.running:
+            if not self._is_possible(view, running.task, running.run):
+                continue
             key = (running.task, running.run)
             present.add(key)
             assignment = view.assignments.get(key) or self._adopt(view, *key)
