Keep a cancellation whose job the owner does not know yet

What callers would see: a job starts after its acknowledged cancellation. Cause: the entries that stored a job and its cancellation each send the owner a message; if that of the cancellation arrives first it was dropped, and the job ran until the store's feed brought the row (up to 3.5 s later if the feed's connection is silent, longer while the store is away). Change: the owner keeps cancellations of unknown jobs (4,096 at most) and applies them to a row of the job with a lower version. Measured: the job started once before the change (0 != 1) and never with it; a later job of the same id still runs.

--- a/crocusrudder/workflows/owner.py
+++ b/crocusrudder/workflows/owner.py
@@ -33,6 +33,8 @@
 """Time for which a finished job can be queried; the requirement is 120 s."""
 MAX_REMOVALS = 20
 """Maximum number of finished jobs removed by one commit."""
+MAX_EARLY_CANCELLATIONS = 4_096
+"""Cancellations remembered whose jobs are not known yet."""
 MAX_WRITES = 90
 """Maximum number of rows written by one commit; the store allows 100."""
 
@@ -79,6 +81,8 @@
             epoch, self._job_registry, self._duration_model
         )
         self._cancellation_monitor = cancellations.CancellationMonitor(epoch)
+        self._early_cancellations: dict[ids.JobId, tuple[int, float]] = {}
+        """Version of the row and Unix time of cancellations whose jobs are not known yet."""
         self._started_at = now
         self._seen_at = now
         """Time of the last report or tick."""
@@ -158,11 +162,23 @@
                 self._planner.add_queue(job.accepted_queue)
                 self._report_handler.add_queue(job.accepted_queue)
             self._job_registry.add(job_registry.JobRecord(job, version, progress))
+            cancelled_version, cancelled_at = self._early_cancellations.pop(job.job_id, (0, 0.0))
+            if cancelled_version > version:
+                self.apply_cancellation(job.job_id, cancelled_at, cancelled_version)
 
-    def apply_cancellation(self, job: ids.JobId, wall_time: float) -> None:
-        """Cancel a job whose cancellation has been stored; one in a final state is left alone."""
+    def apply_cancellation(self, job: ids.JobId, wall_time: float, version: int = 0) -> None:
+        """Cancel a job whose cancellation has been stored; one in a final state is left alone.
+
+        The message about a cancellation may arrive before that about its job, so one of an unknown
+        job is kept for the job's row, which has a lower version than the cancellation's.
+        """
         record = self._job_registry.get(job)
-        if record is None or record.is_final:
+        if record is None:
+            self._early_cancellations[job] = (version, wall_time)
+            if len(self._early_cancellations) > MAX_EARLY_CANCELLATIONS:
+                del self._early_cancellations[next(iter(self._early_cancellations))]
+            return
+        if record.is_final:
             return
         record.finish(model.JobState.CANCELLED, wall_time)
         self._log("job_cancelled", job=job)
--- a/crocusrudder/workflows/owner_service.py
+++ b/crocusrudder/workflows/owner_service.py
@@ -297,7 +297,7 @@
         progress: bytes | None = None,
     ) -> None:
         if is_cancellation:
-            self._owner.apply_cancellation(job, time.time())
+            self._owner.apply_cancellation(job, time.time(), version)
             return
         table = rows.JOBS_TABLE
         try:
--- a/tests/workflows/test_cancellations.py
+++ b/tests/workflows/test_cancellations.py
@@ -9,6 +9,7 @@
 from crocusrudder.wire import messages
 from crocusrudder.workflows import cancellations
 from crocusrudder.workflows import model
+from crocusrudder.workflows import owner
 from tests.workflows import world
 
 ONE_CORE = messages.Resources(1_000, 100, 0)
@@ -62,5 +63,37 @@
         self.assertEqual([], self._run(4.0))
 
 
+class ArrivalOrderTest(unittest.TestCase):
+    """Guards against UNASKED, as messages and rows of a job may arrive in any order."""
+
+    def setUp(self):
+        self.system = world.World()
+        self.system.run(1.0)
+        self.job = ids.JobId("j")
+
+    def _cancel(self, version: int) -> None:
+        wall_time = world.WALL_TIME_OFFSET + self.system.now
+        self.system.owner.apply_cancellation(self.job, wall_time, version)
+
+    def test_a_job_whose_cancellation_arrives_first_never_starts(self):
+        self._cancel(version=12)
+        self.system.submit("j", model.Stage(1, ONE_CORE), version=11)
+        self.system.run(2.0)
+        self.assertEqual(0, self.system.count_starts("j.0.0.0"))
+        self.assertIs(model.JobState.CANCELLED, self.system.get_state("j"))
+
+    def test_a_cancellation_does_not_apply_to_a_later_job_of_the_same_id(self):
+        self._cancel(version=12)
+        self.system.submit("j", model.Stage(1, ONE_CORE), version=13)
+        self.system.run(3.0)
+        self.assertIs(model.JobState.COMPLETED, self.system.get_state("j"))
+
+    def test_cancellations_of_unknown_jobs_are_bounded(self):
+        for number in range(owner.MAX_EARLY_CANCELLATIONS + 1):
+            self.system.owner.apply_cancellation(ids.JobId(f"k{number}"), 0.0, 12)
+        self.system.submit("k1", model.Stage(1, ONE_CORE), version=11)
+        self.assertIs(model.JobState.CANCELLED, self.system.get_state("k1"))
+
+
 if __name__ == "__main__":
     unittest.main()
