Ignore a row of a job that was removed after the row was read

Cause: after the feed's history is gone the owner reads all jobs again; a job that a commit of its own removes meanwhile is unknown to it when the page is applied, and was added as a new one without its progress. Change: the registry remembers the versions of the last 20,000 removed jobs and ignores rows that are not newer; a later job of the same id is accepted.

--- a/crocusrudder/workflows/job_registry.py
+++ b/crocusrudder/workflows/job_registry.py
@@ -11,6 +11,9 @@
 """Run numbers reserved for one ownership epoch, enough for five hours at 550 starts a second. Each
 epoch has its own range, so that run numbers of a later epoch are always higher."""
 
+MAX_REMOVED_JOBS = 20_000
+"""Removed jobs of which a row that was read before the removal is recognised."""
+
 MAX_NUMBER_DIGITS = 18
 """Most digits of a number in a task name; ``int`` raises an error from 4,301 on."""
 
@@ -308,6 +311,8 @@
         self._newly_final: dict[ids.JobId, JobRecord] = {}
         self._finished: list[tuple[float, ids.JobId]] = []
         """Heap of the jobs in a final state by the time at which they reached it."""
+        self._removed: dict[ids.JobId, int] = {}
+        """Version of the row of jobs that were removed, oldest first."""
 
     @property
     def unsaved(self) -> dict[ids.JobId, JobRecord]:
@@ -371,8 +376,17 @@
             heapq.heappush(self._finished, entry)
         return [self._records[job] for _, job in old]
 
+    def was_removed(self, job: ids.JobId, version: int) -> bool:
+        """Return whether a row is that of a job that has been removed since it was read."""
+        return version <= self._removed.get(job, -1)
+
     def remove(self, job: ids.JobId) -> None:
-        self._records.pop(job, None)
+        record = self._records.pop(job, None)
+        if record is not None:
+            self._removed.pop(job, None)
+            self._removed[job] = record.version
+            if len(self._removed) > MAX_REMOVED_JOBS:
+                del self._removed[next(iter(self._removed))]
         self._active.pop(job, None)
         self._unsaved.pop(job, None)
         self._newly_final.pop(job, None)
--- a/crocusrudder/workflows/owner.py
+++ b/crocusrudder/workflows/owner.py
@@ -156,8 +156,13 @@
         self._duration_model.restore_ratios(learned.durations)
 
     def add_job(self, job: model.Job, version: int, progress: model.Progress | None = None) -> None:
-        """Add an accepted job; a job that is already known is ignored."""
-        if self._job_registry.get(job.job_id) is None:
+        """Add an accepted job; one that is already known or has been removed is ignored.
+
+        A row that was read before its removal would otherwise start the job again.
+        """
+        if self._job_registry.was_removed(job.job_id, version):
+            self._log("removed_job_ignored", job=job.job_id, version=version)
+        elif self._job_registry.get(job.job_id) is None:
             if job.accepted_queue is not None:
                 self._planner.add_queue(job.accepted_queue)
                 self._report_handler.add_queue(job.accepted_queue)
--- a/tests/workflows/test_cancellations.py
+++ b/tests/workflows/test_cancellations.py
@@ -88,6 +88,24 @@
         self.system.run(3.0)
         self.assertIs(model.JobState.COMPLETED, self.system.get_state("j"))
 
+    def test_a_row_read_before_its_removal_does_not_start_the_job_again(self):
+        # Guards against TWICE and UNASKED: after the feed's history was gone, the owner reads all
+        # jobs again, while a commit removes one that ended long ago.
+        self.system.submit("j", model.Stage(1, ONE_CORE), version=11)
+        self.system.run(2.0)
+        self.assertIs(model.JobState.COMPLETED, self.system.get_state("j"))
+        row = self.system.owner.job_registry.get(self.job)
+        wall_time = world.WALL_TIME_OFFSET + self.system.now + owner.JOB_RETENTION_SECONDS + 1
+        commit = self.system.owner.make_commit(wall_time)
+        self.assertEqual((self.job,), commit.removed_jobs)
+        self.system.owner.record_commit(commit, self.system.now)
+        self.system.owner.add_job(row.job, 11)
+        self.system.run(2.0)
+        self.assertEqual(1, self.system.count_starts("j.0.0.0"))
+        self.system.owner.add_job(row.job, 20)
+        self.system.run(2.0)
+        self.assertEqual(2, self.system.count_starts("j.0.0.0"))
+
     def test_cancellations_of_unknown_jobs_are_bounded(self):
         for number in range(owner.MAX_EARLY_CANCELLATIONS + 1):
             self.system.owner.apply_cancellation(ids.JobId(f"k{number}"), 0.0, 12)
