Take an unknown reason of a rejection for a malformed start

While releases are mixed, a newer agent may reject a start for a reason that the owner does not know. RejectReason raised ValueError with each of its reports, so that none was applied for as long as the agent repeated the reason (5 s), and the ends in them were noticed late.

An unknown reason counts as MALFORMED: the run was certainly not started and its task is placed again. With the old model.py the new test failed with ValueError: 'newer' is not a valid RejectReason.

--- a/crocusrudder/workflows/model.py
+++ b/crocusrudder/workflows/model.py
@@ -212,6 +212,11 @@
     NO_RESPONSE = "unanswered"
     NOT_READY = "not-ready"
 
+    @classmethod
+    def _missing_(cls, value: object) -> "RejectReason":
+        # A reason of a newer agent. An error would keep its reports from ever being applied.
+        return cls.MALFORMED
+
 
 def get_job(task_name: str) -> ids.JobId:
     """Return the id of the job of a task."""
--- a/tests/workflows/test_unreadable_entries.py
+++ b/tests/workflows/test_unreadable_entries.py
@@ -92,6 +92,19 @@
         system.run(leases.INCOMPLETE_LIST_SECONDS + 4.0)
         self.assertIs(model.JobState.COMPLETED, system.get_state("j2"))
 
+    def test_a_reason_of_a_newer_agent_does_not_keep_its_report_from_being_applied(self):
+        # Guards against LOST while releases are mixed: each report with such a reason raised
+        # ValueError, so that no end on the worker was noticed any more.
+        system, worker = self._start_task(60.0)
+        agent = next(a for a in system.agents.values() if a.worker is worker)
+        ((task, run),) = worker.running
+        worker.running.clear()
+        for other in system.agents.values():
+            other.worker.duration = 1.0
+        agent.state._rejected[task, run] = ("newer", system.now)
+        system.run(4.0)
+        self.assertIs(model.JobState.COMPLETED, system.get_state("j1"))
+
 
 if __name__ == "__main__":
     unittest.main()
