--- a/tests/workflows/test_agent_daemon.py
+++ b/tests/workflows/test_agent_daemon.py
@@ -14,8 +14,11 @@
 from crocusrudder.workflows import agent_daemon
 from crocusrudder.workflows import settings
 from tests.platform import test_messages
+from tests.workflows import world
 
 ENDED = workflow_messages.EndedRun(1, "j.0.0.0", 1, "done")
+RUN = ("j.0.0.0", 1)
+START = workflow_messages.StartOrder(*RUN, "spec")
 ROUNDS = 50
 """Turns of the event loop, far more than a poll without a pause needs."""
 
@@ -34,20 +37,53 @@
 
 
 class RefusingWorkerClient:
-    """A worker that leaves a start unanswered and then refuses a number of calls."""
+    """A worker that leaves a start unanswered, then refuses and then rejects a number of stops."""
 
-    def __init__(self, refused_stops: int) -> None:
+    def __init__(self, refused_stops: int, rejected_stops: int = 0, fence: int = 0) -> None:
         self.refused_stops = refused_stops
+        self.rejected_stops = rejected_stops
+        self.fence = fence
+        self.starts = 0
+        self.stops = 0
+        self.epoch = 0
 
     async def start(self, name, order, epoch, lease_until_ms):
+        self.starts += 1
         raise errors.UnknownOutcomeError("connection reset")
 
     async def stop(self, name, task, run, epoch):
+        self.stops += 1
+        self.epoch = epoch
         if self.refused_stops:
             self.refused_stops -= 1
             raise errors.NotExecutedError("connection refused")
+        if self.rejected_stops:
+            self.rejected_stops -= 1
+            return False
+        return epoch >= self.fence
+
+
+class SilentStartClient:
+    """A worker that responds to stops only."""
+
+    def __init__(self) -> None:
+        self.starts = 0
+        self.stopped: list[tuple[str, int]] = []
+
+    async def start(self, name, order, epoch, lease_until_ms):
+        self.starts += 1
+        await curio.Event().wait()
+
+    async def set_cpu_share(self, name, task, run, percent, epoch):
+        await curio.Event().wait()
+
+    async def stop(self, name, task, run, epoch):
+        self.stopped.append((task, run))
         return True
 
+    async def poll_runs(self, incarnation, epoch, acknowledged, lease_until_ms, wait_seconds):
+        return worker.RunList(1, (), ())
+
 
 class AgentTestCase(unittest.TestCase):
     def setUp(self):
@@ -80,6 +116,21 @@
             1, acknowledged + 1, now, self.worker.worker, 1, acknowledged=acknowledged
         )
 
+    def _receive(self, epoch: int = 1, **orders: object) -> workflow_messages.AgentOrders:
+        """Receive orders, after a heartbeat and a list; return those to carry out."""
+        state = self.agent._state
+        now = agent_daemon.clocks.read_boot_time()
+        world.follow_worker(state, self.worker, 1, now)
+        state.handle_list(worker.RunList(1, (), ()), epoch, now, now)
+        orders = msgspec.structs.replace(self._make_orders(0), epoch=epoch, **orders)
+        return state.handle_orders(orders, now)
+
+    async def _deliver(self, **orders: object) -> None:
+        """Deliver orders as a message, after a heartbeat and a list."""
+        self._receive()
+        envelope = messages.Envelope(1, 0, ids.ProcessId("e1"), ids.Incarnation("i"), "", "", None)
+        await self.agent._deliver(envelope, msgspec.structs.replace(self._make_orders(0), **orders))
+
     def _set_constant(self, name: str, value: float) -> None:
         """Set a constant of the daemon until the end of the test."""
         self.addCleanup(setattr, agent_daemon, name, getattr(agent_daemon, name))
@@ -97,7 +148,7 @@
         async def start() -> None:
             state = self.agent._state
             now = agent_daemon.clocks.read_boot_time()
-            state.handle_heartbeat(self.worker, 1, now)
+            world.follow_worker(state, self.worker, 1, now)
             orders = state.handle_orders(
                 msgspec.structs.replace(self._make_orders(0), starts=(order,)), now
             )
@@ -114,23 +165,83 @@
         self.assertEqual((), report.starting)
         self.assertEqual(["j.0.0.0"], [rejected.task for rejected in report.rejected])
 
-    def test_a_stop_without_an_answer_is_repeated_as_soon_as_the_worker_responds(self):
-        # Guards against a run that is held for 5 s after one lost call: the repeated orders of the
-        # owner counted as carried out.
-        self.agent._worker = RefusingWorkerClient(refused_stops=1)
-        run = ("j.0.0.0", 1)
+    def test_a_stop_without_an_answer_is_repeated_without_another_order_or_list(self):
+        # Guards against a run that goes on after one lost call: the stop was repeated only by the
+        # owner's next order after the next list, and each of them may be lost too.
+        self._set_constant("RETRY_DELAY_SECONDS", 0.0)
+        client = self.agent._worker = RefusingWorkerClient(refused_stops=5)
+        orders = self._receive(stops=(RUN,))
 
-        async def stop() -> workflow_messages.AgentOrders:
-            state = self.agent._state
-            now = agent_daemon.clocks.read_boot_time()
-            state.handle_heartbeat(self.worker, 1, now)
-            orders = msgspec.structs.replace(self._make_orders(0), stops=(run,))
-            await self.agent._stop(state.handle_orders(orders, now), run)
-            self.assertEqual((), state.handle_orders(orders, now).stops)
-            state.handle_list(worker.RunList(1, (), ()), 1, now, now)
-            return state.handle_orders(orders, now)
+        async def stop() -> None:
+            await self.agent._stop(orders, RUN)
+
+        self.assertEqual((RUN,), orders.stops)
+        curio.run(stop())
+        self.assertEqual(6, client.stops)
+        self.assertEqual((), self._receive(stops=(RUN,)).stops)
+
+    def test_a_stop_is_repeated_under_the_epoch_of_the_newest_owner(self):
+        # Guards against a stop that the worker refuses for ever, as it has been fenced meanwhile.
+        self._set_constant("RETRY_DELAY_SECONDS", 0.0)
+        client = self.agent._worker = RefusingWorkerClient(refused_stops=0, fence=2)
+        orders = self._receive(stops=(RUN,))
+
+        async def stop() -> None:
+            task = await curio.spawn(self.agent._stop, orders, RUN)
+            for _ in range(ROUNDS):
+                await curio.sleep(0)
+            self._receive(epoch=2)
+            await task.join()
+
+        curio.run(stop())
+        self.assertEqual(2, client.epoch)
+
+    def test_an_unanswered_start_is_blocked_although_the_worker_refuses_the_first_stop(self):
+        # Guards against a run that starts late: a refused stop (429) counted as an answered one.
+        self._set_constant("RETRY_DELAY_SECONDS", 0.0)
+        client = self.agent._worker = RefusingWorkerClient(refused_stops=0, rejected_stops=3)
+        orders = self._receive(starts=(START,))
+
+        async def start() -> None:
+            self.agent._state.record_start_sent(RUN, 0.0)
+            await self.agent._block(orders, RUN)
+
+        curio.run(start())
+        self.assertEqual(4, client.stops)
+
+    def test_a_start_whose_stop_was_received_while_it_waited_is_not_sent(self):
+        # Guards against UNASKED: a start of a cancelled job that waited behind other calls.
+        client = self.agent._worker = RefusingWorkerClient(refused_stops=0)
+        self._receive(stops=(RUN,), starts=(START,))
+        orders = self._receive()
+
+        async def start() -> None:
+            await self.agent._start(orders, START)
+
+        curio.run(start())
+        self.assertEqual(0, client.starts)
+
+
+class ConcurrencyTest(AgentTestCase):
+    def test_a_stop_does_not_wait_behind_starts_and_blocks_without_a_response(self):
+        # Guards against a run of a cancelled job that goes on for the timeouts of other calls.
+        client = self.agent._worker = SilentStartClient()
+        starts = tuple(
+            workflow_messages.StartOrder(f"k.0.0.{number}", 1, "spec") for number in range(40)
+        )
+        paces = tuple((f"p.0.0.{number}", 1, 50) for number in range(40))
+
+        async def play() -> None:
+            await self._deliver(starts=starts, paces=paces)
+            for _ in range(ROUNDS):
+                await curio.sleep(0)
+            await self._deliver(stops=(RUN,))
+            for _ in range(ROUNDS):
+                await curio.sleep(0)
 
-        self.assertEqual((run,), curio.run(stop()).stops)
+        curio.run(play())
+        self.assertLess(0, client.starts)
+        self.assertEqual([RUN], client.stopped)
 
 
 class PollTest(AgentTestCase):
@@ -145,7 +256,7 @@
         envelope = messages.Envelope(1, 0, ids.ProcessId("e1"), ids.Incarnation("i"), "", "", None)
 
         async def poll() -> tuple[int, int]:
-            self.agent._state.handle_heartbeat(self.worker, 1, 0.0)
+            world.follow_worker(self.agent._state, self.worker, 1, 0.0)
             await self.agent._deliver(envelope, self._make_orders(0))
             polling = await curio.spawn(self.agent._poll_runs_forever)
             for _ in range(ROUNDS):
@@ -172,7 +283,7 @@
         envelope = messages.Envelope(1, 0, ids.ProcessId("e1"), ids.Incarnation("i"), "", "", None)
 
         async def poll() -> None:
-            self.agent._state.handle_heartbeat(self.worker, 1, 0.0)
+            world.follow_worker(self.agent._state, self.worker, 1, 0.0)
             await self.agent._deliver(envelope, self._make_orders(0))
             polling = await curio.spawn(self.agent._poll_runs_forever)
             for _ in range(ROUNDS):
@@ -189,7 +300,7 @@
         # numbers have already been acknowledged: the task of such an end runs again.
         client = worker.WorkerClient("127.0.0.1:9")
         self.agent._worker = client
-        self.agent._state.handle_heartbeat(self.worker, 1, 0.0)
+        world.follow_worker(self.agent._state, self.worker, 1, 0.0)
         listed = {"clockMs": 900_000, "born": 1, "running": [["j.0.0.0", 7, "", 5]], "ended": []}
         restarted = {
             "clockMs": 90,
@@ -220,7 +331,7 @@
         client._http = test_messages.FakeHttp(listed, broken, listed, listed)
 
         async def poll() -> None:
-            self.agent._state.handle_heartbeat(self.worker, 1, 0.0)
+            world.follow_worker(self.agent._state, self.worker, 1, 0.0)
             self.agent._state.handle_orders(self._make_orders(58), 0.0)
             for _ in range(4):
                 await self.agent._poll_runs(self.worker)
