--- a/crocusrudder/workflows/entry_daemon.py
+++ b/crocusrudder/workflows/entry_daemon.py
@@ -186,6 +186,13 @@
             return
         if self._configuration and configuration.version <= self._configuration.version:
             return
+        if configuration.unreadable:
+            # A queue that cannot be read may be one of those that are known.
+            known = self._configuration or model.Configuration()
+            configuration = configuration.add_known(known)
+            failure = errors.MalformedInputError("; ".join(configuration.unreadable))
+            self._metrics.count("configuration_items_unreadable", len(configuration.unreadable))
+            self._log("configuration_unreadable", **failure.to_dict())
         self._configuration = configuration
         self._log(
             "configuration_taken", version=configuration.version, queues=len(configuration.queues)
@@ -355,7 +362,8 @@
                 await curio.spawn(self._handle_job_call, sender, message, daemon=True)
             case workflow_messages.JobAnswer():
                 waiting = self._open_calls.get(message.call)
-                if waiting is not None:
+                # A second answer would block the receiver, as its caller may have left.
+                if waiting is not None and not waiting.full():
                     await waiting.put(calls.Outcome(message.outcome))
 
     def _handle_owner_hello(
--- a/crocusrudder/workflows/owner_service.py
+++ b/crocusrudder/workflows/owner_service.py
@@ -58,7 +58,7 @@
 
 _COUNTED_EVENTS = {
     reports.CAPACITY_EXCEEDED: "capacity_exceeded",
-    reports.END_LEFT_OUT: "ends_left_out",
+    reports.RUN_LEFT_OUT: "runs_left_out",
     reports.START_EXPIRED: "starts_expired",
     reports.UNKNOWN_RUN_IGNORED: "unknown_runs_ignored",
     "worker_crashed": "workers_crashed",
@@ -298,13 +298,15 @@
         progress: bytes | None = None,
     ) -> None:
         if is_cancellation:
-            self._owner.apply_cancellation(job, time.time())
+            self._owner.apply_cancellation(job, time.time(), version)
             return
         table = rows.JOBS_TABLE
         try:
             decoded = rows.decode_job(value, job)
             table = rows.PROGRESS_TABLE
             known = None if progress is None else rows.decode_progress(progress)
+            if known is not None:
+                rows.check_progress(decoded, known)
         except workflow_errors.UnreadableRowError as error:
             self._record_unreadable(table, job, error)
             if progress is not None:
