--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -248,6 +248,28 @@
         client._http = FakeHttp(*responses)
         return client
 
+    def test_a_probe_extends_no_lease_and_acknowledges_no_end(self):
+        # Guards against a probe that changes a worker which is not the one that it names.
+        client = self._client(make_response(409, {"clockMs": 5, "reason": "fence", "born": 17}))
+        found = curio.run(client.probe("w1", 2))
+        self.assertEqual(worker.ProbeResponse(17, True), found)
+        (request,) = client._http.requests
+        self.assertEqual({"fenceToken": 2, "lastSeen": 0}, msgspec.json.decode(request.body))
+        self.assertIn(("X-Crocusrudder-Expect-Worker", "w1"), request.headers)
+
+    def test_a_probe_that_another_incarnation_answers_is_refused(self):
+        client = self._client(effects.EndpointResponse(421, (), b""))
+        with self.assertRaises(errors.WrongWorkerError):
+            curio.run(client.probe("w1", 2))
+
+    def test_a_probe_without_a_readable_time_of_birth_proves_nothing(self):
+        # Guards against a second run of a task: what cannot be read is not what is not there.
+        for born in oddities.ODD_JSON:
+            body = b'{"clockMs":5,"running":[],"ended":[],"born":%b}' % born
+            client = self._client(effects.EndpointResponse(200, (), body))
+            with self.subTest(born=born[:20]), self.assertRaises(errors.UnknownOutcomeError):
+                curio.run(client.probe("w1", 2))
+
     def test_reason_of_a_rejected_start_is_decoded(self):
         order = workflow_messages.StartOrder("j.0.0.0", 7, "spec", "saved")
         for reason, expected in (
