Log a worker that stays unconfirmed as long as it sends heartbeats

Operators would see: a worker without starts and one line at the first failed probe, however long it goes on. Cause: a candidate was logged as unconfirmed only when its heartbeats ceased. Change: each heartbeat that the next one follows before a confirmation counts as unconfirmed, with at most one line in 10 s.

--- a/crocusrudder/workflows/worker_identity.py
+++ b/crocusrudder/workflows/worker_identity.py
@@ -220,8 +220,10 @@
         candidate = self._candidates.pop(state.incarnation, None)
         if candidate is None:
             candidate = _Candidate(state, SequenceFilter(sequence, now), now, now)
-        elif candidate.sequences.admit(sequence, now):
-            candidate.state = state
+        else:
+            self._ignore(heartbeat_log.IgnoreReason.UNCONFIRMED, candidate.state, now)
+            if candidate.sequences.admit(sequence, now):
+                candidate.state = state
         candidate.heard_at = candidate.due_at = now
         self._candidates[state.incarnation] = candidate
         if len(self._candidates) > MAX_CANDIDATES:
--- a/tests/workflows/test_worker_identity.py
+++ b/tests/workflows/test_worker_identity.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from crocusrudder.core import effects
 from crocusrudder.core import ids
 from crocusrudder.wire import messages
 from crocusrudder.wire import workflow_messages
@@ -166,6 +167,18 @@
         self.assertIsNone(identity.get_probe_delay(after))
         self.assertEqual(self.worker, self.state.current_worker)
 
+    def test_a_worker_that_stays_unconfirmed_is_logged_again_and_again(self):
+        # Guards against a worker that gets no starts without a line that tells why.
+        identity = self.state.identity
+        other = test_agent_state.make_worker("w2", 9)
+        for number in range(30):
+            at = 101.0 + number * INTERVAL
+            self.state.handle_heartbeat(other, number, at)
+            identity.record_probe_failure(other.incarnation, at)
+        lines = [each for each in identity.drain_effects() if isinstance(each, effects.LogChange)]
+        self.assertEqual(3, len(lines))
+        self.assertEqual({"unconfirmed": 29}, identity.describe()["ignored"])
+
     def test_an_unconfirmed_incarnation_leaves_runs_orders_and_lease_untouched(self):
         self.state.handle_orders(test_agent_state.make_orders(1, 100.0), 100.0)
         self.state.record_response(1_000, 100.0)
