Wait more than three intervals before a heartbeat number is corrected

Callers would see: an old state of a worker (capacity, service) for one heartbeat interval after a short interruption. Cause: the silence of 3 s after which late heartbeats in order are believed is two intervals on deployments with heartbeats each 1.5 s, so one lost heartbeat was enough. A wrong mark is corrected in less than 6.1 s (heartbeats each 1.1 s) instead of 4.1 s; a draining heartbeat counts at once in either case.

--- a/crocusrudder/workflows/worker_identity.py
+++ b/crocusrudder/workflows/worker_identity.py
@@ -16,11 +16,12 @@
 MAX_CANDIDATES = 8
 """Incarnations that wait for a probe; there is one worker, so more come from other writers."""
 CANDIDATE_SECONDS = 3.0
-"""Time after its last heartbeat for which a candidate is probed; heartbeats come each 1.1 s."""
+"""Time after its last heartbeat for which a candidate is probed. Heartbeats come each 1.1 s or
+1.5 s, depending on the deployment."""
 PROBE_RETRY_SECONDS = 0.1
 """Delay before a probe without a usable response is repeated."""
-FOLLOWED_SILENCE_SECONDS = 3.0
-"""Time without a heartbeat, between two and three of their intervals, after which the mark that
+FOLLOWED_SILENCE_SECONDS = 5.0
+"""Time without a heartbeat, more than three of the longest intervals, after which the mark that
 made the heartbeats of a worker look late may be wrong."""
 MAX_SEQUENCE_STEP = 10_000
 """Greatest plausible step between two heartbeats that arrive; at one a second this takes 2.8 h."""
