Replace the connection to an agent that reports again after a cut

What users saw: a run of a cancelled job goes on (UNASKED). The agent reported 0.1 s after the cut, through a connection that it had just opened, and its lease was renewed. The owner's stops, and the starts that it gave the worker from then on (order_void), went through the connection from before the cut, which delivered nothing for 6.4 s more, until the lost packets were repeated.

Change: the first report of an agent that was declared lost replaces the owner's connection to it.

The new test failed before (['a1'] is not []).

--- a/crocusrudder/workflows/owner_service.py
+++ b/crocusrudder/workflows/owner_service.py
@@ -178,6 +178,11 @@
         if self._incarnations.get(agent) != incarnation:
             self._incarnations[agent] = incarnation
             self._owner.handle_agent_start(agent, address)
+        view = self._owner.views.get(agent)
+        if view is not None and view.is_declared_lost:
+            # The path works again, but an open connection may deliver nothing for seconds, until
+            # the packets that were lost are repeated.
+            self._link.reconnect(agent)
         self._owner.handle_report(agent, report, clocks.read_boot_time(), time.time())
         await self._changes.set()
 
--- a/tests/workflows/test_owner_service.py
+++ b/tests/workflows/test_owner_service.py
@@ -15,6 +15,7 @@
 from crocusrudder.wire import workflow_messages
 from crocusrudder.workflows import leases
 from crocusrudder.workflows import model
+from crocusrudder.workflows import owner
 from crocusrudder.workflows import owner_service
 from crocusrudder.workflows import ownership
 from crocusrudder.workflows import rows
@@ -32,6 +33,10 @@
     def __init__(self) -> None:
         self.sent: list[workflow_messages.AgentOrders] = []
         self.addresses: dict[ids.ProcessId, str] = {}
+        self.reconnected: list[ids.ProcessId] = []
+
+    def reconnect(self, process) -> None:
+        self.reconnected.append(process)
 
     def record_address(self, process, address) -> None:
         self.addresses[process] = address
@@ -62,6 +67,9 @@
         self.owner.add_job(model.Job(ids.JobId("j"), QUEUE.name, "", (stage,), START), 6)
 
     def _report(self, millicores: int = 8_000) -> None:
+        self.owner.handle_report(AGENT, self._make_report(millicores), self.now, self.now)
+
+    def _make_report(self, millicores: int = 8_000) -> workflow_messages.AgentReport:
         worker = workflow_messages.WorkerState(
             ids.WorkerId("w1"),
             1,
@@ -70,10 +78,21 @@
             messages.Resources(millicores, 1_000, 0),
             ("a", "r1"),
         )
-        report = workflow_messages.AgentReport(
+        return workflow_messages.AgentReport(
             ids.DataCentre("z"), self.now, 1, 0, worker, True, False
         )
-        self.owner.handle_report(AGENT, report, self.now, self.now)
+
+    def test_orders_go_through_a_new_connection_once_a_lost_agent_is_back(self):
+        # Guards against a cancelled run that goes on for seconds after a cut: the open connection
+        # to its agent delivered nothing until the packets lost in the cut were repeated.
+        self.service._is_loaded = True
+        self.now += owner.LOST_AFTER_SECONDS
+        self.owner.tick(self.now, self.now)
+        for _ in range(2):
+            self.now += 0.5
+            report = self._make_report()
+            curio.run(self.service.handle_report(AGENT, "i1", "a1:1", report))
+        self.assertEqual([AGENT], self.link.reconnected)
 
     def _list_started(self) -> list[str]:
         return [order.task for orders in self.link.sent for order in orders.starts]
