Send stops during the pause that follows a long plan

What callers would see: runs of a cancelled job go on while the owner plans large jobs. Cause: the owner pauses for three times as long as a plan took, so that planning leaves time for reports; no orders were sent meanwhile, so a plan of 1 s held up each stop by up to 3 s. Change: during the pause the owner releases what has ended, applies evacuations and sends the orders that are due, each 20 ms at most; only planning waits.

--- a/crocusrudder/workflows/owner.py
+++ b/crocusrudder/workflows/owner.py
@@ -213,15 +213,15 @@
         view = self._get_view(agent)
         view.record_agent_start(address)
 
-    def tick(self, now: float, wall_time: float) -> None:
-        """Release runs whose leases have expired, and plan starts and moves."""
+    def tick(self, now: float, wall_time: float, is_plan_due: bool = True) -> None:
+        """Release runs whose leases have expired, and plan starts and moves if that is due."""
         self._seen_at = now
         for view in self._views.values():
             self._check_timeout(view, now)
         self._cancellation_monitor.check(now)
         is_reconciled = all(now >= expires_at for expires_at in self._awaited_agents.values())
         self._evacuation_monitor.update(self._views, now, is_reconciled)
-        if not self._evacuation_monitor.may_start(now):
+        if not is_plan_due or not self._evacuation_monitor.may_start(now):
             return
         for move in self._planner.plan(self._views, now, wall_time, is_reconciled):
             self._report_handler.move_run(move.view, move.run)
--- a/crocusrudder/workflows/owner_service.py
+++ b/crocusrudder/workflows/owner_service.py
@@ -36,6 +36,8 @@
 PLANNING_PAUSE_FACTOR = 3.0
 """Pause after a plan, as a multiple of the time the plan took. Planning then uses at most a quarter
 of a core, which leaves time for reports and callers with hundreds of workers."""
+ORDERS_INTERVAL_SECONDS = 0.02
+"""Least interval of orders during that pause. Stops do not wait for the next plan."""
 TICK_INTERVAL_SECONDS = 0.1
 COMMIT_DELAY_SECONDS = 0.01
 """Delay before a commit, so that it covers further changes; a commit takes 0.025 s or more."""
@@ -126,6 +128,7 @@
         self._set_aside: set[ids.JobId] = set()
         """Jobs with unreadable progress, of which tasks that have ended must not run again."""
         self._is_loaded = False
+        self._plan_not_before = now
         self._estimates_stored_at = 0.0
         self._feed_version = 0
         self._changes = curio.Event()
@@ -341,15 +344,16 @@
             return store.Page((), self._feed_version)
 
     async def _send_orders_forever(self) -> None:
-        planning_seconds = 0.0
         while True:
-            await curio.ignore_after(TICK_INTERVAL_SECONDS, self._changes.wait)
-            await curio.sleep(max(COALESCE_SECONDS, PLANNING_PAUSE_FACTOR * planning_seconds))
+            pause = self._plan_not_before - clocks.read_boot_time()
+            wait = min(max(pause, COALESCE_SECONDS), TICK_INTERVAL_SECONDS)
+            await curio.ignore_after(wait, self._changes.wait)
+            await curio.sleep(ORDERS_INTERVAL_SECONDS if pause > 0 else COALESCE_SECONDS)
             self._changes.clear()
             configuration = self._get_configuration()
             if configuration is not None:
                 self._owner.set_configuration(configuration)
-            planning_seconds = self._send_orders()
+            self._send_orders()
             await self._link.retry_unsent()
             self._write_log()
 
@@ -372,23 +376,24 @@
             elif "distance" in change.fields:
                 self._metrics.count(f"tasks_{change.fields['distance']}")
 
-    def _send_orders(self) -> float:
-        """Plan and send the orders that are due; return the duration of planning in seconds."""
+    def _send_orders(self) -> None:
+        """Plan, unless the last plan was just made, and send the orders that are due."""
         now = clocks.read_boot_time()
         if self._is_releasing or not self._lease.may_act(now):
-            return 0.0
+            return
+        is_plan_due = now >= self._plan_not_before
         self._owner.set_evacuated(self._evacuation_reader.evacuations)
-        self._owner.tick(now, time.time())
-        due = self._owner.make_orders(now)
-        planned_at = clocks.read_boot_time()
-        for agent, orders in due:
+        self._owner.tick(now, time.time(), is_plan_due)
+        if is_plan_due:
+            planned_at = clocks.read_boot_time()
+            self._plan_not_before = planned_at + PLANNING_PAUSE_FACTOR * (planned_at - now)
+        for agent, orders in self._owner.make_orders(now):
             # The process may have been suspended since the last check, for longer than its lease.
             if self._lease.may_act(clocks.read_boot_time()):
                 self._link.send(agent, orders, transport.ANY_INCARNATION)
             else:
                 self._owner.repeat_orders(agent)
                 self._metrics.count("orders_withheld")
-        return planned_at - now
 
     async def _send_hellos_forever(self) -> None:
         while True:
--- a/tests/workflows/test_owner_service.py
+++ b/tests/workflows/test_owner_service.py
@@ -20,6 +20,8 @@
 from crocusrudder.workflows.decisions import near_places
 
 START = 100.0
+GUARD_SECONDS = 20.0
+"""Ends a test that waits for something that never comes."""
 AGENT = ids.ProcessId("a1")
 SERVICE = ids.ServiceName("dispatch")
 QUEUE = model.Queue(model.QueueName("q"), "host", "/q/", SERVICE)
@@ -38,6 +40,9 @@
     def send(self, to, message, incarnation) -> None:
         self.sent.append(message)
 
+    async def retry_unsent(self) -> None:
+        pass
+
 
 class OrdersTest(unittest.TestCase):
     def setUp(self):
@@ -107,6 +112,37 @@
         expected = {"jobs_waiting_no_capacity": 1, "jobs_waiting_order_pending": 1}
         self.assertEqual(expected, self.metrics.counters)
 
+    def test_a_stop_does_not_wait_for_the_pause_after_a_long_plan(self):
+        # Guards against a run that goes on after its cancellation while the owner plans large jobs:
+        # a plan of 1 s was followed by 3 s without orders.
+        self.service._send_orders()
+        self._report()
+        plans = []
+
+        def plan_slowly(*_):
+            plans.append(self.now)
+            self.now += 1.0
+            return []
+
+        async def play() -> None:
+            sending = await curio.spawn(self.service._send_orders_forever)
+            while not plans:
+                await curio.sleep(0.001)
+            self._report()
+            self.owner.apply_cancellation(ids.JobId("j"), START)
+            await self.service._changes.set()
+            async with curio.timeout_after(GUARD_SECONDS):
+                while not any(orders.stops for orders in self.link.sent):
+                    await curio.sleep(0.001)
+            await sending.cancel()
+
+        with (
+            mock.patch.object(owner_service, "PLANNING_PAUSE_FACTOR", 10 * GUARD_SECONDS),
+            mock.patch.object(self.owner._planner, "plan", plan_slowly),
+        ):
+            curio.run(play)
+        self.assertEqual(1, len(plans))
+
     def test_orders_planned_before_a_suspension_are_not_sent_after_the_lease_has_run_out(self):
         # Guards against two owners: a process that is suspended between its check of the lease
         # and the sending would send orders beside those of its successor.
