Stop the runs of all ended jobs before anything else is done for them

What callers would see: runs of a cancelled job go on for good. Cause: the jobs that ended together were handled one after the other, each only once; an error while the end of one was assessed left the runs of the others without a stop. Change: all runs are marked first. Measured: with an error in log_end both runs of the other job went on before the change; with it they end. Beside it, tests of three more orders of events that passed without a change: a takeover that reads the cancellation or the cancelled state, a late start on a restarted worker of the same id after the accepted stop, and a start that is delayed on the way to its agent.

--- a/crocusrudder/workflows/owner.py
+++ b/crocusrudder/workflows/owner.py
@@ -388,8 +388,10 @@
             self._report_handler.release_all(view, now, "lease_over")
 
     def _deactivate_final_jobs(self) -> None:
-        for record in self._job_registry.deactivate_final():
-            runs = self._report_handler.stop_runs(record, self._views.values())
+        # All runs are stopped first: an error below must not leave those of the other jobs running.
+        final = self._job_registry.deactivate_final()
+        stopped = [self._report_handler.stop_runs(r, self._views.values()) for r in final]
+        for record, runs in zip(final, stopped, strict=True):
             if record.progress.state is model.JobState.CANCELLED:
                 self._cancellation_monitor.begin(record, runs, self._seen_at)
             self._planner.log_end(record)
