--- a/crocusrudder/platform/worker.py
+++ b/crocusrudder/platform/worker.py
@@ -118,6 +118,14 @@
     rejected: model.RejectReason | None = None
 
 
+class ProbeResponse(msgspec.Struct, frozen=True):
+    """Response of a worker that has the id that was asked for."""
+
+    born_ms: int
+    """Time of birth of the incarnation that responded; 0 if the response has none."""
+    is_stale_epoch: bool
+
+
 class WorkerClient:
     """Call one worker; ``worker`` names the incarnation that a call is meant for.
 
@@ -194,6 +202,9 @@
             return None
         if status != _STATUS_OK:
             raise errors.NotExecutedError(f"the worker responded with status {status}")
+        if response.running is response.ended is None:
+            unreadable.add(errors.MalformedInputError("the response has no lists"))
+            unreadable.hides_runs = True
         ended = _convert_ended(response, acknowledged, unreadable)
         unreadable.log()
         return RunList(
@@ -201,9 +212,22 @@
             _convert_running(response),
             ended,
             unreadable.entries,
-            not unreadable.hides_runs and not (response.running is response.ended is None),
+            not unreadable.hides_runs,
         )
 
+    async def probe(self, worker: ids.WorkerId, epoch: int) -> ProbeResponse:
+        """Ask which incarnation of a worker responds.
+
+        The call extends no lease and acknowledges no end.
+        """
+        content = {"fenceToken": epoch, "lastSeen": 0}
+        status, response, unreadable = await self._call("hold", worker, content)
+        if status not in (_STATUS_OK, _STATUS_CONFLICT):
+            raise errors.NotExecutedError(f"the worker responded with status {status}")
+        if not response.born and unreadable.entries:
+            raise errors.UnknownOutcomeError(f"no time of birth in a response: {unreadable.error}")
+        return ProbeResponse(response.born, status == _STATUS_CONFLICT)
+
     async def _call(
         self, name: str, worker: str, content: dict[str, Any], wait_seconds: float = 0.0
     ) -> tuple[int, _WireResponse, _Unreadable]:
--- a/crocusrudder/workflows/owner_service.py
+++ b/crocusrudder/workflows/owner_service.py
@@ -60,6 +60,7 @@
 
 _COUNTED_EVENTS = {
     reports.CAPACITY_EXCEEDED: "capacity_exceeded",
+    reports.RUN_LEFT_OUT: "runs_left_out",
     reports.START_EXPIRED: "starts_expired",
     reports.UNKNOWN_RUN_IGNORED: "unknown_runs_ignored",
     "worker_crashed": "workers_crashed",
@@ -307,6 +308,8 @@
             decoded = rows.decode_job(value, job)
             table = rows.PROGRESS_TABLE
             known = None if progress is None else rows.decode_progress(progress)
+            if known is not None:
+                rows.check_progress(decoded, known)
         except workflow_errors.UnreadableRowError as error:
             self._record_unreadable(table, job, error)
             if progress is not None:
