Plan once per tick while nothing changes

Change: it waits for changes as before, and comes back by itself only while a plan is owed. Measured: in 80 ms without changes it planned 4 times before the change and once with it; stops are still sent during a pause.

--- a/crocusrudder/workflows/owner_service.py
+++ b/crocusrudder/workflows/owner_service.py
@@ -37,7 +37,7 @@
 """Pause after a plan, as a multiple of the time the plan took. Planning then uses at most a quarter
 of a core, which leaves time for reports and callers with hundreds of workers."""
 ORDERS_INTERVAL_SECONDS = 0.02
-"""Least interval of orders during that pause. Stops do not wait for the next plan."""
+"""Interval of orders during that pause. Stops do not wait for the next plan."""
 TICK_INTERVAL_SECONDS = 0.1
 COMMIT_DELAY_SECONDS = 0.01
 """Delay before a commit, so that it covers further changes; a commit takes 0.025 s or more."""
@@ -347,16 +347,17 @@
             return store.Page((), self._feed_version)
 
     async def _send_orders_forever(self) -> None:
+        has_planned = True
         while True:
+            if has_planned:
+                await curio.ignore_after(TICK_INTERVAL_SECONDS, self._changes.wait)
             pause = self._plan_not_before - clocks.read_boot_time()
-            wait = min(max(pause, COALESCE_SECONDS), TICK_INTERVAL_SECONDS)
-            await curio.ignore_after(wait, self._changes.wait)
-            await curio.sleep(ORDERS_INTERVAL_SECONDS if pause > 0 else COALESCE_SECONDS)
+            await curio.sleep(max(COALESCE_SECONDS, min(pause, ORDERS_INTERVAL_SECONDS)))
             self._changes.clear()
             configuration = self._get_configuration()
             if configuration is not None:
                 self._owner.set_configuration(configuration)
-            self._send_orders()
+            has_planned = self._send_orders()
             await self._link.retry_unsent()
             self._write_log()
 
@@ -379,11 +380,14 @@
             elif "distance" in change.fields:
                 self._metrics.count(f"tasks_{change.fields['distance']}")
 
-    def _send_orders(self) -> None:
-        """Plan, unless the last plan was just made, and send the orders that are due."""
+    def _send_orders(self) -> bool:
+        """Plan if that is due, and send the orders that are due.
+
+        Return whether no plan is owed: False during the pause after a plan.
+        """
         now = clocks.read_boot_time()
         if self._is_releasing or not self._lease.may_act(now):
-            return
+            return True
         is_plan_due = now >= self._plan_not_before
         self._owner.set_evacuated(self._evacuation_reader.evacuations)
         self._owner.tick(now, time.time(), is_plan_due)
@@ -397,6 +401,7 @@
             else:
                 self._owner.repeat_orders(agent)
                 self._metrics.count("orders_withheld")
+        return is_plan_due
 
     async def _send_hellos_forever(self) -> None:
         while True:
--- a/tests/workflows/test_owner_service.py
+++ b/tests/workflows/test_owner_service.py
@@ -144,6 +144,31 @@
             curio.run(play)
         self.assertEqual(1, len(plans))
 
+    def test_an_owner_without_changes_plans_at_each_tick_only(self):
+        # Guards against an owner that plans without end, as the time of a stop must not depend on
+        # the pauses between plans.
+        plans = []
+
+        async def play() -> None:
+            sending = await curio.spawn(self.service._send_orders_forever)
+            for _ in range(20):
+                await curio.sleep(owner_service.COALESCE_SECONDS)
+                self.now += owner_service.COALESCE_SECONDS
+            await sending.cancel()
+
+        def plan(*_):
+            plans.append(self.now)
+            self.now += 0.001
+            return []
+
+        with (
+            mock.patch.object(owner_service, "TICK_INTERVAL_SECONDS", 10 * GUARD_SECONDS),
+            mock.patch.object(self.owner._planner, "plan", plan),
+        ):
+            curio.run(self.service._changes.set)
+            curio.run(play)
+        self.assertEqual(1, len(plans))
+
     def test_orders_planned_before_a_suspension_are_not_sent_after_the_lease_has_run_out(self):
         # Guards against two owners: a process that is suspended between its check of the lease
         # and the sending would send orders beside those of its successor.
