Time the steps of a cancellation when they happen

Cause: the owner looked at the steps only before it made orders, so the sending of a stop was seen at the next tick, together with its confirmation; and time began at the last tick before the cancellation, up to 0.1 s early. Change: steps are looked at after orders are made too, and time begins when the cancellation is applied.

--- a/crocusrudder/workflows/owner.py
+++ b/crocusrudder/workflows/owner.py
@@ -86,7 +86,7 @@
         """Version of the row and Unix time of cancellations whose jobs are not known yet."""
         self._started_at = now
         self._seen_at = now
-        """Time of the last report or tick."""
+        """Time of the last report, tick or cancellation."""
         self._awaited_agents: dict[ids.ProcessId, float] = {}
         """When the leases of agents expire that have not reported in this epoch, by agent."""
         self._logged: list[effects.LogChange] = []
@@ -172,12 +172,15 @@
             if cancelled_version > version:
                 self.apply_cancellation(job.job_id, cancelled_at, cancelled_version)
 
-    def apply_cancellation(self, job: ids.JobId, wall_time: float, version: int = 0) -> None:
+    def apply_cancellation(
+        self, job: ids.JobId, wall_time: float, version: int = 0, now: float = float("-inf")
+    ) -> None:
         """Cancel a job whose cancellation has been stored; one in a final state is left alone.
 
         The message about a cancellation may arrive before that about its job, so one of an unknown
         job is kept for the job's row, which has a lower version than the cancellation's.
         """
+        self._seen_at = max(self._seen_at, now)
         record = self._job_registry.get(job)
         if record is None:
             self._early_cancellations[job] = (version, wall_time)
@@ -229,7 +232,7 @@
 
     def make_orders(self, now: float) -> list[tuple[ids.ProcessId, workflow_messages.AgentOrders]]:
         """Return the orders that are due, by agent."""
-        return [
+        orders = [
             (view.agent, self._make_orders(view, now))
             for view in self._views.values()
             if view.worker is not None
@@ -238,6 +241,8 @@
             and now - view.received_at < leases.ORDER_VALID_SECONDS
             and (view.has_updates or now - view.sent_at >= ORDER_INTERVAL_SECONDS)
         ]
+        self._cancellation_monitor.check(now)
+        return orders
 
     def repeat_orders(self, agent: ids.ProcessId) -> None:
         """Make an agent's orders due again, because the last ones were not sent."""
--- a/crocusrudder/workflows/owner_service.py
+++ b/crocusrudder/workflows/owner_service.py
@@ -301,7 +301,8 @@
         progress: bytes | None = None,
     ) -> None:
         if is_cancellation:
-            self._owner.apply_cancellation(job, time.time(), version)
+            now = clocks.read_boot_time()
+            self._owner.apply_cancellation(job, time.time(), version, now)
             return
         table = rows.JOBS_TABLE
         try:
--- a/tests/workflows/test_cancellations.py
+++ b/tests/workflows/test_cancellations.py
@@ -47,6 +47,17 @@
         self.assertEqual((2, "end"), (fields["runs"], fields["slowest"]))
         self.assertGreaterEqual(fields["took_s"], 1.0)
 
+    def test_the_time_of_each_step_is_its_own(self):
+        # Guards against lines that blame the worker for a stop that was sent or confirmed late.
+        (agent, *_) = self.system.agents.values()
+        agent.is_connected = False
+        self._cancel()
+        self.system.run(0.5)
+        agent.is_connected = True
+        ((_, fields),) = self._run(2.0)
+        self.assertEqual("confirmation", fields["slowest"])
+        self.assertLessEqual(fields["order_s"], world.TICK)
+
     def test_a_run_that_goes_on_is_logged_once_with_its_agent_and_step(self):
         agent = next(agent for agent in self.system.agents.values() if agent.worker.running)
         agent.is_receiving = False
