Keep the known clock of a worker whose list has no readable clock

A list without clockMs, or with one that cannot be read, set the agent's reading of the worker's clock to 0. The end of the lease was computed from it, far in the past, so that the worker ended all its runs some seconds later. The last reading is now kept; the time since is counted at the slowest rate that a worker's clock may have. The missing clock is logged and counted with the list.

The tests of odd entries added before had no clock in their lists; they have one now.

--- a/crocusrudder/platform/worker.py
+++ b/crocusrudder/platform/worker.py
@@ -202,6 +202,8 @@
             return None
         if status != _STATUS_OK:
             raise errors.NotExecutedError(f"the worker responded with status {status}")
+        if not response.clock_ms:
+            unreadable.add(errors.MalformedInputError("the response has no clock"))
         if response.running is response.ended is None:
             unreadable.add(errors.MalformedInputError("the response has no lists"))
             unreadable.hides_runs = True
--- a/crocusrudder/workflows/agent_state.py
+++ b/crocusrudder/workflows/agent_state.py
@@ -280,7 +280,8 @@
         self._listed_at = requested_at
         self._list_received_at = now
         before = (tuple(self._running), tuple(self._ended), self._listed_epoch)
-        self._clock = (listed.clock_ms, now)
+        if listed.clock_ms:
+            self._clock = (listed.clock_ms, now)
         self._responded_at = now
         self._listed_epoch = epoch
         listed_runs = {(entry.task, entry.run): entry for entry in listed.running}
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -304,7 +304,7 @@
         # Guards against TWICE (soak seed 4201): a run with a negative percent counted as absent,
         # and its task was started on another worker.
         for odd in (b"-3", b"1e400", b'"\xff"', b"[" * 1_100 + b"]" * 1_100):
-            body = b'{"running":[["j.0.0.0",2,"s0",%b,12]],"ended":[]}' % odd
+            body = b'{"clockMs":5,"running":[["j.0.0.0",2,"s0",%b,12]],"ended":[]}' % odd
             response = effects.EndpointResponse(200, (), body)
             listed = curio.run(self._client(response).poll_runs(("w1", 0), 7, 57, 900, 0.5))
             entry = workflow_messages.RunningTask("j.0.0.0", 2, "s0", 0, 12.0)
@@ -322,7 +322,7 @@
             (0, [], []),
         ):
             ended = [[number, "j.0.0.9", number, "done", ""] for number in numbers]
-            response = make_response(200, {"running": [], "ended": ended})
+            response = make_response(200, {"clockMs": 5, "running": [], "ended": ended})
             poll = self._client(response).poll_runs(("w1", 0), 7, acknowledged, 900, 0.5)
             listed = curio.run(poll)
             self.assertEqual(expected, [entry.number for entry in listed.ended])
--- a/tests/workflows/test_agent_state.py
+++ b/tests/workflows/test_agent_state.py
@@ -50,6 +50,15 @@
         self.state.record_response(0, 100.0 + leases.LEASE_SECONDS)
         self.assertIsNone(self.state.get_lease_end_ms(100.0 + leases.LEASE_SECONDS))
 
+    def test_a_list_without_a_clock_leaves_the_lease_as_it_was(self):
+        # Guards against a lease that ends early with all the worker's runs, as its end was computed
+        # from a clock of 0.
+        self.state.handle_orders(make_orders(1, 100.0), 100.0)
+        self._list(100.0)
+        before = self.state.get_lease_end_ms(100.0)
+        self.state.handle_list(worker.RunList(0, (), ()), 1, 100.1, 100.1)
+        self.assertAlmostEqual(before, self.state.get_lease_end_ms(100.1), delta=10)
+
     def test_orders_based_on_an_old_report_are_rejected(self):
         # A partition can delay an order by seconds; another owner may have moved the task by then.
         late = 100.0 + leases.ORDER_VALID_SECONDS + 0.1
