Count an end whose checkpoint cannot be read

An end in a worker's list with an unreadable checkpoint was left out. It was acknowledged with the ends after it, so the worker forgot it, and its task started again although it was done (TWICE). It now counts without a checkpoint. An end without a readable number, task, run or outcome is still left out; its task is placed again.

With the old worker.py the new test failed: no end was read. _decode_partly replaces the decoder that did the same for running tasks.

--- a/crocusrudder/platform/worker.py
+++ b/crocusrudder/platform/worker.py
@@ -58,9 +58,6 @@
     measure: float = -1.0
 
 
-_RUNNING_TYPES = typing.get_type_hints(_WireRunning, include_extras=True)
-
-
 class _WireEnded(msgspec.Struct, array_like=True):
     number: _Count
     task: str
@@ -69,6 +66,13 @@
     saved: str | None
 
 
+_FIELD_TYPES = {
+    type_: typing.get_type_hints(type_, include_extras=True) for type_ in (_WireRunning, _WireEnded)
+}
+_DETAILS = {"saved": None, "percent": 0.0, "measure": -1.0}
+"""Defaults of the fields without which an entry still shows what became of a run."""
+
+
 class _WireResponse(msgspec.Struct):
     clock_ms: _Count = msgspec.field(default=0, name="clockMs")
     reason: str = ""
@@ -276,7 +280,9 @@
         return []
     if type_ is msgspec.Raw:
         return items
-    entries = (_decode_part(item, type_, unreadable) for item in items)
+    entries = (
+        _decode_part(item, type_, unreadable) or _decode_partly(item, type_) for item in items
+    )
     return [entry for entry in entries if entry is not None]
 
 
@@ -288,7 +294,7 @@
     found = []
     for item in entries:
         entry = _decode_part(item, _WireRunning, unreadable)
-        entry = _decode_named(item) if entry is None else entry
+        entry = _decode_partly(item, _WireRunning) if entry is None else entry
         if entry is None:
             unreadable.hides_runs = True
         else:
@@ -296,19 +302,20 @@
     return found
 
 
-def _decode_named(item: bytes) -> _WireRunning | None:
-    """Decode an entry of which only the task and the run have to be valid."""
-    try:
-        task, run, *details = json_parts.split_array(item)
-        entry = _WireRunning(
-            json_parts.decode(task, str), json_parts.decode(run, _Count), None, 0.0
-        )
-    except (errors.MalformedInputError, ValueError):
-        return None
-    for name, part in zip(("saved", "percent", "measure"), details, strict=False):
-        with contextlib.suppress(errors.MalformedInputError):
-            setattr(entry, name, json_parts.decode(part, _RUNNING_TYPES[name]))
-    return entry
+def _decode_partly(item: bytes, type_: type[_Item]) -> _Item | None:
+    """Decode an entry whose details get defaults if they cannot be read; None without the rest."""
+    values: dict[str, Any] = {}
+    with contextlib.suppress(errors.MalformedInputError):
+        parts = itertools.chain(json_parts.split_array(item), itertools.repeat(b""))
+        for (name, hint), part in zip(_FIELD_TYPES[type_].items(), parts, strict=False):
+            try:
+                values[name] = json_parts.decode(part, hint)
+            except errors.MalformedInputError:
+                if name not in _DETAILS:
+                    raise
+                values[name] = _DETAILS[name]
+        return type_(**values)
+    return None
 
 
 def _decode_part(part: bytes, type_: type[_Item], unreadable: _Unreadable) -> _Item | None:
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -328,6 +328,16 @@
             self.assertEqual(expected, [entry.number for entry in listed.ended])
             self.assertEqual(len(numbers) - len(expected), listed.unreadable)
 
+    def test_an_end_without_a_readable_checkpoint_counts(self):
+        # Guards against TWICE: the end was left out and later acknowledged with the ends after it,
+        # so that the task started again although it was done.
+        for odd in (b"1e400", b"7", b'"\xff"', b"[" * 1_100 + b"]" * 1_100):
+            body = b'{"clockMs":5,"running":[],"ended":[[58,"j.0.0.0",2,"done",%b]]}' % odd
+            response = effects.EndpointResponse(200, (), body)
+            listed = curio.run(self._client(response).poll_runs(("w1", 0), 7, 57, 900, 0.5))
+            entry = workflow_messages.EndedRun(58, "j.0.0.0", 2, "done")
+            self.assertEqual(((entry,), 1), (listed.ended, listed.unreadable))
+
     def test_a_list_that_may_not_name_all_runs_is_incomplete(self):
         for body, is_complete in (
             (b'{"running":[["",1e400]],"ended":[]}', False),
