--- a/crocusrudder/workflows/owner.py
+++ b/crocusrudder/workflows/owner.py
@@ -5,6 +5,7 @@
 """
 
 import itertools
+import math
 import types
 from collections.abc import Mapping
 
@@ -33,6 +34,8 @@
 """Time for which a finished job can be queried; the requirement is 120 s."""
 MAX_REMOVALS = 20
 """Maximum number of finished jobs removed by one commit."""
+MAX_EARLY_CANCELLATIONS = 4_096
+"""Cancellations remembered whose jobs are not known yet."""
 MAX_WRITES = 90
 """Maximum number of rows written by one commit; the store allows 100."""
 
@@ -79,6 +82,8 @@
             epoch, self._job_registry, self._duration_model
         )
         self._cancellation_monitor = cancellations.CancellationMonitor(epoch)
+        self._early_cancellations: dict[ids.JobId, tuple[int, float]] = {}
+        """Version of the row and Unix time of cancellations whose jobs are not known yet."""
         self._started_at = now
         self._seen_at = now
         """Time of the last report or tick."""
@@ -152,17 +157,34 @@
         self._duration_model.restore_ratios(learned.durations)
 
     def add_job(self, job: model.Job, version: int, progress: model.Progress | None = None) -> None:
-        """Add an accepted job; a job that is already known is ignored."""
-        if self._job_registry.get(job.job_id) is None:
+        """Add an accepted job; one that is already known or has been removed is ignored.
+
+        A row that was read before its removal would otherwise start the job again.
+        """
+        if self._job_registry.was_removed(job.job_id, version):
+            self._log("removed_job_ignored", job=job.job_id, version=version)
+        elif self._job_registry.get(job.job_id) is None:
             if job.accepted_queue is not None:
                 self._planner.add_queue(job.accepted_queue)
                 self._report_handler.add_queue(job.accepted_queue)
             self._job_registry.add(job_registry.JobRecord(job, version, progress))
+            cancelled_version, cancelled_at = self._early_cancellations.pop(job.job_id, (0, 0.0))
+            if cancelled_version > version:
+                self.apply_cancellation(job.job_id, cancelled_at, cancelled_version)
+
+    def apply_cancellation(self, job: ids.JobId, wall_time: float, version: int = 0) -> None:
+        """Cancel a job whose cancellation has been stored; one in a final state is left alone.
 
-    def apply_cancellation(self, job: ids.JobId, wall_time: float) -> None:
-        """Cancel a job whose cancellation has been stored; one in a final state is left alone."""
+        The message about a cancellation may arrive before that about its job, so one of an unknown
+        job is kept for the job's row, which has a lower version than the cancellation's.
+        """
         record = self._job_registry.get(job)
-        if record is None or record.is_final:
+        if record is None:
+            self._early_cancellations[job] = (version, wall_time)
+            if len(self._early_cancellations) > MAX_EARLY_CANCELLATIONS:
+                del self._early_cancellations[next(iter(self._early_cancellations))]
+            return
+        if record.is_final:
             return
         record.finish(model.JobState.CANCELLED, wall_time)
         self._log("job_cancelled", job=job)
@@ -338,6 +360,8 @@
         for agent, seconds in lost.items():
             view = self._get_view(agent)
             view.is_declared_lost = True
+            # Seconds that no owner can have stored would end the wait at once or never.
+            seconds = seconds if 0.0 <= seconds < math.inf else 0.0
             view.lost_stored_at = self._started_at - seconds
             self._awaited_agents[agent] = view.lost_stored_at + leases.LEASE_EXPIRY_SECONDS
 
