--- a/crocusrudder/platform/configuration_file.py
+++ b/crocusrudder/platform/configuration_file.py
@@ -152,6 +152,8 @@
     problems += _find_form_problems(value)
     try:
         configuration = operator.decode_configuration(data)
+        if configuration.unreadable:
+            raise errors.MalformedInputError("; ".join(configuration.unreadable))
         terms = msgspec.convert(value, _Terms)
     except (errors.MalformedInputError, msgspec.ValidationError) as error:
         if not any(problem.severity is checks.Severity.ERROR for problem in problems):
