Keep commits within what the store takes

The progress of one job above 65,536 bytes (failures of 3,000 tasks take 71,420), or that of many jobs above 1 MB together, made the store refuse the whole commit. The owner repeated it without an end, no end of any task became durable, and each later owner would do the same. A job above 65,536 bytes was answered with 504 at each attempt.

A commit holds at most 600,000 bytes of progress, and the rest follows with the next one. Progress that is too large is stored without failures and crashes (progress_shortened), so that attempts are counted anew, or, if its bits alone are too large, not at all (progress_not_stored), so that a later owner repeats tasks of this job only. A job that is too large gets 413.

The refusal by the users' store itself was not played.

--- a/crocusrudder/workflows/entry_http.py
+++ b/crocusrudder/workflows/entry_http.py
@@ -84,6 +84,8 @@
                 self._log("job_malformed", job=job, **error.to_dict())
                 return _make_error_response(400, error.code, error.message)
             row = rows.encode(msgspec.structs.replace(decoded, accepted_queue=queue))
+            if len(row) > rows.MAX_ROW_BYTES:
+                return _make_error_response(413, "CR-WFL-413", "the job is too large")
         started_at = time.monotonic()
         outcome = await self._execute(kind, job, row, _get_timeout(request))
         if outcome not in _STATE_OUTCOMES:
--- a/crocusrudder/workflows/owner.py
+++ b/crocusrudder/workflows/owner.py
@@ -38,6 +38,10 @@
 """Cancellations remembered whose jobs are not known yet."""
 MAX_WRITES = 90
 """Maximum number of rows written by one commit; the store allows 100."""
+MAX_COMMIT_BYTES = 600_000
+"""Progress written by one commit; the store allows 1 MB, and base64 adds a third."""
+
+_UnsavedRow = tuple[job_registry.JobRecord, bytes | None]
 
 
 class Commit(msgspec.Struct, frozen=True):
@@ -257,13 +261,13 @@
         registered = self._list_unregistered()
         for agent, address in registered.items():
             writes.append((rows.ROSTER_TABLE, agent, address.encode() or None))
-        unsaved = self._job_registry.unsaved
-        changed = list(itertools.islice(unsaved.values(), MAX_WRITES - len(writes)))
-        is_complete = len(changed) == len(unsaved)
-        for record in changed:
+        changed = []
+        for record, value in self._list_unsaved(MAX_WRITES - len(writes)):
             record.has_unsaved_changes = False
-            value = rows.encode(record.progress)
-            writes.append((rows.PROGRESS_TABLE, record.job.job_id, value))
+            if value is not None:
+                changed.append(record)
+                writes.append((rows.PROGRESS_TABLE, record.job.job_id, value))
+        is_complete = not self._job_registry.unsaved
         ends = {
             (view.agent, view.worker.incarnation): view.last_processed_end
             for view in self._views.values()
@@ -280,6 +284,24 @@
         lost = tuple(view.agent for view in self._views.values() if view.is_declared_lost)
         return Commit(tuple(writes), states, ends, registered, lost, removed)
 
+    def _list_unsaved(self, limit: int) -> list[_UnsavedRow]:
+        """Return unsaved records with their rows, None for a row that the store cannot hold.
+
+        The store would refuse the whole commit for it, and with it the progress of all jobs.
+        """
+        found: list[_UnsavedRow] = []
+        size = 0
+        for record in itertools.islice(self._job_registry.unsaved.values(), limit):
+            value, is_whole = rows.encode_progress(record.progress)
+            size += len(value or b"")
+            if found and size > MAX_COMMIT_BYTES:
+                break
+            if not is_whole:
+                name = "progress_not_stored" if value is None else "progress_shortened"
+                self._log(name, job=record.job.job_id)
+            found.append((record, value))
+        return found
+
     def has_changes(self) -> bool:
         """Return whether a commit would store anything."""
         return (
--- a/crocusrudder/workflows/rows.py
+++ b/crocusrudder/workflows/rows.py
@@ -33,6 +33,8 @@
 """Limit of logarithms, their squares, weights and numbers of reports in estimates."""
 MAX_FLOOR = 100.0
 """Limit of the logarithm of an image's least latency in ms; exp(710) has no value."""
+MAX_ROW_BYTES = 65_536
+"""Size of a value that the users' store takes."""
 MAX_QUOTED = 100
 """Characters of an unreadable value that an error quotes."""
 
@@ -72,6 +74,18 @@
     return msgspec.msgpack.encode(value)
 
 
+def encode_progress(progress: model.Progress) -> tuple[bytes | None, bool]:
+    """Encode progress; return whether the value holds all of it.
+
+    Failures and crashes are left out if the row is too large. The value is None if it still is.
+    """
+    value = encode(progress)
+    if len(value) <= MAX_ROW_BYTES:
+        return value, True
+    value = encode(msgspec.structs.replace(progress, failures={}, crashes={}))
+    return value if len(value) <= MAX_ROW_BYTES else None, False
+
+
 def decode_job(value: bytes, key: ids.JobId) -> model.Job:
     """Decode the job of a key; raise ``UnreadableRowError`` for a malformed value."""
     job = _decode(value, model.Job)
--- a/tests/workflows/test_entry_http.py
+++ b/tests/workflows/test_entry_http.py
@@ -56,6 +56,12 @@
                 self.assertEqual(400, self._post(body), (name, value[:30]))
         self.assertEqual([], self.stored)
 
+    def test_a_job_that_the_store_cannot_hold_is_refused_as_too_large(self):
+        # Guards against 504 for each of the caller's attempts, as the store refuses the row.
+        body = {"spec": "x" * 70_000, "steps": [{"taskCount": 1}]}
+        self.assertEqual(413, self._post(msgspec.json.encode(body)))
+        self.assertEqual([], self.stored)
+
     def test_a_timeout_that_is_no_number_counts_as_none(self):
         # Guards against a response of 500: str.isdigit holds for digits that int refuses.
         body = msgspec.json.encode({"spec": "x", "steps": [{"taskCount": 1}]})
