--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -59,6 +59,14 @@
             body = HEARTBEAT.replace(b'"coldLeftMs":0', b'"coldLeftMs":' + cold_left_ms)
             self.assertIs(is_cold, heartbeats.decode_heartbeat("w1", body).state.cold)
 
+    def test_an_unknown_field_may_hold_any_value(self):
+        # Guards against a worker that is taken for gone because of a field that nobody here reads.
+        expected = heartbeats.decode_heartbeat("w1", HEARTBEAT)
+        for odd in oddities.ODD_JSON:
+            with self.subTest(odd=odd[:20]):
+                body = HEARTBEAT.replace(b'"slots":8', b'"slots":' + odd)
+                self.assertEqual(expected, heartbeats.decode_heartbeat("w1", body))
+
     def test_malformed_heartbeat_is_refused_with_a_coded_error(self):
         for body in (
             b"\xff\x00",
@@ -71,6 +79,12 @@
             # Guards against the end of the agent's process: the report could not be encoded.
             HEARTBEAT.replace(b'"cpu":16000', b'"cpu":%d' % 2**64),
             HEARTBEAT.replace(b'"born":17', b'"born":%d' % 2**64),
+            # Guards against tasks that are planned on a capacity which no machine has (LIMIT).
+            HEARTBEAT.replace(b'"cpu":16000', b'"cpu":%d' % (2**63 - 1)),
+            HEARTBEAT.replace(b'"memMb":32768', b'"memMb":%d' % 2**31),
+            # Guards against a report above the size limit of messages, as it repeats these fields.
+            HEARTBEAT.replace(b'["a",', b'["a",' + b'"a",' * 1_000),
+            HEARTBEAT.replace(b'"zone":"z"', b'"zone":"%b"' % (b"z" * 2_000)),
         ):
             with self.subTest(body=body), self.assertRaises(errors.MalformedInputError):
                 heartbeats.decode_heartbeat("w1", body)
@@ -234,6 +248,28 @@
         client._http = FakeHttp(*responses)
         return client
 
+    def test_a_probe_extends_no_lease_and_acknowledges_no_end(self):
+        # Guards against a probe that changes a worker which is not the one that it names.
+        client = self._client(make_response(409, {"clockMs": 5, "reason": "fence", "born": 17}))
+        found = curio.run(client.probe("w1", 2))
+        self.assertEqual(worker.ProbeResponse(17, True), found)
+        (request,) = client._http.requests
+        self.assertEqual({"fenceToken": 2, "lastSeen": 0}, msgspec.json.decode(request.body))
+        self.assertIn(("X-Crocusrudder-Expect-Worker", "w1"), request.headers)
+
+    def test_a_probe_that_another_incarnation_answers_is_refused(self):
+        client = self._client(effects.EndpointResponse(421, (), b""))
+        with self.assertRaises(errors.WrongWorkerError):
+            curio.run(client.probe("w1", 2))
+
+    def test_a_probe_without_a_readable_time_of_birth_proves_nothing(self):
+        # Guards against a second run of a task: what cannot be read is not what is not there.
+        for born in oddities.ODD_JSON:
+            body = b'{"clockMs":5,"running":[],"ended":[],"born":%b}' % born
+            client = self._client(effects.EndpointResponse(200, (), body))
+            with self.subTest(born=born[:20]), self.assertRaises(errors.UnknownOutcomeError):
+                curio.run(client.probe("w1", 2))
+
     def test_reason_of_a_rejected_start_is_decoded(self):
         order = workflow_messages.StartOrder("j.0.0.0", 7, "spec", "saved")
         for reason, expected in (
