--- a/tests/workflows/histories.py
+++ b/tests/workflows/histories.py
@@ -47,6 +47,9 @@
 class History(world.World):
     """A deployment whose fleet, jobs and troubles are drawn from a seed."""
 
+    agent_type = shared_workers.Agent
+    troubles = TROUBLES
+
     def __init__(self, seed: int, far_factor: float = 1.0) -> None:
         self.random = random.Random(seed)
         self.group_random = random.Random(seed)
@@ -89,12 +92,12 @@
         }
         for number in range(draw.randint(2, 11)):
             kind = (draw.choice((64, 64, 96)), (draw.choice("aab"), f"r{number // 3}"))
-            agent = shared_workers.Agent(f"a{number}", kind, self)
+            agent = self.agent_type(f"a{number}", kind, self)
             self.agents[agent.process] = agent
         self._jobs_per_second = draw.choice((0.3, 1.0, 2.0, 4.0))
         self._serving_share = draw.choice((0.0, 0.02, 0.1, 0.3))
         self._pending = sorted(
-            (100.0 + draw.uniform(2.0, TROUBLE_SECONDS - 1.0), draw.choice(TROUBLES))
+            (100.0 + draw.uniform(2.0, TROUBLE_SECONDS - 1.0), draw.choice(self.troubles))
             for _ in range(draw.randint(0, 14))
         )
         self._ends: list[tuple[float, int, str, object]] = []
--- a/tests/workflows/shared_workers.py
+++ b/tests/workflows/shared_workers.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from crocusrudder.platform import worker as worker_client
 from crocusrudder.wire import messages
 from crocusrudder.wire import workflow_messages
 from crocusrudder.workflows import agent_state
@@ -229,8 +230,15 @@
             worker.fence = state.epoch
             lease = state.get_lease_end_ms(now)
             until = now + (lease - 1) / 1_000 if lease is not None else 0.0
-            listed = worker.extend_lease(now, state.acknowledged, until)
-            self.is_changed |= state.handle_list(listed, state.epoch, now, now)
+            listed = self._read_list(worker.extend_lease(now, state.acknowledged, until))
+            if listed is None:
+                state.record_poll_failure(now)
+            else:
+                self.is_changed |= state.handle_list(listed, state.epoch, now, now)
+
+    def _read_list(self, listed: worker_client.RunList) -> worker_client.RunList | None:
+        """Return what the agent reads of a list; None if that is nothing."""
+        return listed
 
     def handle_orders(self, orders: workflow_messages.AgentOrders, now: float) -> None:
         accepted = self.state.handle_orders(orders, now)
