Move the checks of workers' lists to a module of their own

No change of behaviour; the tests of odd lists, void orders, owner, capacity and waiting bounds pass (83).

--- a/crocusrudder/workflows/fleet.py
+++ b/crocusrudder/workflows/fleet.py
@@ -126,7 +126,7 @@
     has_unknown: bool = False
     """Whether a run's task is unknown, and so is what it takes; such a run is being stopped.
 
-    False once the stop has had no effect for ``reports.UNKNOWN_RUN_SECONDS``."""
+    False once the stop has had no effect for ``list_checks.UNKNOWN_RUN_SECONDS``."""
 
 
 class AgentView:
@@ -170,10 +170,6 @@
         self.sent_at = 0.0
         self.last_processed_end = 0
         self.last_durable_end = 0
-        self.ends_left_out: set[int] = set()
-        """Numbers of listed ends that cannot be the worker's and have been logged."""
-        self.runs_left_out: set[model.RunKey] = set()
-        """Listed runs that no owner can have ordered and that have been logged."""
         self.blocked_until = 0.0
         self.set_aside_until = 0.0
         """Until when the worker counts as faulty; see ``health.select_set_aside``."""
--- a/crocusrudder/workflows/owner_service.py
+++ b/crocusrudder/workflows/owner_service.py
@@ -18,6 +18,7 @@
 from crocusrudder.workflows import errors as workflow_errors
 from crocusrudder.workflows import evacuations
 from crocusrudder.workflows import leases
+from crocusrudder.workflows import list_checks
 from crocusrudder.workflows import model
 from crocusrudder.workflows import owner
 from crocusrudder.workflows import ownership
@@ -57,10 +58,10 @@
 
 _COUNTED_EVENTS = {
     reports.CAPACITY_EXCEEDED: "capacity_exceeded",
-    reports.END_LEFT_OUT: "ends_left_out",
-    reports.RUN_LEFT_OUT: "runs_left_out",
-    reports.START_EXPIRED: "starts_expired",
-    reports.UNKNOWN_RUN_IGNORED: "unknown_runs_ignored",
+    list_checks.END_LEFT_OUT: "ends_left_out",
+    list_checks.RUN_LEFT_OUT: "runs_left_out",
+    list_checks.START_EXPIRED: "starts_expired",
+    list_checks.UNKNOWN_RUN_IGNORED: "unknown_runs_ignored",
     "worker_crashed": "workers_crashed",
     evacuation.EVACUATED: "evacuations",
     evacuation.START_WITHDRAWN: "starts_withdrawn",
--- a/crocusrudder/workflows/reports.py
+++ b/crocusrudder/workflows/reports.py
@@ -14,6 +14,7 @@
 from crocusrudder.workflows import health
 from crocusrudder.workflows import job_registry
 from crocusrudder.workflows import leases
+from crocusrudder.workflows import list_checks
 from crocusrudder.workflows import model
 from crocusrudder.workflows.decisions import durations
 
@@ -23,25 +24,6 @@
 UNHEALTHY_BLOCK_SECONDS = 1.0
 RETRY_DELAY_SECONDS = 0.2
 """Delay before a task whose run was rejected is placed again."""
-MAX_END_GAP = 1_000
-"""Greatest difference between the numbers of successive ends. A worker numbers them one by one and
-lists 500 at a time, of which some may be unreadable."""
-MAX_FIRST_END_NUMBER = 100_000_000
-"""Greatest number of the first end that is read from a worker: 1,000 ends a second for a day."""
-POLL_SECONDS = 1.5
-"""Longest time from the request of a list to its receipt by the agent."""
-RUN_LEFT_OUT = "run_number_implausible"
-"""Log event of a listed run or end that no owner can have ordered; it is left out."""
-START_EXPIRED = "start_expired"
-"""Log event of a run that was never listed, or is no longer, and cannot begin any more."""
-UNKNOWN_RUN_SECONDS = 2.0
-"""Time after an agent has received the stop of a run of an unknown task from which the run no
-longer keeps its worker from starts. A stop takes 0.2 s in the users' deployments, and accepted jobs
-wait for 3 s at most."""
-UNKNOWN_RUN_IGNORED = "unknown_run_ignored"
-"""Log event of such a run that is still listed."""
-END_LEFT_OUT = "end_number_implausible"
-"""Log event of an end whose number cannot be the worker's; its run counts as absent."""
 CAPACITY_EXCEEDED = "capacity_exceeded"
 """Log event of a change after which the runs on a worker take more than its capacity."""
 
@@ -67,6 +49,7 @@
         self._job_registry = jobs
         self._queues: dict[model.QueueName, model.Queue] = {}
         self._crash_register = crashes.CrashRegister(epoch, jobs)
+        self._list_filter = list_checks.ListFilter(epoch)
         self._health: dict[ids.ProcessId, tuple[object, health.WorkerHealth]] = {}
         self._incomplete_gangs: set[tuple[job_registry.StageRecord, int]] = set()
         """Stages and run numbers of gangs of which a member was rejected."""
@@ -83,7 +66,7 @@
     def drain_log(self) -> list[effects.LogChange]:
         """Return the decisions logged since the last call, and clear them."""
         logged, self._logged = self._logged, []
-        return logged + self._crash_register.drain_log()
+        return logged + self._crash_register.drain_log() + self._list_filter.drain_log()
 
     def handle(
         self,
@@ -161,8 +144,6 @@
             self.release_all(view, now, "worker_replaced")
             view.last_processed_end = 0
             view.last_durable_end = 0
-            view.ends_left_out.clear()
-            view.runs_left_out.clear()
             view.is_reconciled = False
             view.blocked_until = 0.0
             view.set_aside_until = 0.0
@@ -208,33 +189,12 @@
         for ended in report.ended:
             if ended.number <= view.last_processed_end:
                 continue
-            if not _is_plausible(ended.number, view.last_processed_end):
-                self._log_left_out(view, ended)
+            if not self._list_filter.is_end_plausible(view, ended):
                 continue
             view.last_processed_end = ended.number
-            if self._is_possible(view, ended.task, ended.run):
+            if self._list_filter.is_run_plausible(view, ended.task, ended.run):
                 self._apply_end(view, ended, now, wall_time)
 
-    def _is_possible(self, view: fleet.AgentView, task: str, run: int) -> bool:
-        """Return whether an owner may have numbered a listed run; log one that none has.
-
-        It is not stopped: the worker would then refuse all lower runs of the task.
-        """
-        lowest = job_registry.RUNS_PER_EPOCH
-        # An epoch with more runs than are reserved for it uses numbers of the next one.
-        if lowest < run <= (self._epoch + 2) * job_registry.RUNS_PER_EPOCH:
-            return True
-        if (task, run) not in view.runs_left_out:
-            view.runs_left_out.add((task, run))
-            self._log(RUN_LEFT_OUT, agent=view.agent, task=task, run=run)
-        return False
-
-    def _log_left_out(self, view: fleet.AgentView, ended: workflow_messages.EndedRun) -> None:
-        if ended.number not in view.ends_left_out:
-            view.ends_left_out.add(ended.number)
-            fields = {"task": ended.task, "run": ended.run, "number": ended.number}
-            self._log(END_LEFT_OUT, agent=view.agent, last=view.last_processed_end, **fields)
-
     def _apply_end(
         self,
         view: fleet.AgentView,
@@ -313,7 +273,7 @@
         present = set(report.starting)
         view.measurements = {}
         for running in report.running:
-            if not self._is_possible(view, running.task, running.run):
+            if not self._list_filter.is_run_plausible(view, running.task, running.run):
                 continue
             key = (running.task, running.run)
             present.add(key)
@@ -335,27 +295,11 @@
                 assignment.phase = fleet.AssignmentPhase.CONFIRMED
         self._stop_absent(view, report, present)
         self._release_void(view, report, now)
-        self._release_expired(view, report, now)
-        if view.usage.has_unknown:
-            self._ignore_unknown(view, report, now)
-
-    def _ignore_unknown(
-        self, view: fleet.AgentView, report: workflow_messages.AgentReport, now: float
-    ) -> None:
-        """Ignore the runs of unknown tasks that the worker lists although they are stopped.
-
-        Such an entry may be no run at all, so it must not keep the worker from starts for good.
-        """
-        for assignment in view.assignments.values():
-            if assignment.task is not None or assignment.is_ignored or not report.reachable:
-                continue
-            if not 0 < assignment.stop_number <= report.orders_seen:
-                continue
-            if assignment.stop_seen_at is None:
-                assignment.stop_seen_at = now
-            elif now - assignment.stop_seen_at >= UNKNOWN_RUN_SECONDS:
-                view.ignore_run(assignment)
-                self._log_run(UNKNOWN_RUN_IGNORED, assignment, view)
+        for assignment in list_checks.list_expired(view, report, now):
+            self._release_expired(view, assignment, now)
+        for assignment in list_checks.list_unstoppable(view, report, now):
+            view.ignore_run(assignment)
+            self._log_run(list_checks.UNKNOWN_RUN_IGNORED, assignment, view)
 
     def _release_void(
         self, view: fleet.AgentView, report: workflow_messages.AgentReport, now: float
@@ -376,23 +320,12 @@
                     self._incomplete_gangs.add((assignment.task.stage, assignment.run))
 
     def _release_expired(
-        self, view: fleet.AgentView, report: workflow_messages.AgentReport, now: float
+        self, view: fleet.AgentView, assignment: fleet.Assignment, now: float
     ) -> None:
-        """Release the runs that are not listed and whose start can no longer begin.
-
-        Their agents get no answer to the start and to the stop, or the worker refuses the stop.
-        """
-        requested_at = now - report.list_age_seconds - POLL_SECONDS
-        for assignment in list(view.assignments.values()):
-            assigned_at = assignment.task.assigned_at if assignment.task else 0.0
-            known_at = max(assigned_at, assignment.ordered_at, assignment.listed_at)
-            if requested_at - known_at >= leases.START_EXPIRY_SECONDS:
-                self._log_run(START_EXPIRED, assignment, view, phase=assignment.phase.value)
-                self._release(view, assignment, now)
-                self._record_unstarted(view, assignment)
-
-    def _record_unstarted(self, view: fleet.AgentView, assignment: fleet.Assignment) -> None:
-        """Prefer other workers for a task whose run could not be started; plan its gang again."""
+        """Release a run that can no longer begin; its task prefers other workers from now on."""
+        fields = {"phase": assignment.phase.value}
+        self._log_run(list_checks.START_EXPIRED, assignment, view, **fields)
+        self._release(view, assignment, now)
         if assignment.task is None:
             return
         stage = assignment.task.stage
@@ -485,12 +418,3 @@
 
     def _log(self, name: str, **fields: object) -> None:
         self._logged.append(effects.LogChange(name, {"epoch": self._epoch, **fields}))
-
-
-def _is_plausible(number: int, last: int) -> bool:
-    """Return whether a worker may have given an end its number; ``last`` is 0 for the first one.
-
-    All ends up to a number are acknowledged and never listed again, so a number far ahead would
-    discard all later ends of the worker.
-    """
-    return number - last <= MAX_END_GAP if last else number <= MAX_FIRST_END_NUMBER
--- a/tests/workflows/test_odd_lists.py
+++ b/tests/workflows/test_odd_lists.py
@@ -7,8 +7,8 @@
 from crocusrudder.wire import messages
 from crocusrudder.wire import workflow_messages
 from crocusrudder.workflows import job_registry
+from crocusrudder.workflows import list_checks
 from crocusrudder.workflows import model
-from crocusrudder.workflows import reports
 from tests.workflows import world
 
 ONE_CORE = messages.Resources(1_000, 100, 0)
@@ -101,7 +101,7 @@
         self.system.run(2.0)
         self.assertIs(model.JobState.COMPLETED, self.system.get_state("later"))
         logged = [change.name for change in self.system.owner.drain_log()]
-        self.assertEqual(len(self.agents), logged.count(reports.END_LEFT_OUT))
+        self.assertEqual(len(self.agents), logged.count(list_checks.END_LEFT_OUT))
 
     def test_runs_of_an_unknown_task_on_all_workers_keep_no_job_waiting(self):
         # Guards against LOST: a worker with a run of an unknown task got no starts, for as long as
@@ -118,7 +118,7 @@
                 self.system.run(MAX_WAIT_SECONDS)
                 self.assertEqual(1, self.system.count_starts("j.0.0.0"))
                 logged = [change.name for change in self.system.owner.drain_log()]
-                self.assertEqual(len(self.agents), logged.count(reports.UNKNOWN_RUN_IGNORED))
+                self.assertEqual(len(self.agents), logged.count(list_checks.UNKNOWN_RUN_IGNORED))
 
     def test_a_run_of_an_unknown_task_that_is_being_stopped_keeps_its_worker_from_starts(self):
         # Guards against LIMIT: what such a run takes is not known.
