--- a/crocusrudder/workflows/health.py
+++ b/crocusrudder/workflows/health.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+from crocusrudder.core import effects
 from crocusrudder.core import ids
 from crocusrudder.workflows import fleet
 from crocusrudder.workflows import job_registry
@@ -86,6 +87,53 @@
         return QUARANTINE_SECONDS
 
 
+class HealthRegister:
+    """Quarantine the workers that seem faulty; the health of a worker ends with its incarnation."""
+
+    def __init__(self, epoch: model.OwnerEpoch) -> None:
+        self._epoch = epoch
+        self._health: dict[ids.ProcessId, tuple[object, WorkerHealth]] = {}
+        self._logged: list[effects.LogChange] = []
+
+    def drain_log(self) -> list[effects.LogChange]:
+        """Return the decisions logged since the last call, and clear them."""
+        logged, self._logged = self._logged, []
+        return logged
+
+    def get(self, view: fleet.AgentView) -> WorkerHealth:
+        """Return the health of an agent's current worker."""
+        key = (view.agent, view.worker.incarnation)
+        if self._health.get(view.agent, (None,))[0] != key:
+            self._health[view.agent] = (key, WorkerHealth())
+        return self._health[view.agent][1]
+
+    def check_failures(self, view: fleet.AgentView, task: job_registry.Task, now: float) -> None:
+        """Quarantine a worker on which runs of several jobs fail in succession."""
+        seconds = self.get(view).record_failure(task.record.job.job_id, now)
+        if seconds:
+            self._quarantine(view, "fails", now, seconds)
+
+    def check_stall(
+        self, view: fleet.AgentView, now: float, list_age_seconds: float
+    ) -> list[fleet.Assignment]:
+        """Quarantine a stalled worker; return the runs to move from it.
+
+        A worker that lists its runs late is not stalled: only time up to its last list counts.
+        """
+        worker_health = self.get(view)
+        listed_at = now - list_age_seconds
+        worker_health.record_progress(view, listed_at)
+        if not worker_health.is_stalled(listed_at):
+            return []
+        self._quarantine(view, "stands_still", now, worker_health.record_stall(now))
+        return list_expected_to_progress(view)
+
+    def _quarantine(self, view: fleet.AgentView, reason: str, now: float, seconds: float) -> None:
+        view.set_aside_until = max(view.set_aside_until, now + seconds)
+        fields = {"epoch": self._epoch, "agent": view.agent, "reason": reason, "pause_s": seconds}
+        self._logged.append(effects.LogChange("worker_set_aside", fields))
+
+
 def select_set_aside(views: Iterable[fleet.AgentView], now: float) -> set[ids.ProcessId]:
     """Return the agents whose workers are set aside, among those that could get starts.
 
--- a/crocusrudder/workflows/reports.py
+++ b/crocusrudder/workflows/reports.py
@@ -1,5 +1,6 @@
 """Update the owner's state from agents' reports."""
 
+import itertools
 import math
 from collections.abc import Iterable
 
@@ -50,7 +51,7 @@
         self._queues: dict[model.QueueName, model.Queue] = {}
         self._crash_register = crashes.CrashRegister(epoch, jobs)
         self._list_filter = list_checks.ListFilter(epoch)
-        self._health: dict[ids.ProcessId, tuple[object, health.WorkerHealth]] = {}
+        self._health_register = health.HealthRegister(epoch)
         self._incomplete_gangs: set[tuple[job_registry.StageRecord, int]] = set()
         """Stages and run numbers of gangs of which a member was rejected."""
         self._logged: list[effects.LogChange] = []
@@ -66,7 +67,8 @@
     def drain_log(self) -> list[effects.LogChange]:
         """Return the decisions logged since the last call, and clear them."""
         logged, self._logged = self._logged, []
-        return logged + self._crash_register.drain_log() + self._list_filter.drain_log()
+        sources = (self._crash_register, self._health_register, self._list_filter)
+        return [*logged, *itertools.chain.from_iterable(s.drain_log() for s in sources)]
 
     def handle(
         self,
@@ -100,7 +102,8 @@
         self._apply_ends(view, report, now, wall_time)
         self._apply_running(view, report, now)
         self._crash_register.record_running(view, report, now)
-        self._check_stall(view, now, report.list_age_seconds)
+        for run in self._health_register.check_stall(view, now, report.list_age_seconds):
+            self.move_run(view, run)
 
     def release_all(self, view: fleet.AgentView, now: float, reason: str) -> None:
         """Release all assignments of a worker on which certainly nothing runs any more."""
@@ -212,43 +215,14 @@
         if task is None:
             return
         if kind is model.EndKind.DONE and not task.stage.spec.long_running:
-            self._get_health(view).record_success(now)
+            self._health_register.get(view).record_success(now)
             if assignment.is_comparable and task.run == assignment.run:
                 self._duration_model.record_run(task.stage, now - task.assigned_at)
             self._mark_done(task, wall_time)
         elif kind is model.EndKind.FAILED and not task.record.is_final:
-            self._check_failures(view, task, now)
+            self._health_register.check_failures(view, task, now)
             self._count_failure(view, task, ended.run, wall_time)
 
-    def _check_failures(self, view: fleet.AgentView, task: job_registry.Task, now: float) -> None:
-        """Quarantine a worker on which runs of several jobs fail in succession."""
-        seconds = self._get_health(view).record_failure(task.record.job.job_id, now)
-        if seconds:
-            view.set_aside_until = max(view.set_aside_until, now + seconds)
-            self._log("worker_set_aside", agent=view.agent, reason="fails", pause_s=seconds)
-
-    def _check_stall(self, view: fleet.AgentView, now: float, list_age_seconds: float) -> None:
-        """Quarantine a stalled worker and move its runs.
-
-        A worker that lists its runs late is not stalled: only time up to its last list counts.
-        """
-        worker_health = self._get_health(view)
-        listed_at = now - list_age_seconds
-        worker_health.record_progress(view, listed_at)
-        if not worker_health.is_stalled(listed_at):
-            return
-        seconds = worker_health.record_stall(now)
-        view.set_aside_until = max(view.set_aside_until, now + seconds)
-        self._log("worker_set_aside", agent=view.agent, reason="stands_still", pause_s=seconds)
-        for run in health.list_expected_to_progress(view):
-            self.move_run(view, run)
-
-    def _get_health(self, view: fleet.AgentView) -> health.WorkerHealth:
-        key = (view.agent, view.worker.incarnation)
-        if self._health.get(view.agent, (None,))[0] != key:
-            self._health[view.agent] = (key, health.WorkerHealth())
-        return self._health[view.agent][1]
-
     def _mark_done(self, task: job_registry.Task, wall_time: float) -> None:
         members = task.stage.tasks if task.stage.spec.gang else [task]
         for member in members:
