Restart workers under the same id, and prefer racks, in the odd histories

Half of the restarts keep the worker's id with another birth time, and every second seed is played with slower tasks away from their data.

--- a/tests/workflows/test_odd_histories.py
+++ b/tests/workflows/test_odd_histories.py
@@ -36,6 +36,14 @@
         self.odd_ended: tuple[workflow_messages.EndedRun, ...] = ()
         super().__init__(*args)
 
+    def replace_worker(self) -> None:
+        """Start another incarnation of the worker, half of the times under the same id."""
+        known = getattr(self, "worker", None)
+        super().replace_worker()
+        if known is not None and self._history.call_random.random() < 0.5:
+            name = known.state.worker
+            self.worker.state = msgspec.structs.replace(self.worker.state, worker=name)
+
     def _read_list(self, listed: worker_client.RunList) -> worker_client.RunList | None:
         if self.is_list_unreadable:
             return None
@@ -136,13 +144,13 @@
         # Guards against LOST and TWICE around lists that cannot be trusted.
         for seed in (*range(SEEDS), *range(1_000, 1_000 + EXTRA_SEEDS)):
             with self.subTest(seed=seed):
-                violations, events = play(seed)
+                violations, events = play(seed, (1.0, 3.0)[seed % 2])
                 self.assertEqual({}, violations, events)
 
 
-def play(seed: int) -> tuple[dict[str, str], list]:
+def play(seed: int, far_factor: float = 1.0) -> tuple[dict[str, str], list]:
     """Play a history; return the violations and the troubles."""
-    history = OddHistory(seed)
+    history = OddHistory(seed, far_factor)
     judge = test_lost_histories.Judge(history)
     seconds = histories.TROUBLE_SECONDS + test_lost_histories.JUDGED_SECONDS
     for _ in range(round(seconds / world.TICK)):
