Cancel jobs in the soak and check that their runs end

The check follows the users' rule: in a time without faults, no run of the job goes on 3.2 s after the acknowledgement and none starts after 3 s; a job that was cancelled is last shown as cancelled or completed. Evacuations do not count as faults. The callers have moved into a module of their own.

--- a/tests/endtoend/test_soak.py
+++ b/tests/endtoend/test_soak.py
@@ -67,6 +67,49 @@
             with self.subTest(begin=begin):
                 self.assertEqual(expected, [text.partition(":")[0] for text in found])
 
+    def test_runs_of_a_cancelled_job_are_found(self):
+        # Each case has a run, the time of its job's cancellation, and the times of faults.
+        late = checks.CANCEL_SECONDS + checks.STOP_SECONDS
+        cases = [
+            ([], (1.0, 5.0 + late - 0.1), 5.0, ()),
+            (["UNASKED"], (1.0, 5.0 + late + 0.1), 5.0, ()),
+            (["UNASKED"], (1.0, None), 5.0, ()),
+            ([], (1.0, 9.0), 5.0, ((4.0, 6.0),)),
+            ([], (1.0, 9.0), 5.0, ((7.0, 7.1),)),
+            (["UNASKED"], (1.0, 13.0), 5.0, ((4.0, 6.0),)),
+            # Started late, of which the machine that starts it may not be in touch.
+            ([], (9.0, 15.0), 5.0, ((8.0, 8.5),)),
+            (["UNASKED"], (9.0, 9.5), 5.0, ()),
+            (["UNASKED"], (7.0, 10.0 + late + 0.1), 5.0, ()),
+        ]
+        for expected, times, acknowledged_at, disturbances in cases:
+            found = checks.find_violations(
+                [make_run(f"{JOB}.0.0.0", 1, *times, "stopped")],
+                {JOB},
+                set(),
+                {JOB: ["running", "cancelled"]},
+                cancellations={JOB: acknowledged_at},
+                disturbances=[checks.Span(*span) for span in disturbances],
+                observed_at=20.0,
+            )
+            with self.subTest(times=times, disturbances=disturbances):
+                self.assertEqual(expected, [text.partition(":")[0] for text in found])
+
+    def test_wrong_states_of_a_cancelled_job_are_found(self):
+        cases = [
+            ([], 5.0, ("running", "completed")),
+            (["MIXED"], 5.0, ("cancelled", "running", "cancelled")),
+            (["LOST", "MIXED"], 5.0, ("failed",)),
+            (["LOST"], 5.0, ("running",)),
+            (["LOST"], None, ("running", "completed")),
+        ]
+        for expected, acknowledged_at, states in cases:
+            found = checks.find_violations(
+                [], {JOB}, set(), {JOB: states}, cancellations={JOB: acknowledged_at}
+            )
+            with self.subTest(states=states):
+                self.assertEqual(expected, [text.partition(":")[0] for text in found])
+
     def test_violations_of_a_deadly_job_are_found(self):
         runs = [make_run(f"{JOB}.0.0.0", run, run, run + 0.01, "crashed") for run in range(1, 7)]
         cases = [
--- a/tools/soak/runner.py
+++ b/tools/soak/runner.py
@@ -1,41 +1,29 @@
 """One run of the soak test: processes, callers, faults and checks."""
 
-import itertools
 import pathlib
 import queue
-import random
 import signal
 import threading
 import time
 
+from tools.soak import callers
 from tools.soak import checks
 from tools.soak import faults
 from tools.soak import proxy
 from tools.standin.users import deployment as deployments
 from tools.standin.users import worker
 
-JOB = {
-    "spec": "soak",
-    "steps": [
-        {"taskCount": 3, "cpu": checks.TASK_MILLICORES},
-        {"taskCount": 2, "cpu": checks.TASK_MILLICORES, "after": [0]},
-    ],
-}
-DEADLY_SHARE = 0.1
 SHRUNK_MILLICORES = 500
 SLOWDOWN = 5.0
-BURST_SHARE = 0.1
-BURST_JOBS = 6
-"""Number of jobs that come at once in a burst, enough to fill the workers several times over."""
-MAX_TRIES = 4
-"""Number of times that a caller submits a job that is refused, at intervals of the submissions."""
 DATA_CENTRES = ("bilbao", "bilbao", "santander")
 EVACUATED = "santander"
 EVACUATION_SECONDS = 12.0
 """Length of an evacuation; starts are forbidden after up to 10 s of it."""
 RUN_SECONDS = 0.7
-SUBMIT_INTERVAL_SECONDS = 0.7
-QUERY_INTERVAL_SECONDS = 0.5
+MAX_CANCELLED_RUN_SECONDS = (
+    2 * checks.CONTACT_SECONDS + checks.CANCEL_SECONDS + checks.STOP_SECONDS + 1.0
+)
+"""Time after the last fault and cancellation by which no run of a cancelled job may be left."""
 PROCESSES_PER_ROLE = 3
 """Number of entries, and of agents."""
 
@@ -62,10 +50,7 @@
             DATA_CENTRES,
             {"evacuation_ms": checks.EVACUATION_SECONDS * 1_000},
         )
-        self._generator = random.Random(seed)
-        self._deadly_generator = random.Random(f"deadly {seed}")
-        self._burst_generator = random.Random(f"burst {seed}")
-        self._deadly: set[str] = set()
+        self._callers = callers.Callers(self._deployment, seed)
         self._evacuations: list[checks.Evacuation] = []
         workers = [f"w-{name}" for name in self._deployment.agents]
         self._faults = sorted(
@@ -74,12 +59,9 @@
             + faults.draw_faults(f"fleet {seed}", seconds, workers, faults.FLEET_KIND_WEIGHTS),
             key=lambda fault: fault.starts_at,
         )
-        self._seconds = seconds
-        self._statuses: dict[str, list[int]] = {}
-        self._states: dict[str, list[str]] = {}
+        self._disturbances: list[checks.Span] = []
         self._faulted_targets: set[str] = set()
         self._problems: queue.Queue[str] = queue.Queue()
-        self._finished = threading.Event()
 
     def run(self) -> list[str]:
         """Run until all jobs are completed or overdue; return the violated guarantees."""
@@ -87,19 +69,12 @@
         self._deployment.start()
         try:
             self._deployment.wait_until("an owner", self._deployment.find_owner)
-            threads = [
-                threading.Thread(target=target)
-                for target in (self._submit_until_finished, self._query_until_finished)
-            ]
-            for thread in threads:
-                thread.start()
+            self._callers.start()
             self._inject_faults()
-            self._finished.set()
-            for thread in threads:
-                thread.join()
+            self._callers.finish()
             return self._check_guarantees()
         finally:
-            self._finished.set()
+            self._callers.finish()
             self._deployment.stop()
             self._proxy.stop()
             self._reservation.release()
@@ -119,6 +94,15 @@
             thread.join()
 
     def _inject_fault(self, fault: faults.Fault) -> None:
+        began_at = time.monotonic()
+        try:
+            self._execute_fault(fault)
+        finally:
+            if fault.kind is not faults.Kind.EVACUATE:
+                self._disturbances.append(checks.Span(began_at, time.monotonic()))
+            self._faulted_targets.discard(fault.target)
+
+    def _execute_fault(self, fault: faults.Fault) -> None:
         deployment = self._deployment
         name = fault.target
         match fault.kind:
@@ -155,7 +139,6 @@
                 deployment.set_worker_slowdown(name, 1.0)
             case faults.Kind.EVACUATE:
                 self._evacuate(name)
-        self._faulted_targets.discard(name)
 
     def _evacuate(self, data_centre: str) -> None:
         self._deployment.set_evacuated(data_centre, evacuated=True)
@@ -176,66 +159,32 @@
             self._deployment.start_entry(name)
         else:
             self._deployment.start_agent(name)
-
-    def _submit_until_finished(self) -> None:
-        numbers = itertools.count(1)
-        returning: list[str] = []
-        while not self._finished.wait(SUBMIT_INTERVAL_SECONDS):
-            is_burst = self._burst_generator.random() < BURST_SHARE
-            count = BURST_JOBS if is_burst else 1
-            new = [f"{number:016x}" for number in itertools.islice(numbers, count)]
-            for job in new:
-                if self._deadly_generator.random() < DEADLY_SHARE:
-                    self._deadly.add(job)
-            returning = [job for job in [*returning, *new] if not self._submit(job)]
-
-    def _submit(self, job: str) -> bool:
-        """Submit a job to two entries; return whether it was accepted or its caller gives up."""
-        statuses = self._statuses.setdefault(job, [])
-        content = JOB | ({"spec": worker.DEADLY_SPEC} if job in self._deadly else {})
-        for entry in self._generator.sample(list(self._deployment.entries), 2):
-            statuses.append(self._deployment.call(entry, "POST", job, content)[0])
-            if statuses[-1] == 200:
-                return True
-        return len(statuses) >= 2 * MAX_TRIES
-
-    def _query_until_finished(self) -> None:
-        while not self._finished.wait(QUERY_INTERVAL_SECONDS):
-            self._query_jobs()
-
-    def _query_jobs(self) -> bool:
-        """Query the accepted jobs that have not been reported in their final state twice.
-
-        Returns whether all queried jobs are in the state in which they should end.
-        """
-        complete = True
-        for job in [job for job, statuses in list(self._statuses.items()) if 200 in statuses]:
-            states = self._states.setdefault(job, [])
-            expected = "failed" if job in self._deadly else "completed"
-            if states.count(expected) >= 2:
-                continue
-            entry = self._generator.choice(list(self._deployment.entries))
-            status, content = self._deployment.call(entry, "GET", job)
-            if status in (200, 410):
-                states.append(content["state"] if status == 200 else "unknown")
-            complete = complete and states[-1:] == [expected]
-        return complete
+        self._deployment.wait_until(name, lambda: self._deployment.has_started(name))
 
     def _check_guarantees(self) -> list[str]:
-        limit = time.monotonic() + checks.COMPLETION_TIMEOUT_SECONDS
-        while not self._query_jobs() and time.monotonic() < limit:
-            time.sleep(QUERY_INTERVAL_SECONDS)
-        accepted = {job for job, statuses in self._statuses.items() if 200 in statuses}
-        refused = {job for job, statuses in self._statuses.items() if set(statuses) == {503}}
-        states = {job: self._states.get(job, []) for job in accepted}
+        self._callers.wait_for_results(time.monotonic() + checks.COMPLETION_TIMEOUT_SECONDS)
+        self._wait_for_cancelled_runs()
         problems = list(self._problems.queue)
         problems += [f"FAULT: {name} exited by itself" for name in self._deployment.list_exited()]
+        observed_at = time.monotonic()
         found = checks.find_violations(
             self._deployment.list_runs(),
-            accepted,
-            refused,
-            states,
-            self._deadly,
+            self._callers.accepted,
+            self._callers.refused,
+            self._callers.states,
+            self._callers.deadly,
             self._evacuations,
+            self._callers.cancellations,
+            self._disturbances,
+            observed_at,
         )
         return [*problems, *found]
+
+    def _wait_for_cancelled_runs(self) -> None:
+        """Wait until the runs of cancelled jobs have ended, or for as long as they may take."""
+        started_at = time.monotonic()
+        while time.monotonic() - started_at < MAX_CANCELLED_RUN_SECONDS and any(
+            run["end"] is None and run["task"].partition(".")[0] in self._callers.cancellations
+            for run in self._deployment.list_runs()
+        ):
+            time.sleep(callers.QUERY_INTERVAL_SECONDS)
--- a/tools/standin/users/worker.py
+++ b/tools/standin/users/worker.py
@@ -19,6 +19,9 @@
 MAX_WAIT_MS = 2_000
 DEADLY_SPEC = "deadly"
 """Spec of the tasks that crash each worker that starts them."""
+LASTING_SPEC = "lasting"
+"""Spec of the tasks that run ``LASTING_FACTOR`` times as long as others."""
+LASTING_FACTOR = 40.0
 FULL_MILLICORES = 8_000
 CAPACITY_GRACE_SECONDS = 3.0 + HEARTBEAT_SECONDS
 """Time after which a smaller capacity counts: ``contactMs`` of the users' pages and a heartbeat."""
@@ -147,7 +150,8 @@
         if content["expiresMs"] <= self.clock_ms:
             return self._respond(409, reason="late")
         self._highest_run_numbers[run[0]] = run[1]
-        self._running[run] = time.monotonic() + self._run_seconds * self._slowdown
+        factor = LASTING_FACTOR if content["spec"] == LASTING_SPEC else 1.0
+        self._running[run] = time.monotonic() + self._run_seconds * self._slowdown * factor
         self.started_runs.append(run)
         self.history[run] = {
             "task": run[0],
