Send odd heartbeats, list entries and rows in the soak

Now heartbeats and deregistrations of another writer reach agents, workers list unreadable entries or negative percents, and odd rows appear in the tables of the store. None of them counts as a disturbance. Workers also start again under their id, faults of a process and of its link overlap, and a fault thread that fails is reported.

--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -21,7 +21,8 @@
     failed_seed_count = 0
     for seed in chosen or [random.SystemRandom().randrange(2**32) for _ in range(seeds)]:
         seed_folder = folder / str(seed)
-        seed_folder.mkdir(parents=True, exist_ok=True)
+        # A folder with the logs of an earlier run would hide whether a process has started.
+        seed_folder.mkdir(parents=True)
         problems = runner.SoakRun(seed_folder, seed, seconds).run()
         failed_seed_count += bool(problems)
         click.echo(f"seed {seed}: {'; '.join(problems) or 'no violation'}")
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -16,7 +16,7 @@
 
 
 class Kind(enum.Enum):
-    """Kind of a fault of a process, its store link, the store or a worker, or an evacuation."""
+    """Kind of a fault, of an evacuation, or of an odd heartbeat, list entry or row."""
 
     KILL = "kill"
     STOP = "stop"
@@ -27,11 +27,27 @@
     SHRINK = "shrink"
     SLOW = "slow"
     EVACUATE = "evacuate"
+    REBIRTH = "rebirth"
+    ODD_HEARTBEAT = "odd-heartbeat"
+    ODD_DEREGISTRATION = "odd-deregistration"
+    ODD_ENTRY = "odd-entry"
+    ODD_PERCENTS = "odd-percents"
+    ODD_ROW = "odd-row"
 
 
 KIND_WEIGHTS = {Kind.KILL: 3, Kind.STOP: 3, Kind.PAUSE: 3, Kind.LINK: 5, Kind.STORE_DOWN: 1}
 WORKER_KIND_WEIGHTS = {Kind.WORKER_CRASH: 1, Kind.SHRINK: 1}
 FLEET_KIND_WEIGHTS = {Kind.SLOW: 2, Kind.EVACUATE: 1}
+ODD_KIND_WEIGHTS = {
+    Kind.ODD_HEARTBEAT: 4,
+    Kind.ODD_DEREGISTRATION: 1,
+    Kind.ODD_ENTRY: 3,
+    Kind.ODD_PERCENTS: 1,
+    Kind.ODD_ROW: 3,
+    Kind.REBIRTH: 1,
+}
+CALM_KINDS = frozenset({*ODD_KIND_WEIGHTS, Kind.EVACUATE}) - {Kind.REBIRTH}
+"""Kinds that do not disturb a deployment: it has to keep all bounds of time beside them."""
 LINK_MODES = [mode for mode in proxy.Mode if mode is not proxy.Mode.PASS]
 
 
--- a/tools/soak/runner.py
+++ b/tools/soak/runner.py
@@ -1,7 +1,9 @@
 """One run of the soak test: processes, callers, faults and checks."""
 
+import datetime
 import pathlib
 import queue
+import random
 import signal
 import threading
 import time
@@ -9,6 +11,7 @@
 from tools.soak import callers
 from tools.soak import checks
 from tools.soak import faults
+from tools.soak import odd_entries
 from tools.soak import proxy
 from tools.standin.users import deployment as deployments
 from tools.standin.users import worker
@@ -24,6 +27,10 @@
     2 * checks.CONTACT_SECONDS + checks.CANCEL_SECONDS + checks.STOP_SECONDS + 1.0
 )
 """Time after the last fault and cancellation by which no run of a cancelled job may be left."""
+HEARTBEAT_PATH = "/crocusrudder/Workers.Heartbeat"
+DEREGISTRATION_PATH = "/crocusrudder/Workers.Deregister"
+OTHER_WORKER = "w-other"
+"""Id of a worker that does not exist."""
 PROCESSES_PER_ROLE = 3
 """Number of entries, and of agents."""
 
@@ -32,6 +39,7 @@
     """The run of one seed."""
 
     def __init__(self, folder: pathlib.Path, seed: int, seconds: float) -> None:
+        self._folder = folder
         names = [
             f"{role}-{n + 1}" for role in ("entry", "agent") for n in range(PROCESSES_PER_ROLE)
         ]
@@ -50,17 +58,19 @@
             DATA_CENTRES,
             {"evacuation_ms": checks.EVACUATION_SECONDS * 1_000},
         )
+        self._odd_generator = random.Random(f"entries {seed}")
         self._callers = callers.Callers(self._deployment, seed)
         self._evacuations: list[checks.Evacuation] = []
         workers = [f"w-{name}" for name in self._deployment.agents]
         self._faults = sorted(
             faults.draw_faults(seed, seconds, names)
             + faults.draw_faults(f"workers {seed}", seconds, workers, faults.WORKER_KIND_WEIGHTS)
-            + faults.draw_faults(f"fleet {seed}", seconds, workers, faults.FLEET_KIND_WEIGHTS),
+            + faults.draw_faults(f"fleet {seed}", seconds, workers, faults.FLEET_KIND_WEIGHTS)
+            + faults.draw_faults(f"odd {seed}", seconds, workers, faults.ODD_KIND_WEIGHTS),
             key=lambda fault: fault.starts_at,
         )
         self._disturbances: list[checks.Span] = []
-        self._faulted_targets: set[str] = set()
+        self._faulted_targets: set[tuple[str, str]] = set()
         self._problems: queue.Queue[str] = queue.Queue()
 
     def run(self) -> list[str]:
@@ -86,8 +96,8 @@
             time.sleep(max(started_at + fault.starts_at - time.monotonic(), 0.0))
             if fault.kind is faults.Kind.EVACUATE:
                 fault = fault._replace(target=EVACUATED)
-            if fault.target not in self._faulted_targets:
-                self._faulted_targets.add(fault.target)
+            if _make_conflict_key(fault) not in self._faulted_targets:
+                self._faulted_targets.add(_make_conflict_key(fault))
                 pending.append(threading.Thread(target=self._inject_fault, args=(fault,)))
                 pending[-1].start()
         for thread in pending:
@@ -95,12 +105,15 @@
 
     def _inject_fault(self, fault: faults.Fault) -> None:
         began_at = time.monotonic()
+        self._log(f"{fault}")
         try:
             self._execute_fault(fault)
+        except AssertionError as error:
+            self._problems.put(f"FAULT: {fault.kind.value} of {fault.target}: {error}")
         finally:
-            if fault.kind is not faults.Kind.EVACUATE:
+            if fault.kind not in faults.CALM_KINDS:
                 self._disturbances.append(checks.Span(began_at, time.monotonic()))
-            self._faulted_targets.discard(fault.target)
+            self._faulted_targets.discard(_make_conflict_key(fault))
 
     def _execute_fault(self, fault: faults.Fault) -> None:
         deployment = self._deployment
@@ -139,6 +152,47 @@
                 deployment.set_worker_slowdown(name, 1.0)
             case faults.Kind.EVACUATE:
                 self._evacuate(name)
+            case faults.Kind.REBIRTH:
+                deployment.rebirth_worker(name)
+            case _:
+                self._add_odd_entry(fault)
+
+    def _add_odd_entry(self, fault: faults.Fault) -> None:
+        deployment = self._deployment
+        worker_name = fault.target
+        agent = worker_name.removeprefix("w-")
+        generator = self._odd_generator
+        match fault.kind:
+            case faults.Kind.ODD_HEARTBEAT:
+                own_id, heartbeat = deployment.read_heartbeat(worker_name)
+                worker_id = generator.choice([own_id, OTHER_WORKER])
+                variant, body = odd_entries.draw_heartbeat(generator, heartbeat)
+                status = deployment.call_agent(agent, f"{HEARTBEAT_PATH}/{worker_id}", body)
+                self._log(f"heartbeat {variant} of {worker_id} to {agent}: {status}")
+            case faults.Kind.ODD_DEREGISTRATION:
+                status = deployment.call_agent(agent, f"{DEREGISTRATION_PATH}/{OTHER_WORKER}", b"")
+                self._log(f"deregistration of {OTHER_WORKER} to {agent}: {status}")
+            case faults.Kind.ODD_ENTRY:
+                field, variant, entry = odd_entries.draw_entry(generator)
+                self._log(f"entry {variant} in {field} of {worker_name}")
+                deployment.set_odd_entry(worker_name, field, entry)
+                time.sleep(fault.duration_seconds)
+                deployment.set_odd_entry(worker_name, field, b"")
+            case faults.Kind.ODD_PERCENTS:
+                self._log(f"negative percents of {worker_name}")
+                deployment.set_odd_percents(worker_name, is_odd=True)
+                time.sleep(fault.duration_seconds)
+                deployment.set_odd_percents(worker_name, is_odd=False)
+            case faults.Kind.ODD_ROW:
+                row = odd_entries.draw_row(generator)
+                self._log(f"row {row}")
+                deployment.write_row(*row)
+                time.sleep(fault.duration_seconds)
+                deployment.write_row(row.table, row.key, None)
+
+    def _log(self, text: str) -> None:
+        with (self._folder / "faults.log").open("a") as log:
+            log.write(f"{datetime.datetime.now(datetime.UTC).isoformat()} {text}\n")
 
     def _evacuate(self, data_centre: str) -> None:
         self._deployment.set_evacuated(data_centre, evacuated=True)
@@ -188,3 +242,10 @@
             for run in self._deployment.list_runs()
         ):
             time.sleep(callers.QUERY_INTERVAL_SECONDS)
+
+
+def _make_conflict_key(fault: faults.Fault) -> tuple[str, str]:
+    """Return a key that two faults share if they may not overlap."""
+    if fault.kind in (faults.Kind.LINK, faults.Kind.STORE_DOWN, *faults.CALM_KINDS):
+        return fault.kind.value, fault.target
+    return "process", fault.target
--- a/tools/standin/users/deployment.py
+++ b/tools/standin/users/deployment.py
@@ -1,5 +1,6 @@
 """A deployment of entry and agent processes on the stand-in of the users' platform."""
 
+import base64
 import collections
 import http.client
 import itertools
@@ -214,6 +215,42 @@
         """Make a worker crash; a new incarnation follows at its address."""
         self._call(self.store_port, "PUT", f"/standin/crash/{worker}")
 
+    def rebirth_worker(self, worker: str) -> None:
+        """Make a worker crash; a new incarnation follows under the same id."""
+        self._call(self.store_port, "PUT", f"/standin/rebirth/{worker}")
+
+    def read_heartbeat(self, worker: str) -> tuple[str, dict]:
+        """Return the id of the current incarnation of a worker and its latest heartbeat."""
+        content = self._call(self.store_port, "GET", f"/standin/heartbeat/{worker}")[1]
+        return content["id"], content["heartbeat"]
+
+    def call_agent(self, agent: str, target: str, body: bytes) -> int:
+        """Call an agent on the address for heartbeats; the status is 0 if there is no response."""
+        connection = http.client.HTTPConnection(HOST, self.agents[agent][2], timeout=5.0)
+        try:
+            connection.request("POST", target, body, dict(platform_http.JSON_HEADERS))
+            return connection.getresponse().status
+        except (OSError, http.client.HTTPException):
+            return 0
+        finally:
+            connection.close()
+
+    def set_odd_entry(self, worker: str, field: str, entry: bytes) -> None:
+        """Add an entry to a list of runs of a worker's incarnation; an empty one removes it."""
+        encoded = base64.b64encode(entry).decode()
+        self._call(self.store_port, "PUT", f"/standin/odd-entry/{worker}/{field}", encoded)
+
+    def set_odd_percents(self, worker: str, is_odd: bool) -> None:
+        """Let a worker's incarnation list its runs with negative percents, or with valid ones."""
+        action = "odd-percents" if is_odd else "percents"
+        self._call(self.store_port, "PUT", f"/standin/{action}/{worker}")
+
+    def write_row(self, table: str, key: str, value: str | None) -> None:
+        """Write a row with a value that may be no base64, or remove it."""
+        row = {"table": table, "part": "", "key": key}
+        change = {"remove": [row]} if value is None else {"setKeys": [row | {"value": value}]}
+        self._call(self.store_port, "POST", "/crocusrudder/rows-tx", change)
+
     def set_worker_capacity(self, worker: str, millicores: int) -> None:
         """Change the capacity that the current incarnation of a worker reports."""
         self._call(self.store_port, "PUT", f"/standin/capacity/{worker}/{millicores}")
--- a/tools/standin/users/host.py
+++ b/tools/standin/users/host.py
@@ -57,11 +57,16 @@
         self._address = address
         self._worker_arguments = (service, address.agent_port, run_seconds, address.data_centre)
         self.incarnations: list[worker.UsersWorker] = []
+        self.keeps_id = False
+        """Whether the next incarnation starts under the id of the one before."""
 
     async def run(self) -> None:
         """Serve until cancelled."""
+        name = ""
         while True:
-            name = f"{self._address.name}-{len(self.incarnations) + 1}"
+            if not self.keeps_id:
+                name = f"{self._address.name}-{len(self.incarnations) + 1}"
+            self.keeps_id = False
             current = worker.UsersWorker(name, *self._worker_arguments)
             self.incarnations.append(current)
             server = _CrashableServer(HOST, self._address.port, current.handle)
--- a/tools/standin/users/platform.py
+++ b/tools/standin/users/platform.py
@@ -83,6 +83,21 @@
             case "PUT", ("standin", "crash", name):
                 await self._hosts[name].incarnations[-1].crashing.set()
                 return http_messages.make_json_response(200, {})
+            case "PUT", ("standin", "rebirth", name):
+                self._hosts[name].keeps_id = True
+                await self._hosts[name].incarnations[-1].crashing.set()
+                return http_messages.make_json_response(200, {})
+            case "GET", ("standin", "heartbeat", name):
+                current = self._hosts[name].incarnations[-1]
+                content = {"id": current.name, "heartbeat": current.make_heartbeat()}
+                return http_messages.make_json_response(200, content)
+            case "PUT", ("standin", "odd-entry", name, field):
+                entry = base64.b64decode(msgspec.json.decode(request.body))
+                self._hosts[name].incarnations[-1].set_odd_entry(field, entry)
+                return http_messages.make_json_response(200, {})
+            case "PUT", ("standin", "odd-percents" | "percents" as action, name):
+                self._hosts[name].incarnations[-1].set_odd_percents(action == "odd-percents")
+                return http_messages.make_json_response(200, {})
             case "PUT", ("standin", "capacity", name, millicores):
                 self._hosts[name].incarnations[-1].set_capacity(int(millicores))
                 return http_messages.make_json_response(200, {})
--- a/tools/standin/users/worker.py
+++ b/tools/standin/users/worker.py
@@ -54,12 +54,19 @@
         self._ended: list[list] = []
         self._last_end_number = 0
         self._highest_run_numbers: dict[str, int] = {}
+        self._odd_entries: dict[str, bytes] = {}
+        self._has_odd_percents = False
+        self._sequence = 0
         self._capacities = [(self._born_at, FULL_MILLICORES)]
         self.crashing = curio.Event()
         self.started_runs: list[RunKey] = []
         self.history: dict[RunKey, dict] = {}
         """Start, end and outcome of each run, in seconds on a clock that all processes share."""
 
+    @property
+    def name(self) -> str:
+        return self._name
+
     @property
     def clock_ms(self) -> int:
         """Return the milliseconds since the worker was created."""
@@ -76,6 +83,26 @@
         """
         self._slowdown = factor
 
+    def set_odd_entry(self, field: str, entry: bytes) -> None:
+        """Add an entry to a list of runs; an empty one removes it."""
+        self._odd_entries[field] = entry
+
+    def set_odd_percents(self, is_odd: bool) -> None:
+        """List all runs with a negative percent."""
+        self._has_odd_percents = is_odd
+
+    def make_heartbeat(self) -> dict:
+        """Return the content of the latest heartbeat."""
+        return {
+            "service": self._service,
+            "zone": self._data_centre,
+            "state": "ready",
+            "seq": self._sequence,
+            "born": self._born_ms,
+            "capacity": {"cpu": self._capacities[-1][1], "memMb": 32_000, "gpu": 0},
+            "labels": ["a", "r1"],
+        }
+
     def end_all(self, how: str) -> None:
         """End all runs."""
         for run in list(self._running):
@@ -112,28 +139,18 @@
     async def run(self) -> None:
         """Advance the runs and send heartbeats until cancelled."""
         client = http.HttpClient.from_config(http.HttpConfig(2))
-        sequence = 0
         next_heartbeat_at = 0.0
         while True:
             self._advance()
             if time.monotonic() >= next_heartbeat_at:
                 next_heartbeat_at = time.monotonic() + HEARTBEAT_SECONDS
-                sequence += 1
-                await self._send_heartbeat(client, sequence)
+                self._sequence += 1
+                await self._send_heartbeat(client)
             await curio.sleep(POLL_SECONDS)
 
-    async def _send_heartbeat(self, client: http.HttpClient, sequence: int) -> None:
-        content = {
-            "service": self._service,
-            "zone": self._data_centre,
-            "state": "ready",
-            "seq": sequence,
-            "born": self._born_ms,
-            "capacity": {"cpu": self._capacities[-1][1], "memMb": 32_000, "gpu": 0},
-            "labels": ["a", "r1"],
-        }
+    async def _send_heartbeat(self, client: http.HttpClient) -> None:
         target = f"/crocusrudder/Workers.Heartbeat/{self._name}"
-        body = msgspec.json.encode(content)
+        body = msgspec.json.encode(self.make_heartbeat())
         request = effects.EndpointRequest("POST", target, http.JSON_HEADERS, body)
         try:
             await client.call("127.0.0.1", self._agent_port, request, 1.0)
@@ -188,7 +205,10 @@
         running = [
             [task, run, "", self._get_percent((task, run)), 1_000] for task, run in self._running
         ]
-        return self._respond(200, running=running, ended=self._ended)
+        lists = {"running": running, "ended": self._ended}
+        odd = {field: [msgspec.Raw(entry)] for field, entry in self._odd_entries.items() if entry}
+        content = {field: odd.get(field, []) + entries for field, entries in lists.items()}
+        return self._respond(200, **content)
 
     def _advance(self) -> None:
         now = time.monotonic()
@@ -199,6 +219,8 @@
                 self._end(run, "done")
 
     def _get_percent(self, run: RunKey) -> int:
+        if self._has_odd_percents:
+            return -1
         begun_at, ends_at = self.history[run]["begin"], self._running[run]
         left = max(ends_at - time.monotonic(), 0.0)
         return max(round(100 * (1 - left / (ends_at - begun_at))), 0)
