--- a/crocusrudder/workflows/agent_daemon.py
+++ b/crocusrudder/workflows/agent_daemon.py
@@ -2,6 +2,7 @@
 
 import secrets
 import signal
+from collections.abc import Callable
 
 import curio
 
@@ -27,6 +28,7 @@
 from crocusrudder.workflows import model
 from crocusrudder.workflows import rows
 from crocusrudder.workflows import settings
+from crocusrudder.workflows import worker_prober
 
 POLL_WAIT_SECONDS = 0.5
 """Longest time the worker waits for an end before it responds; measurements cover half a second."""
@@ -34,9 +36,17 @@
 UNACKNOWLEDGED_POLL_SECONDS = 0.04
 """Interval between polls while ends are not durable yet, which takes about 0.05 s."""
 RETRY_DELAY_SECONDS = 0.1
+MAX_STOP_DELAY_SECONDS = 0.4
+"""Greatest delay between attempts to stop a run, each of which takes a log line if it fails."""
 OWNER_READ_INTERVAL_SECONDS = 0.7
 """Interval at which the owner's row is read while the owner is unresponsive."""
-MAX_CONCURRENT_CALLS = 8
+MAX_STARTS = 8
+"""Starts and changes of CPU shares in progress; each may take ``worker.CALL_TIMEOUT_SECONDS``."""
+MAX_BLOCKS = 4
+"""Stops of unanswered starts in progress."""
+MAX_STOPS = 16
+"""Ordered stops in progress. They have their own limit, so that the run of a cancelled job does not
+go on while calls without a response take up the others."""
 CLOSE_TIMEOUT_SECONDS = 0.5
 """Grace period for requests in flight at shutdown; heartbeats take some milliseconds."""
 
@@ -54,11 +64,14 @@
         self._worker = worker.WorkerClient(document.worker_address)
         self._state = agent_state.AgentState(document.lease_max_ms / 1_000, clocks.read_boot_time())
         self._owner: ids.ProcessId | None = None
+        self._prober = worker_prober.WorkerProber(self._state, self._worker, self._handle_probe)
         self._updates = curio.Event()
         self._acknowledgements = curio.Event()
         self._worker_log = logs.DependencyMonitor("worker")
         self._store_log = logs.DependencyMonitor("owner_row")
-        self._calls = curio.Semaphore(MAX_CONCURRENT_CALLS)
+        self._start_calls = curio.Semaphore(MAX_STARTS)
+        self._block_calls = curio.Semaphore(MAX_BLOCKS)
+        self._stop_calls = curio.Semaphore(MAX_STOPS)
 
     async def run(self) -> None:
         """Serve until a stop signal; runs continue until their leases expire."""
@@ -71,6 +84,7 @@
         async with curio.TaskGroup(wait=any) as group:
             await group.spawn(self._link.receive_forever, self._deliver)
             await group.spawn(self._link.retry_forever)
+            await group.spawn(self._prober.run_forever)
             await group.spawn(self._poll_runs_forever)
             await group.spawn(self._report_forever)
             await group.spawn(self._find_owner_forever)
@@ -91,16 +105,15 @@
         heartbeat_match = heartbeats.HEARTBEAT_PATH.fullmatch(request.target)
         deregistration_match = heartbeats.DEREGISTER_PATH.fullmatch(request.target)
         if deregistration_match:
-            self._state.handle_deregistration(deregistration_match[1], clocks.read_boot_time())
-            self._log("worker_signed_off", worker=deregistration_match[1])
-            await curio.spawn(
-                self._report_after, agent_state.DEREGISTRATION_TIMEOUT_SECONDS, daemon=True
-            )
+            await self._handle_deregistration(deregistration_match[1])
         elif heartbeat_match:
             try:
                 heartbeat = heartbeats.decode_heartbeat(heartbeat_match[1], request.body)
             except errors.MalformedInputError as error:
-                self._log("heartbeat_unreadable", **error.to_dict())
+                self._state.identity.record_unreadable(
+                    heartbeat_match[1], str(error), clocks.read_boot_time()
+                )
+                self._perform_effects()
                 return http_messages.make_json_response(400, error.to_dict())
             await self._handle_heartbeat(heartbeat)
         else:
@@ -108,19 +121,48 @@
         return http_messages.make_json_response(200, {})
 
     async def _handle_heartbeat(self, heartbeat: heartbeats.Heartbeat) -> None:
-        state = heartbeat.state
-        if self._state.handle_heartbeat(state, heartbeat.sequence, clocks.read_boot_time()):
-            self._log(
-                "worker_seen",
-                worker=state.worker,
-                born_ms=state.born_ms,
-                draining=state.draining,
-                cold=state.cold,
-                capacity=state.capacity.millicores,
-                memory_mb=state.capacity.memory_mb,
-                accelerators=state.capacity.accelerators,
-            )
-            await self._updates.set()
+        now = clocks.read_boot_time()
+        if self._state.handle_heartbeat(heartbeat.state, heartbeat.sequence, now):
+            await self._report_worker()
+        await self._prober.notify(now)
+        self._perform_effects()
+
+    async def _handle_deregistration(self, worker_id: str) -> None:
+        if not self._state.handle_deregistration(worker_id, clocks.read_boot_time()):
+            self._metrics.count("deregistrations_ignored")
+            return
+        self._log("worker_signed_off", worker=worker_id)
+        await curio.spawn(
+            self._report_after, agent_state.DEREGISTRATION_TIMEOUT_SECONDS, daemon=True
+        )
+
+    async def _handle_probe(self, is_followed: bool) -> None:
+        if is_followed:
+            await self._report_worker()
+        self._perform_effects()
+
+    async def _report_worker(self) -> None:
+        state = self._state.current_worker
+        self._log(
+            "worker_seen",
+            worker=state.worker,
+            born_ms=state.born_ms,
+            draining=state.draining,
+            cold=state.cold,
+            capacity=state.capacity.millicores,
+            memory_mb=state.capacity.memory_mb,
+            accelerators=state.capacity.accelerators,
+        )
+        await self._updates.set()
+
+    def _perform_effects(self) -> None:
+        """Perform the effects of heartbeats and probes."""
+        for effect in self._state.identity.drain_effects():
+            match effect:
+                case effects.Count():
+                    self._metrics.count(effect.name, effect.amount)
+                case effects.LogChange():
+                    logs.write_change(effect)
 
     # Orders of the owner
 
@@ -165,7 +207,7 @@
     ) -> None:
         run = (order.task, order.run)
         try:
-            async with self._calls:
+            async with self._start_calls:
                 rejected = await self._call_start(orders, order)
         except errors.PlatformError as error:
             self._record_call_failure(orders.worker, error)
@@ -209,21 +251,47 @@
 
         Attempts end once the worker accepts one, or has no lease or another incarnation.
         """
-        while self._state.is_starting(run) and not await self._stop(orders, run):
-            await curio.sleep(RETRY_DELAY_SECONDS)
+        await self._stop_while(self._state.is_starting, orders, run, self._block_calls)
+
+    async def _stop(self, orders: workflow_messages.AgentOrders, run: model.RunKey) -> None:
+        """Carry out an ordered stop.
+
+        Attempts end once the worker accepts one or lists the end, or has no lease or another
+        incarnation.
+        """
+        try:
+            await self._stop_while(self._state.is_stopping, orders, run, self._stop_calls)
+        finally:
+            self._state.record_stop_failure(run)
 
-    async def _stop(self, orders: workflow_messages.AgentOrders, run: model.RunKey) -> bool:
-        """Stop a run; return whether the worker accepted the order."""
+    async def _stop_while(
+        self,
+        is_needed: Callable[[model.RunKey], bool],
+        orders: workflow_messages.AgentOrders,
+        run: model.RunKey,
+        limit: curio.Semaphore,
+    ) -> None:
+        delay = RETRY_DELAY_SECONDS
+        while is_needed(run) and not await self._try_stop(orders, run, limit):
+            await curio.sleep(delay)
+            delay = min(2 * delay, MAX_STOP_DELAY_SECONDS)
+
+    async def _try_stop(
+        self, orders: workflow_messages.AgentOrders, run: model.RunKey, limit: curio.Semaphore
+    ) -> bool:
+        """Make one attempt to stop a run; return whether the worker accepted it."""
         accepted = False
         try:
-            async with self._calls:
-                accepted = await self._worker.stop(orders.worker, *run, orders.epoch)
+            async with limit:
+                # The worker refuses the epoch of an owner that has been replaced since the order.
+                epoch = self._state.epoch
+                accepted = await self._worker.stop(orders.worker, *run, epoch)
         except errors.PlatformError as error:
             self._record_call_failure(orders.worker, error)
             self._log("stop_unanswered", task=run[0], run=run[1], error=str(error))
-            self._state.record_stop_failure(run)
+            self._metrics.count("stops_unanswered")
         else:
-            self._log("run_stopped", task=run[0], run=run[1], taken=accepted, epoch=orders.epoch)
+            self._log("run_stopped", task=run[0], run=run[1], taken=accepted, epoch=epoch)
             self._state.record_stop_result(run, accepted, clocks.read_boot_time())
         await self._updates.set()
         return accepted
@@ -233,7 +301,7 @@
     ) -> None:
         task, run, percent = cpu_share
         try:
-            async with self._calls:
+            async with self._start_calls:
                 accepted = await self._worker.set_cpu_share(
                     orders.worker, task, run, percent, orders.epoch
                 )
@@ -283,6 +351,8 @@
             self._worker_log.record(False, str(error))
             return False
         self._worker_log.record(True)
+        if listed is not None and listed.unreadable:
+            self._metrics.count("list_entries_unreadable", listed.unreadable)
         if listed is None:
             self._log("owner_superseded", epoch=epoch)
             return False
@@ -337,6 +407,7 @@
         if self._owner is not None:
             self._link.reconnect(self._owner)
         self._owner = row.holder
+        self._prober.record_row_epoch(row.epoch)
         self._link.record_address(row.holder, row.address)
         if self._document.process not in row.lost:
             self._state.record_grant(row.epoch, requested_at)
@@ -344,7 +415,12 @@
 
     def _dump(self) -> dict[str, object]:
         report = self._state.make_report(self._document.data_centre, clocks.read_boot_time())
-        return {"process": self._document.process, "owner": self._owner, "report": report}
+        return {
+            "process": self._document.process,
+            "owner": self._owner,
+            "report": report,
+            "heartbeats": self._state.identity.describe(),
+        }
 
     def _log(self, name: str, **fields: object) -> None:
         logs.write_change(effects.LogChange(name, fields))
--- a/crocusrudder/workflows/agent_state.py
+++ b/crocusrudder/workflows/agent_state.py
@@ -4,19 +4,25 @@
 follows from the last lease grant, and whether an order is recent enough to be executed.
 """
 
+from collections.abc import Set
+
 import msgspec
 
 from crocusrudder.core import ids
 from crocusrudder.platform import worker
 from crocusrudder.wire import workflow_messages
 from crocusrudder.workflows import leases
+from crocusrudder.workflows import list_completeness
 from crocusrudder.workflows import model
+from crocusrudder.workflows import worker_identity
 from crocusrudder.workflows.decisions import crash_evidence
 
 REACHABLE_SECONDS = 1.5
 """Greatest age of the last response of a reachable worker; lists are requested every 1 s."""
 REJECTION_RETENTION_SECONDS = 5.0
 """Time for which reports repeat a rejection."""
+STOP_REPEAT_SECONDS = 1.0
+"""Time after an accepted stop from which an order of the owner repeats it; a stop takes 0.2 s."""
 DEREGISTRATION_TIMEOUT_SECONDS = 0.7
 """Time without a response after which a deregistered worker has ended; calls take 0.5 s at most."""
 MAX_ORDERS_REMEMBERED = 4_096
@@ -30,8 +36,7 @@
 
     def __init__(self, lease_seconds: float, now: float) -> None:
         self._lease_seconds = min(leases.LEASE_SECONDS, lease_seconds)
-        self._worker: workflow_messages.WorkerState | None = None
-        self._sequence = -1
+        self._identity = worker_identity.WorkerIdentity()
         # An earlier agent process may have known of a greater capacity than this one.
         self._capacity_shrunk_at = now
         self._epoch = 0
@@ -48,21 +53,30 @@
         self._listed_at = float("-inf")
         self._list_received_at = now
         self._listed_ends: tuple[int, ...] = ()
+        self._has_unreadable = False
+        self._completeness = list_completeness.ListCompleteness()
         self._poll_failed_at = float("-inf")
         self._rejected: dict[model.RunKey, tuple[str, float]] = {}
         self._received: dict[model.RunKey, bool] = {}
+        self._stopping: set[model.RunKey] = set()
+        """Runs of which the agent itself repeats the stop until the worker accepts it."""
         self._stopped: dict[model.RunKey, float] = {}
+        """When the worker accepted the stop of a run."""
         self._blocked: dict[model.RunKey, float] = {}
         self._orders_seen = 0
         self._acknowledged = 0
         self._owner_heard_at = float("-inf")
-        self._deregistered_at: float | None = None
         self._crash_monitor = crash_evidence.CrashMonitor()
 
     @property
     def current_worker(self) -> workflow_messages.WorkerState | None:
         """Return the state that the current worker sent last; None before the first heartbeat."""
-        return self._worker
+        return self._identity.followed
+
+    @property
+    def identity(self) -> worker_identity.WorkerIdentity:
+        """Return which worker is current, and the candidates to replace it."""
+        return self._identity
 
     @property
     def epoch(self) -> int:
@@ -96,13 +110,17 @@
 
     @property
     def has_unacknowledged_ends(self) -> bool:
-        """Return whether the last list holds ends that are not durable yet."""
-        return bool(self._ended)
+        """Return whether the last list holds ends that are not durable yet or cannot be read."""
+        return bool(self._ended) or self._has_unreadable
 
     def is_starting(self, run: model.RunKey) -> bool:
         """Return whether the outcome of a start is unknown and no stop of it was answered."""
         return run in self._starting
 
+    def is_stopping(self, run: model.RunKey) -> bool:
+        """Return whether an ordered stop has been neither accepted nor made obsolete by an end."""
+        return run in self._stopping
+
     def is_owner_unresponsive(self, now: float) -> bool:
         """Return whether the owner has to be looked up in the store."""
         return now - self._owner_heard_at >= leases.OWNER_TIMEOUT_SECONDS
@@ -110,32 +128,36 @@
     def handle_heartbeat(
         self, state: workflow_messages.WorkerState, sequence: int, now: float
     ) -> bool:
-        """Apply a heartbeat; return whether it changes the known state."""
-        known = self._worker
-        if known is not None and known.incarnation == state.incarnation:
-            if sequence <= self._sequence:
-                return False
-            self._sequence = sequence
-            self._worker = state
-            if not known.capacity.is_within(state.capacity):
-                self._capacity_shrunk_at = now
-            return known != state
-        if known is not None and state.born_ms < known.born_ms:
-            # A delayed heartbeat of an earlier incarnation.
+        """Apply a heartbeat; return whether it changes the known state.
+
+        That of an incarnation other than the current one changes nothing until the worker has
+        answered a probe of it (see ``worker_identity``).
+        """
+        known = self.current_worker
+        self._identity.handle_heartbeat(state, sequence, now)
+        current = self.current_worker
+        if current is None or known == current:
+            return False
+        if not known.capacity.is_within(current.capacity):
+            self._capacity_shrunk_at = now
+        return True
+
+    def record_probe_answer(
+        self, incarnation: worker_identity.Incarnation, born_ms: int, now: float
+    ) -> bool:
+        """Record a worker's response to a probe; return whether it is the current one now."""
+        known = self.current_worker
+        has_deregistered = self._identity.deregistered_at is not None
+        if not self._identity.record_probe_answer(incarnation, born_ms, now):
             return False
-        self._worker = state
-        self._sequence = sequence
         if known is not None:
-            has_deregistered = self._deregistered_at is not None
             self._crash_monitor.handle_replacement(known, has_deregistered, now)
             self._start_incarnation(now)
         return True
 
-    def handle_deregistration(self, worker_id: str, now: float) -> None:
-        """Record that a worker is ending, and all its runs with it."""
-        if self._worker is not None and self._worker.worker == worker_id:
-            self._worker = msgspec.structs.replace(self._worker, draining=True)
-            self._deregistered_at = now
+    def handle_deregistration(self, worker_id: str, now: float) -> bool:
+        """Record that a worker is ending with its runs; return whether it is the current one."""
+        return self._identity.handle_deregistration(worker_id, now)
 
     def record_grant(self, epoch: int, requested_at: float) -> None:
         """Record that the owner's row granted renewals as of a time on the agent's clock.
@@ -158,7 +180,7 @@
             self._epoch = orders.epoch
         self._owner_heard_at = now
         self._granted_at = max(self._granted_at, orders.echo)
-        current = self._worker
+        current = self.current_worker
         if now - orders.echo > leases.ORDER_VALID_SECONDS or current is None:
             return None
         if current.incarnation != (orders.worker, orders.born_ms):
@@ -170,22 +192,12 @@
         )
         for order in starts:
             self._record_received((order.task, order.run), is_stop=False)
-        stops = tuple(run for run in orders.stops if run not in self._stopped)
+        stops = tuple(run for run in orders.stops if self._is_stop_due(run, now))
         for run in stops:
             self._record_received(run, is_stop=True)
             self._rejected.pop(run, None)
-            self._stopped[run] = now
-        return workflow_messages.AgentOrders(
-            orders.epoch,
-            orders.number,
-            orders.echo,
-            orders.worker,
-            orders.born_ms,
-            starts,
-            stops,
-            orders.paces,
-            orders.acknowledged,
-        )
+            self._stopping.add(run)
+        return msgspec.structs.replace(orders, starts=starts, stops=stops)
 
     def find_rejection(
         self, order: workflow_messages.StartOrder, echo: float, now: float
@@ -197,6 +209,9 @@
         """
         if now - echo > leases.ORDER_VALID_SECONDS:
             return model.RejectReason.NOT_READY
+        if self._received.get((order.task, order.run)):
+            # The stop of the run was received while the start waited for its turn.
+            return model.RejectReason.STALE_RUN
         if order.planned_on < self._capacity_shrunk_at:
             return model.RejectReason.NO_CAPACITY
         if self._may_have_restarted:
@@ -223,21 +238,21 @@
             self._rejected[run] = (rejected.value, now)
 
     def record_stop_result(self, run: model.RunKey, accepted: bool, now: float) -> None:
-        """Record the response to a stop; a stop that was not accepted may be repeated.
+        """Record the response to a stop; one that was not accepted had no effect.
 
         The next list shows what became of the run: it is still stopping, has ended, or will never
         start.
         """
-        self._starting.discard(run)
         if accepted:
+            self._starting.discard(run)
+            self._stopping.discard(run)
+            self._stopped[run] = now
             self._blocked[run] = now
             self._crash_monitor.record_start_blocked(run)
-        else:
-            self._stopped.pop(run, None)
 
     def record_stop_failure(self, run: model.RunKey) -> None:
-        """Record that a stop was not answered; it may be repeated after the next list."""
-        self._stopped[run] = float("-inf")
+        """Record that the agent no longer repeats a stop; the owner's next order repeats it."""
+        self._stopping.discard(run)
 
     def get_lease_end_ms(self, now: float) -> int | None:
         """Return the end of the lease on the worker's clock; None if it cannot be renewed.
@@ -269,6 +284,10 @@
         self._responded_at = now
         self._listed_epoch = epoch
         listed_runs = {(entry.task, entry.run): entry for entry in listed.running}
+        ended_runs = {(entry.task, entry.run) for entry in listed.ended}
+        self._has_unreadable = listed.unreadable > 0
+        self._completeness.record(listed.is_complete, now)
+        may_miss_runs = self._completeness.may_miss_runs(now)
         ended = {entry.number: entry for entry in listed.ended}
         self._listed_ends = tuple(ended)
         self._ended = {
@@ -277,14 +296,16 @@
         self._started = {
             run: at
             for run, at in self._started.items()
-            if at > requested_at and not self._is_listed_as_ended(run)
+            if (at > requested_at or may_miss_runs) and run not in ended_runs
         }
         # The response to the start of a run that has ended may arrive after the end.
-        self._starting.difference_update((entry.task, entry.run) for entry in listed.ended)
-        self._running = listed_runs
-        ended_runs = {(entry.task, entry.run) for entry in listed.ended}
+        self._starting -= ended_runs
+        self._stopping -= ended_runs
+        earlier = self._running if may_miss_runs else {}
+        present = {run: entry for run, entry in earlier.items() if run not in ended_runs}
+        self._running = present | listed_runs
         self._crash_monitor.record_list(set(listed_runs), ended_runs, requested_at, now)
-        self._resolve_blocked(requested_at, now)
+        self._resolve_blocked(listed_runs.keys(), requested_at, now)
         self._discard_old(now)
         return before != (tuple(self._running), tuple(self._ended), self._listed_epoch)
 
@@ -303,7 +324,7 @@
         self, worker_id: ids.WorkerId, is_connection_closed: bool, now: float
     ) -> None:
         """Record that a call to a worker failed, and whether its machine closed the connection."""
-        known = self._worker
+        known = self.current_worker
         if is_connection_closed and known is not None and known.worker == worker_id:
             self._crash_monitor.record_connection_closed(now)
 
@@ -323,7 +344,7 @@
             now,
             self._listed_epoch,
             self._orders_seen,
-            self._worker,
+            self.current_worker,
             now - self._responded_at < REACHABLE_SECONDS,
             expired,
             (*self._running.values(), *unlisted),
@@ -336,17 +357,26 @@
             has_ended,
             now - self._list_received_at,
             self._crash_monitor.list_crashes(now),
+            self._completeness.is_incomplete,
         )
 
-    def _resolve_blocked(self, requested_at: float, now: float) -> None:
+    def _resolve_blocked(self, listed: Set[model.RunKey], requested_at: float, now: float) -> None:
         """Reject stopped runs that are missing from a list requested after the stop."""
+        # An incomplete list does not show that a run has ended, but the time since the stop does.
+        if self._completeness.is_incomplete:
+            requested_at = min(requested_at, now - leases.STOP_TIMEOUT_SECONDS)
         resolved = [run for run, stopped_at in self._blocked.items() if stopped_at < requested_at]
         for run in resolved:
             del self._blocked[run]
-            if run not in self._running and not self._is_listed_as_ended(run):
+            if run not in listed and not self._is_listed_as_ended(run):
                 self._started.pop(run, None)
+                self._running.pop(run, None)
                 self._rejected[run] = (model.RejectReason.NO_RESPONSE.value, now)
 
+    def _is_stop_due(self, run: model.RunKey, now: float) -> bool:
+        stopped_at = self._stopped.get(run, float("-inf"))
+        return run not in self._stopping and now - stopped_at >= STOP_REPEAT_SECONDS
+
     def _is_lease_expired(self, now: float) -> bool:
         """Return whether the worker cannot be running anything."""
         # An unanswered start carries the end of the lease, so the run cannot start after that.
@@ -355,11 +385,10 @@
 
     def _has_worker_ended(self, now: float) -> bool:
         """Return whether the worker has deregistered and no longer responds."""
-        if self._deregistered_at is None:
+        at = self._identity.deregistered_at
+        if at is None:
             return False
-        return (
-            now - max(self._deregistered_at, self._responded_at) >= DEREGISTRATION_TIMEOUT_SECONDS
-        )
+        return now - max(at, self._responded_at) >= DEREGISTRATION_TIMEOUT_SECONDS
 
     def _is_listed_as_ended(self, run: model.RunKey) -> bool:
         return any((entry.task, entry.run) == run for entry in self._ended.values())
@@ -378,17 +407,18 @@
         self._running = {}
         self._started = {}
         self._starting = set()
+        self._stopping = set()
         self._blocked = {}
 
     def _start_incarnation(self, now: float) -> None:
         self._clear_runs()
         self._clock = None
-        self._deregistered_at = None
         self._listed_epoch = 0
         self._responded_at = float("-inf")
         self._lease_until = now
         self._ended = {}
         self._listed_ends = ()
+        self._completeness = list_completeness.ListCompleteness()
         self._rejected = {}
         self._stopped = {}
         self._acknowledged = 0
--- a/crocusrudder/workflows/entry_daemon.py
+++ b/crocusrudder/workflows/entry_daemon.py
@@ -186,6 +186,13 @@
             return
         if self._configuration and configuration.version <= self._configuration.version:
             return
+        if configuration.unreadable:
+            # A queue that cannot be read may be one of those that are known.
+            known = self._configuration or model.Configuration()
+            configuration = configuration.add_known(known)
+            failure = errors.MalformedInputError("; ".join(configuration.unreadable))
+            self._metrics.count("configuration_items_unreadable", len(configuration.unreadable))
+            self._log("configuration_unreadable", **failure.to_dict())
         self._configuration = configuration
         self._log(
             "configuration_taken", version=configuration.version, queues=len(configuration.queues)
@@ -216,9 +223,8 @@
         started_at = clocks.read_boot_time()
         try:
             found = await self._client.read_row(rows.CONTROL_TABLE, rows.OWNER_KEY)
-            row = rows.decode_owner(found.value) if found else None
+            row = self._decode_owner(found)
             version = found.version if found else 0
-            self._record_owner(row)
             if not challenger.observe(row, version, started_at):
                 return None
             cores = self._document.cores
@@ -240,11 +246,25 @@
             self._log("claim_failed", error=str(error))
             challenger.reset()
             return None
-        except workflow_errors.UnreadableRowError as error:
-            self._log("row_unreadable", key=rows.OWNER_KEY, error=str(error))
-            return None
         return ownership.OwnershipLease(claim, version, started_at)
 
+    def _decode_owner(self, found: store.StoreRow | None) -> rows.OwnerRow | None:
+        """Return the owner's row and record its holder; one that cannot be read has no holder.
+
+        Such a row is claimed like that of a silent owner. Otherwise nobody could ever own the
+        workers again. The owner that wrote it earlier ends with its next commit.
+        """
+        if found is None:
+            return None
+        try:
+            row = rows.decode_owner(found.value)
+        except workflow_errors.UnreadableRowError as error:
+            self._metrics.count("rows_unreadable")
+            self._log("row_unreadable", table=found.table, key=found.key, **error.to_dict())
+            return rows.make_unknown_owner(found.version)
+        self._record_owner(row)
+        return row
+
     async def _register(self) -> None:
         """Store this entry's address, so that each new owner can send it hellos."""
         address = self._document.peer_address.encode()
@@ -301,11 +321,13 @@
             if self._owner == self._document.process:
                 self._owner = None
 
-    def _record_owner(self, row: rows.OwnerRow | None) -> None:
-        if row is None or row.released or row.holder == self._document.process:
+    def _record_owner(self, row: rows.OwnerRow) -> None:
+        if row.released or row.holder == self._document.process:
             return
         self._link.record_address(row.holder, row.address)
         self._owner = row.holder
+        # The store decides: a hello may have claimed an epoch that does not exist.
+        self._owner_epoch = row.epoch
         self._send_hello()
 
     async def _send_hellos_forever(self) -> None:
@@ -340,7 +362,8 @@
                 await curio.spawn(self._handle_job_call, sender, message, daemon=True)
             case workflow_messages.JobAnswer():
                 waiting = self._open_calls.get(message.call)
-                if waiting is not None:
+                # A second answer would block the receiver, as its caller may have left.
+                if waiting is not None and not waiting.full():
                     await waiting.put(calls.Outcome(message.outcome))
 
     def _handle_owner_hello(
--- a/crocusrudder/workflows/fleet.py
+++ b/crocusrudder/workflows/fleet.py
@@ -12,6 +12,7 @@
 from crocusrudder.wire import workflow_messages
 from crocusrudder.workflows import job_registry
 from crocusrudder.workflows import leases
+from crocusrudder.workflows import list_completeness
 from crocusrudder.workflows import model
 from crocusrudder.workflows import waiting_reasons
 
@@ -36,6 +37,8 @@
         "is_adopted",
         "is_comparable",
         "is_far",
+        "is_ignored",
+        "listed_at",
         "checkpoint",
         "order_echo",
         "order_number",
@@ -44,6 +47,7 @@
         "planned_on",
         "run",
         "stop_number",
+        "stop_seen_at",
         "task",
         "task_name",
         "ticket",
@@ -60,10 +64,16 @@
         """Number of the first orders with the start; 0 if none were sent."""
         self.stop_number = 0
         """Number of the first orders with the stop; 0 if none were sent."""
+        self.stop_seen_at: float | None = None
+        """When the first report confirmed the stop of a run whose task is unknown."""
+        self.is_ignored = False
+        """Whether the run's task is unknown and it is listed long after its stop."""
         self.order_echo = float("-inf")
         """``sent_at`` of the report that the last orders with the start echoed; infinite if an
         earlier process of the agent may have received them."""
         self.ordered_at = 0.0
+        self.listed_at = 0.0
+        """When a report last listed the run as running."""
         self.checkpoint = ""
         self.ticket = ""
         self.planned_on = float("inf")
@@ -115,7 +125,9 @@
     best_effort_by_image: dict[str, int] = {}
     """Millicores requested by the runs in ``best_effort``."""
     has_unknown: bool = False
-    """Whether a run's task is unknown, and so is what it takes; such a run is being stopped."""
+    """Whether a run's task is unknown, and so is what it takes; such a run is being stopped.
+
+    False once the stop has had no effect for ``reports.UNKNOWN_RUN_SECONDS``."""
 
 
 class AgentView:
@@ -132,6 +144,7 @@
         self.is_reachable = False
         self.is_reconciled = False
         """Whether the worker's runs have been reported under the current ownership epoch."""
+        self.list_completeness = list_completeness.ListCompleteness()
         self.address = ""
         self.registered_address = ""
         """The agent's address in its stored roster row; empty without a row."""
@@ -159,6 +172,8 @@
         self.sent_at = 0.0
         self.last_processed_end = 0
         self.last_durable_end = 0
+        self.runs_left_out: set[model.RunKey] = set()
+        """Listed runs that no owner can have ordered and that have been logged."""
         self.blocked_until = 0.0
         self.set_aside_until = 0.0
         """Until when the worker counts as faulty; see ``health.select_set_aside``."""
@@ -287,6 +302,11 @@
             self.has_updates = True
             self._usage = None
 
+    def ignore_run(self, assignment: Assignment) -> None:
+        """Give starts to the worker despite a run of an unknown task."""
+        assignment.is_ignored = True
+        self._usage = None
+
     def take_changed_cpu_shares(self, now: float) -> tuple[tuple[str, int, int], ...]:
         """Return the CPU shares to send, by task and run, and record them as sent.
 
@@ -316,7 +336,7 @@
     has_unknown = False
     for assignment in assignments:
         if assignment.task is None:
-            has_unknown = True
+            has_unknown = has_unknown or not assignment.is_ignored
             continue
         spec = assignment.task.stage.spec
         demand = spec.demand
--- a/crocusrudder/workflows/leases.py
+++ b/crocusrudder/workflows/leases.py
@@ -12,6 +12,14 @@
 A lease never extends more than ``LEASE_SECONDS`` beyond the grant; 0.3 s covers the drift of the
 agents' clocks."""
 
+INCOMPLETE_LIST_SECONDS = LEASE_EXPIRY_SECONDS
+"""Time for which a run that an incomplete list of its worker does not name counts as present.
+
+A new owner waits as long for an agent that is silent."""
+
+STOP_TIMEOUT_SECONDS = 3.0
+"""Time after an accepted stop at which the run has certainly ended; workers take 0.9 s at most."""
+
 ORDER_VALID_SECONDS = 2.0
 """Greatest age, on the agent's clock, of the report that orders are based on."""
 
@@ -19,6 +27,12 @@
 """Time for which an unconfirmed start is repeated, enough for one repetition. With the validity of
 an order and the interval of reports, its task is placed again about 3 s after the first order."""
 
+START_EXPIRY_SECONDS = START_REPEAT_SECONDS + ORDER_VALID_SECONDS + LEASE_EXPIRY_SECONDS
+"""Time after the first order of a start from which it can no longer begin.
+
+The agent calls the worker while the last order is valid, and the call names the end of the lease at
+that time, after which the worker refuses it."""
+
 OWNER_LEASE_SECONDS = 2.0
 """Time for which an owner may send orders, from the start of its last successful commit."""
 
--- a/crocusrudder/workflows/owner.py
+++ b/crocusrudder/workflows/owner.py
@@ -5,6 +5,7 @@
 """
 
 import itertools
+import math
 import types
 from collections.abc import Mapping
 
@@ -13,6 +14,7 @@
 from crocusrudder.core import effects
 from crocusrudder.core import ids
 from crocusrudder.wire import workflow_messages
+from crocusrudder.workflows import cancellations
 from crocusrudder.workflows import fleet
 from crocusrudder.workflows import job_registry
 from crocusrudder.workflows import leases
@@ -32,6 +34,8 @@
 """Time for which a finished job can be queried; the requirement is 120 s."""
 MAX_REMOVALS = 20
 """Maximum number of finished jobs removed by one commit."""
+MAX_EARLY_CANCELLATIONS = 4_096
+"""Cancellations remembered whose jobs are not known yet."""
 MAX_WRITES = 90
 """Maximum number of rows written by one commit; the store allows 100."""
 
@@ -77,7 +81,12 @@
         self._report_handler = reports.ReportHandler(
             epoch, self._job_registry, self._duration_model
         )
+        self._cancellation_monitor = cancellations.CancellationMonitor(epoch)
+        self._early_cancellations: dict[ids.JobId, tuple[int, float]] = {}
+        """Version of the row and Unix time of cancellations whose jobs are not known yet."""
         self._started_at = now
+        self._seen_at = now
+        """Time of the last report or tick."""
         self._awaited_agents: dict[ids.ProcessId, float] = {}
         """When the leases of agents expire that have not reported in this epoch, by agent."""
         self._logged: list[effects.LogChange] = []
@@ -102,6 +111,7 @@
             self._report_handler,
             self._planner,
             self._throttle_controller,
+            self._cancellation_monitor,
         )
         logged = [*self._logged, *itertools.chain.from_iterable(s.drain_log() for s in sources)]
         self._logged.clear()
@@ -147,17 +157,34 @@
         self._duration_model.restore_ratios(learned.durations)
 
     def add_job(self, job: model.Job, version: int, progress: model.Progress | None = None) -> None:
-        """Add an accepted job; a job that is already known is ignored."""
-        if self._job_registry.get(job.job_id) is None:
+        """Add an accepted job; one that is already known or has been removed is ignored.
+
+        A row that was read before its removal would otherwise start the job again.
+        """
+        if self._job_registry.was_removed(job.job_id, version):
+            self._log("removed_job_ignored", job=job.job_id, version=version)
+        elif self._job_registry.get(job.job_id) is None:
             if job.accepted_queue is not None:
                 self._planner.add_queue(job.accepted_queue)
                 self._report_handler.add_queue(job.accepted_queue)
             self._job_registry.add(job_registry.JobRecord(job, version, progress))
+            cancelled_version, cancelled_at = self._early_cancellations.pop(job.job_id, (0, 0.0))
+            if cancelled_version > version:
+                self.apply_cancellation(job.job_id, cancelled_at, cancelled_version)
+
+    def apply_cancellation(self, job: ids.JobId, wall_time: float, version: int = 0) -> None:
+        """Cancel a job whose cancellation has been stored; one in a final state is left alone.
 
-    def apply_cancellation(self, job: ids.JobId, wall_time: float) -> None:
-        """Cancel a job whose cancellation has been stored; one in a final state is left alone."""
+        The message about a cancellation may arrive before that about its job, so one of an unknown
+        job is kept for the job's row, which has a lower version than the cancellation's.
+        """
         record = self._job_registry.get(job)
-        if record is None or record.is_final:
+        if record is None:
+            self._early_cancellations[job] = (version, wall_time)
+            if len(self._early_cancellations) > MAX_EARLY_CANCELLATIONS:
+                del self._early_cancellations[next(iter(self._early_cancellations))]
+            return
+        if record.is_final:
             return
         record.finish(model.JobState.CANCELLED, wall_time)
         self._log("job_cancelled", job=job)
@@ -171,6 +198,7 @@
         wall_time: float,
     ) -> None:
         """Apply an agent's report unless it is older than one already applied."""
+        self._seen_at = now
         view = self._get_view(agent)
         if report.sent_at <= view.report_sent_at:
             return
@@ -188,8 +216,10 @@
 
     def tick(self, now: float, wall_time: float) -> None:
         """Release runs whose leases have expired, and plan starts and moves."""
+        self._seen_at = now
         for view in self._views.values():
             self._check_timeout(view, now)
+        self._cancellation_monitor.check(now)
         is_reconciled = all(now >= expires_at for expires_at in self._awaited_agents.values())
         self._evacuation_monitor.update(self._views, now, is_reconciled)
         if not self._evacuation_monitor.may_start(now):
@@ -330,6 +360,8 @@
         for agent, seconds in lost.items():
             view = self._get_view(agent)
             view.is_declared_lost = True
+            # Seconds that no owner can have stored would end the wait at once or never.
+            seconds = seconds if 0.0 <= seconds < math.inf else 0.0
             view.lost_stored_at = self._started_at - seconds
             self._awaited_agents[agent] = view.lost_stored_at + leases.LEASE_EXPIRY_SECONDS
 
@@ -360,7 +392,9 @@
 
     def _deactivate_final_jobs(self) -> None:
         for record in self._job_registry.deactivate_final():
-            self._report_handler.stop_runs(record, self._views.values())
+            runs = self._report_handler.stop_runs(record, self._views.values())
+            if record.progress.state is model.JobState.CANCELLED:
+                self._cancellation_monitor.begin(record, runs, self._seen_at)
             self._planner.log_end(record)
             self._duration_model.forget_job(record)
 
--- a/crocusrudder/workflows/owner_service.py
+++ b/crocusrudder/workflows/owner_service.py
@@ -15,6 +15,7 @@
 from crocusrudder.platform import store
 from crocusrudder.wire import transport
 from crocusrudder.wire import workflow_messages
+from crocusrudder.workflows import cancellations
 from crocusrudder.workflows import errors as workflow_errors
 from crocusrudder.workflows import evacuations
 from crocusrudder.workflows import leases
@@ -57,6 +58,9 @@
 
 _COUNTED_EVENTS = {
     reports.CAPACITY_EXCEEDED: "capacity_exceeded",
+    reports.RUN_LEFT_OUT: "runs_left_out",
+    reports.START_EXPIRED: "starts_expired",
+    reports.UNKNOWN_RUN_IGNORED: "unknown_runs_ignored",
     "worker_crashed": "workers_crashed",
     evacuation.EVACUATED: "evacuations",
     evacuation.START_WITHDRAWN: "starts_withdrawn",
@@ -67,6 +71,7 @@
     preemption.PREEMPTED: "preemptions",
     **{cause.value: cause.value for cause in over_target.Cause},
     waiting.OUTLOOK_WORSE: "outlooks_worse",
+    cancellations.OVERDUE: "cancellations_overdue",
 }
 """Metrics that count the log events of these names."""
 
@@ -119,7 +124,8 @@
         self._cores = cores
         self._entry_cores: dict[ids.ProcessId, float] = {}
         self._started_at = now
-        self._early_reports: list = []
+        self._set_aside: set[ids.JobId] = set()
+        """Jobs with unreadable progress, of which tasks that have ended must not run again."""
         self._is_loaded = False
         self._estimates_stored_at = 0.0
         self._feed_version = 0
@@ -217,7 +223,7 @@
         for row in entries.rows:
             entry = ids.ProcessId(row.key)
             if entry != self._lease.row.holder:
-                self._link.record_address(entry, row.value.decode())
+                self._link.record_address(entry, self._decode_address(row))
                 self.handle_entry_hello(entry)
         self._restore_estimates(learned)
         self._apply_page(jobs, {row.key: row.value for row in progress.rows})
@@ -226,21 +232,38 @@
         self._log("ownership_begun", jobs=len(jobs.rows), agents=len(roster.rows))
 
     def _send_hellos_to_agents(self, roster: store.Page) -> None:
-        """Request reports from all agents on the roster of earlier owners."""
-        addresses = {ids.ProcessId(row.key): row.value.decode() for row in roster.rows}
+        """Request reports from all agents on the roster of earlier owners.
+
+        An agent without a readable address is awaited like the others, as its worker may run tasks.
+        """
+        addresses = {ids.ProcessId(row.key): self._decode_address(row) for row in roster.rows}
         self._owner.load_roster(addresses)
         hello = workflow_messages.OwnerHello(self._lease.row.epoch)
         for agent, address in addresses.items():
             self._link.record_address(agent, address)
             self._link.send(agent, hello, transport.ANY_INCARNATION)
 
+    def _decode_address(self, row: store.StoreRow) -> str:
+        """Return the address in a row; empty if it cannot be read."""
+        try:
+            return rows.decode_address(row.value)
+        except workflow_errors.UnreadableRowError as error:
+            self._record_unreadable(row.table, row.key, error)
+            return ""
+
+    def _record_unreadable(
+        self, table: str, key: str, error: workflow_errors.UnreadableRowError
+    ) -> None:
+        self._metrics.count("rows_unreadable")
+        self._log("row_unreadable", table=table, key=key, **error.to_dict())
+
     def _restore_estimates(self, row: store.StoreRow | None) -> None:
         if row is None or row.value is None:
             return
         try:
             self._owner.restore_estimates(rows.decode_estimates(row.value))
         except workflow_errors.UnreadableRowError as error:
-            self._log("row_unreadable", key=rows.ESTIMATES_KEY, error=str(error))
+            self._record_unreadable(row.table, row.key, error)
 
     def _list_due_estimates(self, now: float) -> list[store.Write]:
         """Return the write of the interference estimates if it is due."""
@@ -275,13 +298,22 @@
         progress: bytes | None = None,
     ) -> None:
         if is_cancellation:
-            self._owner.apply_cancellation(job, time.time())
+            self._owner.apply_cancellation(job, time.time(), version)
             return
+        table = rows.JOBS_TABLE
         try:
-            known = rows.decode_progress(progress) if progress else None
-            self._owner.add_job(rows.decode_job(value), version, known)
+            decoded = rows.decode_job(value, job)
+            table = rows.PROGRESS_TABLE
+            known = None if progress is None else rows.decode_progress(progress)
+            if known is not None:
+                rows.check_progress(decoded, known)
         except workflow_errors.UnreadableRowError as error:
-            self._log("row_unreadable", key=job, error=str(error))
+            self._record_unreadable(table, job, error)
+            if progress is not None:
+                self._set_aside.add(job)
+            return
+        if job not in self._set_aside:
+            self._owner.add_job(decoded, version, known)
 
     async def _watch_jobs(self) -> None:
         while True:
@@ -338,6 +370,8 @@
                 self._metrics.count("jobs_failed_by_crashes")
             if change.name in (near_places.SERVED, near_places.GIVEN_UP):
                 self._metrics.observe("near_wait_seconds", change.fields["waited_s"])
+            elif change.name == cancellations.ENDED:
+                self._metrics.observe("cancellation_seconds", change.fields["took_s"])
             elif "distance" in change.fields:
                 self._metrics.count(f"tasks_{change.fields['distance']}")
 
--- a/tests/platform/test_pool.py
+++ b/tests/platform/test_pool.py
@@ -80,6 +80,35 @@
         self.assertIsInstance(second, events.EndpointAnswered)
         self.assertEqual((script.requests, connections), (2, 2))
 
+    def test_a_timeout_replaces_all_connections_that_may_have_gone_silent(self):
+        """A call after the first timeout must not wait on another connection as old as that one."""
+        second, connections = curio.run(self._call_after_silence)
+        self.assertIsInstance(second, events.EndpointAnswered)
+        self.assertEqual(connections, 3)
+
+    async def _call_after_silence(self):
+        opened = []
+        both_open = curio.Event()
+
+        async def go_silent_after_one_response(peer):
+            opened.append(peer)
+            if len(opened) == 2:
+                await both_open.set()
+            await peer.read_request()
+            await both_open.wait()
+            await peer.send(EMPTY)
+            await curio.Event().wait()
+
+        call = support.make_endpoint_call(PORT)
+        async with support.run_script(PORT, go_silent_after_one_response) as (client, server):
+            async with curio.TaskGroup() as group:
+                for _ in range(2):
+                    await group.spawn(client.perform, call)
+            short = support.make_endpoint_call(PORT, support.SHORT_TIMEOUT_SECONDS)
+            await client.perform(short)
+            second = await client.perform(call)
+        return second, server.connections
+
     def test_bytes_after_a_response_do_not_answer_the_next_request(self):
         for extra in (make_numbered(9), b"\r\n", b"x"):
             with self.subTest(extra=extra):
@@ -107,6 +136,41 @@
         self.assertEqual(first.response.body, b"a")
 
 
+class SilentConnectionTest(unittest.TestCase):
+    """Guards against a stop of a run that times out once for each connection that went silent."""
+
+    def test_a_call_without_a_response_costs_one_timeout_for_all_silent_connections(self):
+        opened = []
+
+        async def answer_first_request_of_old_connections(peer):
+            opened.append(peer)
+            if len(opened) <= 4:
+                await peer.read_request()
+                while len(opened) < 4:
+                    await curio.sleep(0)
+                await peer.send(EMPTY)
+                await peer.hang()
+            while await peer.read_request():
+                await peer.send(EMPTY)
+
+        async def run_calls():
+            running = support.run_script(PORT, answer_first_request_of_old_connections)
+            async with running as (client, _):
+                call = support.make_endpoint_call(PORT)
+                async with curio.TaskGroup() as group:
+                    for _ in range(4):
+                        await group.spawn(client.perform, call)
+                lost = await client.perform(
+                    support.make_endpoint_call(PORT, support.SHORT_TIMEOUT_SECONDS)
+                )
+                seconds = support.INCREASING_TIMEOUTS_SECONDS[-2]
+                return lost, await client.perform(support.make_endpoint_call(PORT, seconds))
+
+        lost, answered = curio.run(run_calls)
+        self.assertIsInstance(lost, events.EndpointConnectionLost)
+        self.assertIsInstance(answered, events.EndpointAnswered)
+
+
 class FailureCauseTest(unittest.TestCase):
     """Guards against taking a suspended peer for one whose process has ended, and vice versa."""
 
