Send signals in series and use connections until the end in the soak

The soak sent one SIGTERM at a time, and left callers idle between requests. Now processes get SIGHUP and SIGTERM in series, all processes of a role restart one after the other, and a caller uses one connection to each entry until it is closed. A process has to exit within 6 s of SIGTERM (`graceS`). The last 8 s of each 20 s stay free of disturbances, so that the check of cancelled runs applies there.

--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -1,6 +1,7 @@
 """Callers that submit, cancel and query jobs, and what they observed."""
 
 import collections
+import functools
 import itertools
 import random
 import threading
@@ -34,6 +35,7 @@
 """Number of times that a caller submits a job that is refused, at intervals of the submissions."""
 SUBMIT_INTERVAL_SECONDS = 0.7
 QUERY_INTERVAL_SECONDS = 0.5
+CONNECTION_USE_INTERVAL_SECONDS = 0.1
 CANCEL_INTERVAL_SECONDS = 0.05
 CANCEL_RETRY_SECONDS = 0.3
 
@@ -83,7 +85,15 @@
 
     def start(self) -> None:
         """Start to submit, cancel and query jobs."""
-        targets = (self._submit_until_finished, self._query_until_finished, self._cancel_until_done)
+        targets = (
+            self._submit_until_finished,
+            self._query_until_finished,
+            self._cancel_until_done,
+            *(
+                functools.partial(self._keep_using_connection, entry)
+                for entry in self._deployment.entries
+            ),
+        )
         self._threads = [threading.Thread(target=target) for target in targets]
         for thread in self._threads:
             thread.start()
@@ -168,6 +178,11 @@
         else:
             self._cancels_due[job] = time.monotonic() + CANCEL_RETRY_SECONDS
 
+    def _keep_using_connection(self, entry: str) -> None:
+        """Send requests on one connection to an entry, also after the entry was told to stop."""
+        while not self._finished.wait(CONNECTION_USE_INTERVAL_SECONDS):
+            self._deployment.call(entry, "GET", "")
+
     def _query_until_finished(self) -> None:
         while not self._finished.wait(QUERY_INTERVAL_SECONDS):
             self._query_jobs()
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -13,6 +13,12 @@
 INTERVAL_SECONDS = (0.2, 2.5)
 """Bounds of the time between two faults; many faults last longer, so that they overlap."""
 DURATION_SECONDS = (0.5, 5.0)
+ROLL_INTERVAL_SECONDS = 0.8
+"""Time from the stop of a process to that of the next while all of a role are restarted."""
+CALM_INTERVAL_SECONDS = 20.0
+CALM_SECONDS = 8.0
+"""Time at the end of each interval in which nothing disturbs a deployment: enough for machines to
+be in touch again, and for the bound of a cancellation."""
 
 
 class Kind(enum.Enum):
@@ -28,6 +34,8 @@
     SLOW = "slow"
     EVACUATE = "evacuate"
     REBIRTH = "rebirth"
+    HANGUP = "hangup"
+    ROLL = "roll"
     ODD_HEARTBEAT = "odd-heartbeat"
     ODD_DEREGISTRATION = "odd-deregistration"
     ODD_ENTRY = "odd-entry"
@@ -38,6 +46,7 @@
 KIND_WEIGHTS = {Kind.KILL: 3, Kind.STOP: 3, Kind.PAUSE: 3, Kind.LINK: 5, Kind.STORE_DOWN: 1}
 WORKER_KIND_WEIGHTS = {Kind.WORKER_CRASH: 1, Kind.SHRINK: 1}
 FLEET_KIND_WEIGHTS = {Kind.SLOW: 2, Kind.EVACUATE: 1}
+SIGNAL_KIND_WEIGHTS = {Kind.HANGUP: 2, Kind.STOP: 1, Kind.ROLL: 1}
 ODD_KIND_WEIGHTS = {
     Kind.ODD_HEARTBEAT: 4,
     Kind.ODD_DEREGISTRATION: 1,
@@ -85,3 +94,23 @@
         )
         starts_at += generator.uniform(*INTERVAL_SECONDS)
     return faults
+
+
+def list_stops(fault: Fault, targets: Sequence[str]) -> list[Fault]:
+    """Return the stops of all processes of a role, one after the other, for a ``ROLL`` fault."""
+    role = fault.target.partition("-")[0]
+    return [
+        fault._replace(
+            starts_at=fault.starts_at + number * ROLL_INTERVAL_SECONDS,
+            kind=Kind.STOP,
+            target=target,
+        )
+        for number, target in enumerate(name for name in targets if name.startswith(role))
+    ]
+
+
+def is_in_calm(fault: Fault) -> bool:
+    """Return whether a fault would disturb a time that is kept calm."""
+    calm_at = CALM_INTERVAL_SECONDS - CALM_SECONDS
+    begins_at = fault.starts_at % CALM_INTERVAL_SECONDS
+    return fault.kind not in CALM_KINDS and begins_at + fault.duration_seconds > calm_at
--- a/tools/soak/runner.py
+++ b/tools/soak/runner.py
@@ -1,12 +1,14 @@
 """One run of the soak test: processes, callers, faults and checks."""
 
 import datetime
+import itertools
 import pathlib
 import queue
 import random
 import signal
 import threading
 import time
+from collections.abc import Sequence
 
 from tools.soak import callers
 from tools.soak import checks
@@ -27,6 +29,16 @@
     2 * checks.CONTACT_SECONDS + checks.CANCEL_SECONDS + checks.STOP_SECONDS + 1.0
 )
 """Time after the last fault and cancellation by which no run of a cancelled job may be left."""
+INDEPENDENT_KINDS = {
+    faults.Kind.LINK,
+    faults.Kind.STORE_DOWN,
+    *faults.CALM_KINDS,
+}
+"""Kinds that may overlap with others on the same target, but not with themselves."""
+HANGUPS = 3
+SIGNAL_INTERVAL_SECONDS = 0.05
+GRACE_SECONDS = 6.0
+"""Time after SIGTERM at which the platform kills a process: ``graceS`` of the users."""
 HEARTBEAT_PATH = "/crocusrudder/Workers.Heartbeat"
 DEREGISTRATION_PATH = "/crocusrudder/Workers.Deregister"
 OTHER_WORKER = "w-other"
@@ -38,11 +50,15 @@
 class SoakRun:
     """The run of one seed."""
 
-    def __init__(self, folder: pathlib.Path, seed: int, seconds: float) -> None:
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        seed: int,
+        seconds: float,
+        count_per_role: int = PROCESSES_PER_ROLE,
+    ) -> None:
         self._folder = folder
-        names = [
-            f"{role}-{n + 1}" for role in ("entry", "agent") for n in range(PROCESSES_PER_ROLE)
-        ]
+        names = [f"{role}-{n + 1}" for role in ("entry", "agent") for n in range(count_per_role)]
         self._reservation = deployments.PortReservation(len(names) + 1)
         store_port, *ports = self._reservation.ports
         links = [proxy.Link(port, store_port) for port in ports]
@@ -52,7 +68,7 @@
         self._deployment = deployments.Deployment(
             folder,
             RUN_SECONDS,
-            PROCESSES_PER_ROLE,
+            count_per_role,
             ports_by_name,
             store_port,
             DATA_CENTRES,
@@ -62,13 +78,7 @@
         self._callers = callers.Callers(self._deployment, seed)
         self._evacuations: list[checks.Evacuation] = []
         workers = [f"w-{name}" for name in self._deployment.agents]
-        self._faults = sorted(
-            faults.draw_faults(seed, seconds, names)
-            + faults.draw_faults(f"workers {seed}", seconds, workers, faults.WORKER_KIND_WEIGHTS)
-            + faults.draw_faults(f"fleet {seed}", seconds, workers, faults.FLEET_KIND_WEIGHTS)
-            + faults.draw_faults(f"odd {seed}", seconds, workers, faults.ODD_KIND_WEIGHTS),
-            key=lambda fault: fault.starts_at,
-        )
+        self._faults = _draw_faults(seed, seconds, names, workers)
         self._disturbances: list[checks.Span] = []
         self._faulted_targets: set[tuple[str, str]] = set()
         self._problems: queue.Queue[str] = queue.Queue()
@@ -108,8 +118,9 @@
         self._log(f"{fault}")
         try:
             self._execute_fault(fault)
-        except AssertionError as error:
-            self._problems.put(f"FAULT: {fault.kind.value} of {fault.target}: {error}")
+        except Exception as error:
+            # The error would end the thread only, and the run would pass with fewer faults.
+            self._problems.put(f"FAULT: {fault.kind.value} of {fault.target}: {error!r}")
         finally:
             if fault.kind not in faults.CALM_KINDS:
                 self._disturbances.append(checks.Span(began_at, time.monotonic()))
@@ -124,9 +135,10 @@
                 time.sleep(fault.duration_seconds)
                 self._start_process(name)
             case faults.Kind.STOP:
-                deployment.send_signal(name, signal.SIGTERM)
-                self._check_exit(name, deployment.wait_for_exit(name))
+                self._stop_process(name, random.Random(f"signals {fault}"))
                 self._start_process(name)
+            case faults.Kind.HANGUP:
+                self._send_hangups(name, HANGUPS)
             case faults.Kind.PAUSE:
                 deployment.send_signal(name, signal.SIGSTOP)
                 time.sleep(fault.duration_seconds)
@@ -202,6 +214,25 @@
         self._evacuations.append(evacuation)
         self._deployment.set_evacuated(data_centre, evacuated=False)
 
+    def _stop_process(self, name: str, generator: random.Random) -> None:
+        """Stop a process by a series of signals, and check how it ends."""
+        self._send_hangups(name, generator.randrange(HANGUPS))
+        began_at = time.monotonic()
+        self._deployment.send_signal(name, signal.SIGTERM)
+        for number in generator.choices([signal.SIGTERM, signal.SIGHUP], k=generator.randrange(3)):
+            time.sleep(SIGNAL_INTERVAL_SECONDS)
+            self._deployment.send_signal(name, number)
+        self._check_exit(name, self._deployment.wait_for_exit(name))
+        if time.monotonic() - began_at > GRACE_SECONDS:
+            late = time.monotonic() - began_at
+            self._problems.put(f"FAULT: {name} exited {late:.1f} s after SIGTERM")
+
+    def _send_hangups(self, name: str, count: int) -> None:
+        # A process that has not started to serve does not handle the signal yet.
+        for _ in range(count if self._deployment.has_started(name) else 0):
+            self._deployment.send_signal(name, signal.SIGHUP)
+            time.sleep(SIGNAL_INTERVAL_SECONDS)
+
     def _check_exit(self, name: str, code: int) -> None:
         # SIGTERM may kill a process that has not started to serve, as it has nothing to finish.
         stopped_before_start = code == -signal.SIGTERM and not self._deployment.has_started(name)
@@ -244,8 +275,30 @@
             time.sleep(callers.QUERY_INTERVAL_SECONDS)
 
 
+def _draw_faults(
+    seed: int, seconds: float, names: Sequence[str], workers: Sequence[str]
+) -> list[faults.Fault]:
+    drawn = [
+        *faults.draw_faults(seed, seconds, names),
+        *faults.draw_faults(f"workers {seed}", seconds, workers, faults.WORKER_KIND_WEIGHTS),
+        *faults.draw_faults(f"fleet {seed}", seconds, workers, faults.FLEET_KIND_WEIGHTS),
+        *faults.draw_faults(f"odd {seed}", seconds, workers, faults.ODD_KIND_WEIGHTS),
+        *faults.draw_faults(f"signals {seed}", seconds, names, faults.SIGNAL_KIND_WEIGHTS),
+    ]
+    stops = [faults.list_stops(fault, names) for fault in drawn if fault.kind is faults.Kind.ROLL]
+    found = [*itertools.chain(*stops), *drawn]
+    return sorted(
+        (
+            fault
+            for fault in found
+            if fault.kind is not faults.Kind.ROLL and not faults.is_in_calm(fault)
+        ),
+        key=lambda fault: fault.starts_at,
+    )
+
+
 def _make_conflict_key(fault: faults.Fault) -> tuple[str, str]:
     """Return a key that two faults share if they may not overlap."""
-    if fault.kind in (faults.Kind.LINK, faults.Kind.STORE_DOWN, *faults.CALM_KINDS):
+    if fault.kind in INDEPENDENT_KINDS:
         return fault.kind.value, fault.target
     return "process", fault.target
