--- a/crocusrudder/platform/worker.py
+++ b/crocusrudder/platform/worker.py
@@ -221,9 +221,11 @@
         The call extends no lease and acknowledges no end.
         """
         content = {"fenceToken": epoch, "lastSeen": 0}
-        status, response, _ = await self._call("hold", worker, content)
+        status, response, unreadable = await self._call("hold", worker, content)
         if status not in (_STATUS_OK, _STATUS_CONFLICT):
             raise errors.NotExecutedError(f"the worker responded with status {status}")
+        if not response.born and unreadable.entries:
+            raise errors.UnknownOutcomeError(f"no time of birth in a response: {unreadable.error}")
         return ProbeResponse(response.born, status == _STATUS_CONFLICT)
 
     async def _call(
--- a/crocusrudder/workflows/agent_state.py
+++ b/crocusrudder/workflows/agent_state.py
@@ -128,11 +128,7 @@
     def handle_heartbeat(
         self, state: workflow_messages.WorkerState, sequence: int, now: float
     ) -> bool:
-        """Apply a heartbeat; return whether it changes the known state.
-
-        That of an incarnation other than the current one changes nothing until the worker has
-        answered a probe of it (see ``worker_identity``).
-        """
+        """Apply a heartbeat; return whether it changes the state of the current worker."""
         known = self.current_worker
         self._identity.handle_heartbeat(state, sequence, now)
         current = self.current_worker
@@ -386,9 +382,8 @@
     def _has_worker_ended(self, now: float) -> bool:
         """Return whether the worker has deregistered and no longer responds."""
         at = self._identity.deregistered_at
-        if at is None:
-            return False
-        return now - max(at, self._responded_at) >= DEREGISTRATION_TIMEOUT_SECONDS
+        silent_since = self._responded_at if at is None else max(at, self._responded_at)
+        return at is not None and now - silent_since >= DEREGISTRATION_TIMEOUT_SECONDS
 
     def _is_listed_as_ended(self, run: model.RunKey) -> bool:
         return any((entry.task, entry.run) == run for entry in self._ended.values())
