Test that the soak keeps a time calm and draws odd heartbeats from the seed

A run whose faults left no calm time would check no cancellation, and a variant equal to the worker's own heartbeat would test nothing. Both tests pass on the present soak; the first fails if is_in_calm returns False for every fault.

--- a/tests/endtoend/test_soak.py
+++ b/tests/endtoend/test_soak.py
@@ -2,17 +2,22 @@
 
 import contextlib
 import pathlib
+import random
 import socket
 import tempfile
 import time
 import unittest
 from unittest import mock
 
+import msgspec
+
 from tools.soak import checks
 from tools.soak import faults
+from tools.soak import odd_entries
 from tools.soak import proxy
 from tools.soak import runner
 from tools.standin.users import deployment as deployments
+from tools.standin.users import worker
 
 SEEDS = (2, 5)
 """The second has crashes of workers, a deadly job, and smaller capacities."""
@@ -130,6 +135,33 @@
         targets = ["entry-1", "agent-1"]
         self.assertEqual(faults.draw_faults(7, 20.0, targets), faults.draw_faults(7, 20.0, targets))
 
+    def test_faults_leave_the_calm_time_free(self):
+        # Guards against runs in which no cancellation is ever checked.
+        drawn = faults.draw_faults(7, 60.0, ["agent-1"])
+        kept = [fault for fault in drawn if not faults.is_in_calm(fault)]
+        calm_at = faults.CALM_INTERVAL_SECONDS - faults.CALM_SECONDS
+        ends = [
+            fault.starts_at % faults.CALM_INTERVAL_SECONDS + fault.duration_seconds
+            for fault in kept
+        ]
+        self.assertTrue(ends)
+        self.assertLessEqual(max(ends), calm_at)
+        odd = faults.draw_faults(7, 60.0, ["agent-1"], {faults.Kind.ODD_ROW: 1})
+        self.assertFalse(any(faults.is_in_calm(fault) for fault in odd))
+
+    def test_odd_heartbeats_are_drawn_from_the_seed_and_name_no_valid_state(self):
+        # Guards against a variant that does not differ from the heartbeat of the worker.
+        valid = worker.UsersWorker("w", "dispatch", 1, 0.1).make_heartbeat()
+        encoded = msgspec.json.encode(valid)
+        for name, variant in odd_entries.HEARTBEAT_VARIANTS.items():
+            with self.subTest(name=name):
+                self.assertNotEqual(encoded, variant(valid))
+        first, second = (
+            [odd_entries.draw_heartbeat(random.Random(7), valid) for _ in range(3)]
+            for _ in range(2)
+        )
+        self.assertEqual(first, second)
+
 
 class SoakTest(unittest.TestCase):
     def test_processes_and_proxy_use_different_ports(self):
