--- a/tools/soak/runner.py
+++ b/tools/soak/runner.py
@@ -1,5 +1,6 @@
 """One run of the soak test: processes, callers, faults and checks."""
 
+import datetime
 import itertools
 import pathlib
 import queue
@@ -7,35 +8,39 @@
 import signal
 import threading
 import time
+from collections.abc import Sequence
 
+from tools.soak import callers
 from tools.soak import checks
 from tools.soak import faults
+from tools.soak import odd_entries
 from tools.soak import proxy
 from tools.standin.users import deployment as deployments
 from tools.standin.users import worker
 
-JOB = {
-    "spec": "soak",
-    "steps": [
-        {"taskCount": 3, "cpu": checks.TASK_MILLICORES},
-        {"taskCount": 2, "cpu": checks.TASK_MILLICORES, "after": [0]},
-    ],
-}
-DEADLY_SHARE = 0.1
 SHRUNK_MILLICORES = 500
 SLOWDOWN = 5.0
-BURST_SHARE = 0.1
-BURST_JOBS = 6
-"""Number of jobs that come at once in a burst, enough to fill the workers several times over."""
-MAX_TRIES = 4
-"""Number of times that a caller submits a job that is refused, at intervals of the submissions."""
 DATA_CENTRES = ("bilbao", "bilbao", "santander")
 EVACUATED = "santander"
 EVACUATION_SECONDS = 12.0
 """Length of an evacuation; starts are forbidden after up to 10 s of it."""
 RUN_SECONDS = 0.7
-SUBMIT_INTERVAL_SECONDS = 0.7
-QUERY_INTERVAL_SECONDS = 0.5
+MAX_CANCELLED_RUN_SECONDS = (
+    2 * checks.CONTACT_SECONDS + checks.CANCEL_SECONDS + checks.STOP_SECONDS + 1.0
+)
+"""Time after the last fault and cancellation by which no run of a cancelled job may be left."""
+INDEPENDENT_KINDS = {
+    faults.Kind.LINK,
+    faults.Kind.STORE_DOWN,
+    *faults.CALM_KINDS,
+}
+"""Kinds that may overlap with others on the same target, but not with themselves."""
+HANGUPS = 3
+SIGNAL_INTERVAL_SECONDS = 0.05
+HEARTBEAT_PATH = "/crocusrudder/Workers.Heartbeat"
+DEREGISTRATION_PATH = "/crocusrudder/Workers.Deregister"
+OTHER_WORKER = "w-other"
+"""Id of a worker that does not exist."""
 PROCESSES_PER_ROLE = 3
 """Number of entries, and of agents."""
 
@@ -43,10 +48,15 @@
 class SoakRun:
     """The run of one seed."""
 
-    def __init__(self, folder: pathlib.Path, seed: int, seconds: float) -> None:
-        names = [
-            f"{role}-{n + 1}" for role in ("entry", "agent") for n in range(PROCESSES_PER_ROLE)
-        ]
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        seed: int,
+        seconds: float,
+        count_per_role: int = PROCESSES_PER_ROLE,
+    ) -> None:
+        self._folder = folder
+        names = [f"{role}-{n + 1}" for role in ("entry", "agent") for n in range(count_per_role)]
         self._reservation = deployments.PortReservation(len(names) + 1)
         store_port, *ports = self._reservation.ports
         links = [proxy.Link(port, store_port) for port in ports]
@@ -56,30 +66,20 @@
         self._deployment = deployments.Deployment(
             folder,
             RUN_SECONDS,
-            PROCESSES_PER_ROLE,
+            count_per_role,
             ports_by_name,
             store_port,
             DATA_CENTRES,
             {"evacuation_ms": checks.EVACUATION_SECONDS * 1_000},
         )
-        self._generator = random.Random(seed)
-        self._deadly_generator = random.Random(f"deadly {seed}")
-        self._burst_generator = random.Random(f"burst {seed}")
-        self._deadly: set[str] = set()
+        self._odd_generator = random.Random(f"entries {seed}")
+        self._callers = callers.Callers(self._deployment, seed)
         self._evacuations: list[checks.Evacuation] = []
         workers = [f"w-{name}" for name in self._deployment.agents]
-        self._faults = sorted(
-            faults.draw_faults(seed, seconds, names)
-            + faults.draw_faults(f"workers {seed}", seconds, workers, faults.WORKER_KIND_WEIGHTS)
-            + faults.draw_faults(f"fleet {seed}", seconds, workers, faults.FLEET_KIND_WEIGHTS),
-            key=lambda fault: fault.starts_at,
-        )
-        self._seconds = seconds
-        self._statuses: dict[str, list[int]] = {}
-        self._states: dict[str, list[str]] = {}
-        self._faulted_targets: set[str] = set()
+        self._faults = _draw_faults(seed, seconds, names, workers)
+        self._disturbances: list[checks.Span] = []
+        self._faulted_targets: set[tuple[str, str]] = set()
         self._problems: queue.Queue[str] = queue.Queue()
-        self._finished = threading.Event()
 
     def run(self) -> list[str]:
         """Run until all jobs are completed or overdue; return the violated guarantees."""
@@ -87,19 +87,12 @@
         self._deployment.start()
         try:
             self._deployment.wait_until("an owner", self._deployment.find_owner)
-            threads = [
-                threading.Thread(target=target)
-                for target in (self._submit_until_finished, self._query_until_finished)
-            ]
-            for thread in threads:
-                thread.start()
+            self._callers.start()
             self._inject_faults()
-            self._finished.set()
-            for thread in threads:
-                thread.join()
+            self._callers.finish()
             return self._check_guarantees()
         finally:
-            self._finished.set()
+            self._callers.finish()
             self._deployment.stop()
             self._proxy.stop()
             self._reservation.release()
@@ -111,14 +104,27 @@
             time.sleep(max(started_at + fault.starts_at - time.monotonic(), 0.0))
             if fault.kind is faults.Kind.EVACUATE:
                 fault = fault._replace(target=EVACUATED)
-            if fault.target not in self._faulted_targets:
-                self._faulted_targets.add(fault.target)
+            if _make_conflict_key(fault) not in self._faulted_targets:
+                self._faulted_targets.add(_make_conflict_key(fault))
                 pending.append(threading.Thread(target=self._inject_fault, args=(fault,)))
                 pending[-1].start()
         for thread in pending:
             thread.join()
 
     def _inject_fault(self, fault: faults.Fault) -> None:
+        began_at = time.monotonic()
+        self._log(f"{fault}")
+        try:
+            self._execute_fault(fault)
+        except Exception as error:
+            # The error would end the thread only, and the run would pass with fewer faults.
+            self._problems.put(f"FAULT: {fault.kind.value} of {fault.target}: {error!r}")
+        finally:
+            if fault.kind not in faults.CALM_KINDS:
+                self._disturbances.append(checks.Span(began_at, time.monotonic()))
+            self._faulted_targets.discard(_make_conflict_key(fault))
+
+    def _execute_fault(self, fault: faults.Fault) -> None:
         deployment = self._deployment
         name = fault.target
         match fault.kind:
@@ -127,9 +133,10 @@
                 time.sleep(fault.duration_seconds)
                 self._start_process(name)
             case faults.Kind.STOP:
-                deployment.send_signal(name, signal.SIGTERM)
-                self._check_exit(name, deployment.wait_for_exit(name))
+                self._stop_process(name, random.Random(f"signals {fault}"))
                 self._start_process(name)
+            case faults.Kind.HANGUP:
+                self._send_hangups(name, HANGUPS)
             case faults.Kind.PAUSE:
                 deployment.send_signal(name, signal.SIGSTOP)
                 time.sleep(fault.duration_seconds)
@@ -155,7 +162,47 @@
                 deployment.set_worker_slowdown(name, 1.0)
             case faults.Kind.EVACUATE:
                 self._evacuate(name)
-        self._faulted_targets.discard(name)
+            case faults.Kind.REBIRTH:
+                deployment.rebirth_worker(name)
+            case _:
+                self._add_odd_entry(fault)
+
+    def _add_odd_entry(self, fault: faults.Fault) -> None:
+        deployment = self._deployment
+        worker_name = fault.target
+        agent = worker_name.removeprefix("w-")
+        generator = self._odd_generator
+        match fault.kind:
+            case faults.Kind.ODD_HEARTBEAT:
+                own_id, heartbeat = deployment.read_heartbeat(worker_name)
+                worker_id = generator.choice([own_id, OTHER_WORKER])
+                variant, body = odd_entries.draw_heartbeat(generator, heartbeat)
+                status = deployment.call_agent(agent, f"{HEARTBEAT_PATH}/{worker_id}", body)
+                self._log(f"heartbeat {variant} of {worker_id} to {agent}: {status}")
+            case faults.Kind.ODD_DEREGISTRATION:
+                status = deployment.call_agent(agent, f"{DEREGISTRATION_PATH}/{OTHER_WORKER}", b"")
+                self._log(f"deregistration of {OTHER_WORKER} to {agent}: {status}")
+            case faults.Kind.ODD_ENTRY:
+                field, variant, entry = odd_entries.draw_entry(generator)
+                self._log(f"entry {variant} in {field} of {worker_name}")
+                deployment.set_odd_entry(worker_name, field, entry)
+                time.sleep(fault.duration_seconds)
+                deployment.set_odd_entry(worker_name, field, b"")
+            case faults.Kind.ODD_PERCENTS:
+                self._log(f"negative percents of {worker_name}")
+                deployment.set_odd_percents(worker_name, is_odd=True)
+                time.sleep(fault.duration_seconds)
+                deployment.set_odd_percents(worker_name, is_odd=False)
+            case faults.Kind.ODD_ROW:
+                row = odd_entries.draw_row(generator)
+                self._log(f"row {row}")
+                deployment.write_row(*row)
+                time.sleep(fault.duration_seconds)
+                deployment.write_row(row.table, row.key, None)
+
+    def _log(self, text: str) -> None:
+        with (self._folder / "faults.log").open("a") as log:
+            log.write(f"{datetime.datetime.now(datetime.UTC).isoformat()} {text}\n")
 
     def _evacuate(self, data_centre: str) -> None:
         self._deployment.set_evacuated(data_centre, evacuated=True)
@@ -165,6 +212,21 @@
         self._evacuations.append(evacuation)
         self._deployment.set_evacuated(data_centre, evacuated=False)
 
+    def _stop_process(self, name: str, generator: random.Random) -> None:
+        """Stop a process by a series of signals, and check how it ends."""
+        self._send_hangups(name, generator.randrange(HANGUPS))
+        self._deployment.send_signal(name, signal.SIGTERM)
+        for number in generator.choices([signal.SIGTERM, signal.SIGHUP], k=generator.randrange(3)):
+            time.sleep(SIGNAL_INTERVAL_SECONDS)
+            self._deployment.send_signal(name, number)
+        self._check_exit(name, self._deployment.wait_for_exit(name))
+
+    def _send_hangups(self, name: str, count: int) -> None:
+        # A process that has not started to serve does not handle the signal yet.
+        for _ in range(count if self._deployment.has_started(name) else 0):
+            self._deployment.send_signal(name, signal.SIGHUP)
+            time.sleep(SIGNAL_INTERVAL_SECONDS)
+
     def _check_exit(self, name: str, code: int) -> None:
         # SIGTERM may kill a process that has not started to serve, as it has nothing to finish.
         stopped_before_start = code == -signal.SIGTERM and not self._deployment.has_started(name)
@@ -176,66 +238,61 @@
             self._deployment.start_entry(name)
         else:
             self._deployment.start_agent(name)
-
-    def _submit_until_finished(self) -> None:
-        numbers = itertools.count(1)
-        returning: list[str] = []
-        while not self._finished.wait(SUBMIT_INTERVAL_SECONDS):
-            is_burst = self._burst_generator.random() < BURST_SHARE
-            count = BURST_JOBS if is_burst else 1
-            new = [f"{number:016x}" for number in itertools.islice(numbers, count)]
-            for job in new:
-                if self._deadly_generator.random() < DEADLY_SHARE:
-                    self._deadly.add(job)
-            returning = [job for job in [*returning, *new] if not self._submit(job)]
-
-    def _submit(self, job: str) -> bool:
-        """Submit a job to two entries; return whether it was accepted or its caller gives up."""
-        statuses = self._statuses.setdefault(job, [])
-        content = JOB | ({"spec": worker.DEADLY_SPEC} if job in self._deadly else {})
-        for entry in self._generator.sample(list(self._deployment.entries), 2):
-            statuses.append(self._deployment.call(entry, "POST", job, content)[0])
-            if statuses[-1] == 200:
-                return True
-        return len(statuses) >= 2 * MAX_TRIES
-
-    def _query_until_finished(self) -> None:
-        while not self._finished.wait(QUERY_INTERVAL_SECONDS):
-            self._query_jobs()
-
-    def _query_jobs(self) -> bool:
-        """Query the accepted jobs that have not been reported in their final state twice.
-
-        Returns whether all queried jobs are in the state in which they should end.
-        """
-        complete = True
-        for job in [job for job, statuses in list(self._statuses.items()) if 200 in statuses]:
-            states = self._states.setdefault(job, [])
-            expected = "failed" if job in self._deadly else "completed"
-            if states.count(expected) >= 2:
-                continue
-            entry = self._generator.choice(list(self._deployment.entries))
-            status, content = self._deployment.call(entry, "GET", job)
-            if status in (200, 410):
-                states.append(content["state"] if status == 200 else "unknown")
-            complete = complete and states[-1:] == [expected]
-        return complete
+        self._deployment.wait_until(name, lambda: self._deployment.has_started(name))
 
     def _check_guarantees(self) -> list[str]:
-        limit = time.monotonic() + checks.COMPLETION_TIMEOUT_SECONDS
-        while not self._query_jobs() and time.monotonic() < limit:
-            time.sleep(QUERY_INTERVAL_SECONDS)
-        accepted = {job for job, statuses in self._statuses.items() if 200 in statuses}
-        refused = {job for job, statuses in self._statuses.items() if set(statuses) == {503}}
-        states = {job: self._states.get(job, []) for job in accepted}
+        self._callers.wait_for_results(time.monotonic() + checks.COMPLETION_TIMEOUT_SECONDS)
+        self._wait_for_cancelled_runs()
         problems = list(self._problems.queue)
         problems += [f"FAULT: {name} exited by itself" for name in self._deployment.list_exited()]
+        observed_at = time.monotonic()
         found = checks.find_violations(
             self._deployment.list_runs(),
-            accepted,
-            refused,
-            states,
-            self._deadly,
+            self._callers.accepted,
+            self._callers.refused,
+            self._callers.states,
+            self._callers.deadly,
             self._evacuations,
+            self._callers.cancellations,
+            self._disturbances,
+            observed_at,
         )
         return [*problems, *found]
+
+    def _wait_for_cancelled_runs(self) -> None:
+        """Wait until the runs of cancelled jobs have ended, or for as long as they may take."""
+        started_at = time.monotonic()
+        while time.monotonic() - started_at < MAX_CANCELLED_RUN_SECONDS and any(
+            run["end"] is None and run["task"].partition(".")[0] in self._callers.cancellations
+            for run in self._deployment.list_runs()
+        ):
+            time.sleep(callers.QUERY_INTERVAL_SECONDS)
+
+
+def _draw_faults(
+    seed: int, seconds: float, names: Sequence[str], workers: Sequence[str]
+) -> list[faults.Fault]:
+    drawn = [
+        *faults.draw_faults(seed, seconds, names),
+        *faults.draw_faults(f"workers {seed}", seconds, workers, faults.WORKER_KIND_WEIGHTS),
+        *faults.draw_faults(f"fleet {seed}", seconds, workers, faults.FLEET_KIND_WEIGHTS),
+        *faults.draw_faults(f"odd {seed}", seconds, workers, faults.ODD_KIND_WEIGHTS),
+        *faults.draw_faults(f"signals {seed}", seconds, names, faults.SIGNAL_KIND_WEIGHTS),
+    ]
+    stops = [faults.list_stops(fault, names) for fault in drawn if fault.kind is faults.Kind.ROLL]
+    found = [*itertools.chain(*stops), *drawn]
+    return sorted(
+        (
+            fault
+            for fault in found
+            if fault.kind is not faults.Kind.ROLL and not faults.is_in_calm(fault)
+        ),
+        key=lambda fault: fault.starts_at,
+    )
+
+
+def _make_conflict_key(fault: faults.Fault) -> tuple[str, str]:
+    """Return a key that two faults share if they may not overlap."""
+    if fault.kind in INDEPENDENT_KINDS:
+        return fault.kind.value, fault.target
+    return "process", fault.target
