--- a/crocusrudder/workflows/owner.py
+++ b/crocusrudder/workflows/owner.py
@@ -38,6 +38,10 @@
 """Cancellations remembered whose jobs are not known yet."""
 MAX_WRITES = 90
 """Maximum number of rows written by one commit; the store allows 100."""
+MAX_COMMIT_BYTES = 600_000
+"""Progress written by one commit; the store allows 1 MB, and base64 adds a third."""
+
+_UnsavedRow = tuple[job_registry.JobRecord, bytes | None]
 
 
 class Commit(msgspec.Struct, frozen=True):
@@ -86,7 +90,7 @@
         """Version of the row and Unix time of cancellations whose jobs are not known yet."""
         self._started_at = now
         self._seen_at = now
-        """Time of the last report or tick."""
+        """Time of the last report, tick or cancellation."""
         self._awaited_agents: dict[ids.ProcessId, float] = {}
         """When the leases of agents expire that have not reported in this epoch, by agent."""
         self._logged: list[effects.LogChange] = []
@@ -172,12 +176,15 @@
             if cancelled_version > version:
                 self.apply_cancellation(job.job_id, cancelled_at, cancelled_version)
 
-    def apply_cancellation(self, job: ids.JobId, wall_time: float, version: int = 0) -> None:
+    def apply_cancellation(
+        self, job: ids.JobId, wall_time: float, version: int = 0, now: float = float("-inf")
+    ) -> None:
         """Cancel a job whose cancellation has been stored; one in a final state is left alone.
 
         The message about a cancellation may arrive before that about its job, so one of an unknown
         job is kept for the job's row, which has a lower version than the cancellation's.
         """
+        self._seen_at = max(self._seen_at, now)
         record = self._job_registry.get(job)
         if record is None:
             self._early_cancellations[job] = (version, wall_time)
@@ -214,22 +221,22 @@
         view = self._get_view(agent)
         view.record_agent_start(address)
 
-    def tick(self, now: float, wall_time: float) -> None:
-        """Release runs whose leases have expired, and plan starts and moves."""
+    def tick(self, now: float, wall_time: float, is_plan_due: bool = True) -> None:
+        """Release runs whose leases have expired, and plan starts and moves if that is due."""
         self._seen_at = now
         for view in self._views.values():
             self._check_timeout(view, now)
         self._cancellation_monitor.check(now)
         is_reconciled = all(now >= expires_at for expires_at in self._awaited_agents.values())
         self._evacuation_monitor.update(self._views, now, is_reconciled)
-        if not self._evacuation_monitor.may_start(now):
+        if not is_plan_due or not self._evacuation_monitor.may_start(now):
             return
         for move in self._planner.plan(self._views, now, wall_time, is_reconciled):
             self._report_handler.move_run(move.view, move.run)
 
     def make_orders(self, now: float) -> list[tuple[ids.ProcessId, workflow_messages.AgentOrders]]:
         """Return the orders that are due, by agent."""
-        return [
+        orders = [
             (view.agent, self._make_orders(view, now))
             for view in self._views.values()
             if view.worker is not None
@@ -238,6 +245,8 @@
             and now - view.received_at < leases.ORDER_VALID_SECONDS
             and (view.has_updates or now - view.sent_at >= ORDER_INTERVAL_SECONDS)
         ]
+        self._cancellation_monitor.check(now)
+        return orders
 
     def repeat_orders(self, agent: ids.ProcessId) -> None:
         """Make an agent's orders due again, because the last ones were not sent."""
@@ -257,13 +266,13 @@
         registered = self._list_unregistered()
         for agent, address in registered.items():
             writes.append((rows.ROSTER_TABLE, agent, address.encode() or None))
-        unsaved = self._job_registry.unsaved
-        changed = list(itertools.islice(unsaved.values(), MAX_WRITES - len(writes)))
-        is_complete = len(changed) == len(unsaved)
-        for record in changed:
+        changed = []
+        for record, value in self._list_unsaved(MAX_WRITES - len(writes)):
             record.has_unsaved_changes = False
-            value = rows.encode(record.progress)
-            writes.append((rows.PROGRESS_TABLE, record.job.job_id, value))
+            if value is not None:
+                changed.append(record)
+                writes.append((rows.PROGRESS_TABLE, record.job.job_id, value))
+        is_complete = not self._job_registry.unsaved
         ends = {
             (view.agent, view.worker.incarnation): view.last_processed_end
             for view in self._views.values()
@@ -280,6 +289,24 @@
         lost = tuple(view.agent for view in self._views.values() if view.is_declared_lost)
         return Commit(tuple(writes), states, ends, registered, lost, removed)
 
+    def _list_unsaved(self, limit: int) -> list[_UnsavedRow]:
+        """Return unsaved records with their rows, None for a row that the store cannot hold.
+
+        The store would refuse the whole commit for it, and with it the progress of all jobs.
+        """
+        found: list[_UnsavedRow] = []
+        size = 0
+        for record in itertools.islice(self._job_registry.unsaved.values(), limit):
+            value, is_whole = rows.encode_progress(record.progress)
+            size += len(value or b"")
+            if found and size > MAX_COMMIT_BYTES:
+                break
+            if not is_whole:
+                name = "progress_not_stored" if value is None else "progress_shortened"
+                self._log(name, job=record.job.job_id)
+            found.append((record, value))
+        return found
+
     def has_changes(self) -> bool:
         """Return whether a commit would store anything."""
         return (
@@ -391,8 +418,10 @@
             self._report_handler.release_all(view, now, "lease_over")
 
     def _deactivate_final_jobs(self) -> None:
-        for record in self._job_registry.deactivate_final():
-            runs = self._report_handler.stop_runs(record, self._views.values())
+        # All runs are stopped first: an error below must not leave those of the other jobs running.
+        final = self._job_registry.deactivate_final()
+        stopped = [self._report_handler.stop_runs(r, self._views.values()) for r in final]
+        for record, runs in zip(final, stopped, strict=True):
             if record.progress.state is model.JobState.CANCELLED:
                 self._cancellation_monitor.begin(record, runs, self._seen_at)
             self._planner.log_end(record)
--- a/crocusrudder/workflows/reports.py
+++ b/crocusrudder/workflows/reports.py
@@ -1,5 +1,6 @@
 """Update the owner's state from agents' reports."""
 
+import itertools
 import math
 from collections.abc import Iterable
 
@@ -14,6 +15,7 @@
 from crocusrudder.workflows import health
 from crocusrudder.workflows import job_registry
 from crocusrudder.workflows import leases
+from crocusrudder.workflows import list_checks
 from crocusrudder.workflows import list_completeness
 from crocusrudder.workflows import model
 from crocusrudder.workflows.decisions import durations
@@ -24,18 +26,6 @@
 UNHEALTHY_BLOCK_SECONDS = 1.0
 RETRY_DELAY_SECONDS = 0.2
 """Delay before a task whose run was rejected is placed again."""
-POLL_SECONDS = 1.5
-"""Longest time from the request of a list to its receipt by the agent."""
-RUN_LEFT_OUT = "run_number_implausible"
-"""Log event of a listed run or end that no owner can have ordered; it is left out."""
-START_EXPIRED = "start_expired"
-"""Log event of a run that was never listed, or is no longer, and cannot begin any more."""
-UNKNOWN_RUN_SECONDS = 2.0
-"""Time after an agent has received the stop of a run of an unknown task from which the run no
-longer keeps its worker from starts. A stop takes 0.2 s in the users' deployments, and accepted jobs
-wait for 3 s at most."""
-UNKNOWN_RUN_IGNORED = "unknown_run_ignored"
-"""Log event of such a run that is still listed."""
 CAPACITY_EXCEEDED = "capacity_exceeded"
 """Log event of a change after which the runs on a worker take more than its capacity."""
 
@@ -61,7 +51,8 @@
         self._job_registry = jobs
         self._queues: dict[model.QueueName, model.Queue] = {}
         self._crash_register = crashes.CrashRegister(epoch, jobs)
-        self._health: dict[ids.ProcessId, tuple[object, health.WorkerHealth]] = {}
+        self._list_filter = list_checks.ListFilter(epoch)
+        self._health_register = health.HealthRegister(epoch)
         self._incomplete_gangs: set[tuple[job_registry.StageRecord, int]] = set()
         """Stages and run numbers of gangs of which a member was rejected."""
         self._logged: list[effects.LogChange] = []
@@ -77,7 +68,8 @@
     def drain_log(self) -> list[effects.LogChange]:
         """Return the decisions logged since the last call, and clear them."""
         logged, self._logged = self._logged, []
-        return logged + self._crash_register.drain_log()
+        sources = (self._crash_register, self._health_register, self._list_filter)
+        return [*logged, *itertools.chain.from_iterable(s.drain_log() for s in sources)]
 
     def handle(
         self,
@@ -114,7 +106,8 @@
         self._apply_running(view, report, now)
         self._crash_register.record_running(view, report, now)
         if not view.list_completeness.may_miss_runs(now):
-            self._check_stall(view, now, report.list_age_seconds)
+            for run in self._health_register.check_stall(view, now, report.list_age_seconds):
+                self.move_run(view, run)
 
     def release_all(self, view: fleet.AgentView, now: float, reason: str) -> None:
         """Release all assignments of a worker on which certainly nothing runs any more."""
@@ -165,7 +158,6 @@
             self.release_all(view, now, "worker_replaced")
             view.last_processed_end = 0
             view.last_durable_end = 0
-            view.runs_left_out.clear()
             view.is_reconciled = False
             view.list_completeness = list_completeness.ListCompleteness()
             view.blocked_until = 0.0
@@ -213,23 +205,9 @@
             if ended.number <= view.last_processed_end:
                 continue
             view.last_processed_end = ended.number
-            if self._is_possible(view, ended.task, ended.run):
+            if self._list_filter.is_run_plausible(view, ended.task, ended.run):
                 self._apply_end(view, ended, now, wall_time)
 
-    def _is_possible(self, view: fleet.AgentView, task: str, run: int) -> bool:
-        """Return whether an owner may have numbered a listed run; log one that none has.
-
-        It is not stopped: the worker would then refuse all lower runs of the task.
-        """
-        lowest = job_registry.RUNS_PER_EPOCH
-        # An epoch with more runs than are reserved for it uses numbers of the next one.
-        if lowest < run <= (self._epoch + 2) * job_registry.RUNS_PER_EPOCH:
-            return True
-        if (task, run) not in view.runs_left_out:
-            view.runs_left_out.add((task, run))
-            self._log(RUN_LEFT_OUT, agent=view.agent, task=task, run=run)
-        return False
-
     def _apply_end(
         self,
         view: fleet.AgentView,
@@ -247,43 +225,14 @@
         if task is None:
             return
         if kind is model.EndKind.DONE and not task.stage.spec.long_running:
-            self._get_health(view).record_success(now)
+            self._health_register.get(view).record_success(now)
             if assignment.is_comparable and task.run == assignment.run:
                 self._duration_model.record_run(task.stage, now - task.assigned_at)
             self._mark_done(task, wall_time)
         elif kind is model.EndKind.FAILED and not task.record.is_final:
-            self._check_failures(view, task, now)
+            self._health_register.check_failures(view, task, now)
             self._count_failure(view, task, ended.run, wall_time)
 
-    def _check_failures(self, view: fleet.AgentView, task: job_registry.Task, now: float) -> None:
-        """Quarantine a worker on which runs of several jobs fail in succession."""
-        seconds = self._get_health(view).record_failure(task.record.job.job_id, now)
-        if seconds:
-            view.set_aside_until = max(view.set_aside_until, now + seconds)
-            self._log("worker_set_aside", agent=view.agent, reason="fails", pause_s=seconds)
-
-    def _check_stall(self, view: fleet.AgentView, now: float, list_age_seconds: float) -> None:
-        """Quarantine a stalled worker and move its runs.
-
-        A worker that lists its runs late is not stalled: only time up to its last list counts.
-        """
-        worker_health = self._get_health(view)
-        listed_at = now - list_age_seconds
-        worker_health.record_progress(view, listed_at)
-        if not worker_health.is_stalled(listed_at):
-            return
-        seconds = worker_health.record_stall(now)
-        view.set_aside_until = max(view.set_aside_until, now + seconds)
-        self._log("worker_set_aside", agent=view.agent, reason="stands_still", pause_s=seconds)
-        for run in health.list_expected_to_progress(view):
-            self.move_run(view, run)
-
-    def _get_health(self, view: fleet.AgentView) -> health.WorkerHealth:
-        key = (view.agent, view.worker.incarnation)
-        if self._health.get(view.agent, (None,))[0] != key:
-            self._health[view.agent] = (key, health.WorkerHealth())
-        return self._health[view.agent][1]
-
     def _mark_done(self, task: job_registry.Task, wall_time: float) -> None:
         members = task.stage.tasks if task.stage.spec.gang else [task]
         for member in members:
@@ -308,7 +257,7 @@
         present = set(report.starting)
         view.measurements = {}
         for running in report.running:
-            if not self._is_possible(view, running.task, running.run):
+            if not self._list_filter.is_run_plausible(view, running.task, running.run):
                 continue
             key = (running.task, running.run)
             present.add(key)
@@ -331,27 +280,11 @@
         if not view.list_completeness.may_miss_runs(now):
             self._stop_absent(view, report, present)
         self._release_void(view, report, now)
-        self._release_expired(view, report, now)
-        if view.usage.has_unknown:
-            self._ignore_unknown(view, report, now)
-
-    def _ignore_unknown(
-        self, view: fleet.AgentView, report: workflow_messages.AgentReport, now: float
-    ) -> None:
-        """Ignore the runs of unknown tasks that the worker lists although they are stopped.
-
-        Such an entry may be no run at all, so it must not keep the worker from starts for good.
-        """
-        for assignment in view.assignments.values():
-            if assignment.task is not None or assignment.is_ignored or not report.reachable:
-                continue
-            if not 0 < assignment.stop_number <= report.orders_seen:
-                continue
-            if assignment.stop_seen_at is None:
-                assignment.stop_seen_at = now
-            elif now - assignment.stop_seen_at >= UNKNOWN_RUN_SECONDS:
-                view.ignore_run(assignment)
-                self._log_run(UNKNOWN_RUN_IGNORED, assignment, view)
+        for assignment in list_checks.list_expired(view, report, now):
+            self._release_expired(view, assignment, now)
+        for assignment in list_checks.list_unstoppable(view, report, now):
+            view.ignore_run(assignment)
+            self._log_run(list_checks.UNKNOWN_RUN_IGNORED, assignment, view)
 
     def _release_void(
         self, view: fleet.AgentView, report: workflow_messages.AgentReport, now: float
@@ -372,23 +305,12 @@
                     self._incomplete_gangs.add((assignment.task.stage, assignment.run))
 
     def _release_expired(
-        self, view: fleet.AgentView, report: workflow_messages.AgentReport, now: float
+        self, view: fleet.AgentView, assignment: fleet.Assignment, now: float
     ) -> None:
-        """Release the runs that are not listed and whose start can no longer begin.
-
-        Their agents get no answer to the start and to the stop, or the worker refuses the stop.
-        """
-        requested_at = now - report.list_age_seconds - POLL_SECONDS
-        for assignment in list(view.assignments.values()):
-            assigned_at = assignment.task.assigned_at if assignment.task else 0.0
-            known_at = max(assigned_at, assignment.ordered_at, assignment.listed_at)
-            if requested_at - known_at >= leases.START_EXPIRY_SECONDS:
-                self._log_run(START_EXPIRED, assignment, view, phase=assignment.phase.value)
-                self._release(view, assignment, now)
-                self._record_unstarted(view, assignment)
-
-    def _record_unstarted(self, view: fleet.AgentView, assignment: fleet.Assignment) -> None:
-        """Prefer other workers for a task whose run could not be started; plan its gang again."""
+        """Release a run that can no longer begin; its task prefers other workers from now on."""
+        fields = {"phase": assignment.phase.value}
+        self._log_run(list_checks.START_EXPIRED, assignment, view, **fields)
+        self._release(view, assignment, now)
         if assignment.task is None:
             return
         stage = assignment.task.stage
--- a/tests/workflows/test_owner_service.py
+++ b/tests/workflows/test_owner_service.py
@@ -15,12 +15,15 @@
 from crocusrudder.wire import workflow_messages
 from crocusrudder.workflows import leases
 from crocusrudder.workflows import model
+from crocusrudder.workflows import owner
 from crocusrudder.workflows import owner_service
 from crocusrudder.workflows import ownership
 from crocusrudder.workflows import rows
 from crocusrudder.workflows.decisions import near_places
 
 START = 100.0
+GUARD_SECONDS = 20.0
+"""Ends a test that waits for something that never comes."""
 AGENT = ids.ProcessId("a1")
 SERVICE = ids.ServiceName("dispatch")
 QUEUE = model.Queue(model.QueueName("q"), "host", "/q/", SERVICE)
@@ -32,6 +35,10 @@
     def __init__(self) -> None:
         self.sent: list[workflow_messages.AgentOrders] = []
         self.addresses: dict[ids.ProcessId, str] = {}
+        self.reconnected: list[ids.ProcessId] = []
+
+    def reconnect(self, process) -> None:
+        self.reconnected.append(process)
 
     def record_address(self, process, address) -> None:
         self.addresses[process] = address
@@ -39,6 +46,9 @@
     def send(self, to, message, incarnation) -> None:
         self.sent.append(message)
 
+    async def retry_unsent(self) -> None:
+        pass
+
 
 class OrdersTest(unittest.TestCase):
     def setUp(self):
@@ -62,6 +72,9 @@
         self.owner.add_job(model.Job(ids.JobId("j"), QUEUE.name, "", (stage,), START), 6)
 
     def _report(self, millicores: int = 8_000) -> None:
+        self.owner.handle_report(AGENT, self._make_report(millicores), self.now, self.now)
+
+    def _make_report(self, millicores: int = 8_000) -> workflow_messages.AgentReport:
         worker = workflow_messages.WorkerState(
             ids.WorkerId("w1"),
             1,
@@ -70,10 +83,21 @@
             messages.Resources(millicores, 1_000, 0),
             ("a", "r1"),
         )
-        report = workflow_messages.AgentReport(
+        return workflow_messages.AgentReport(
             ids.DataCentre("z"), self.now, 1, 0, worker, True, False
         )
-        self.owner.handle_report(AGENT, report, self.now, self.now)
+
+    def test_orders_go_through_a_new_connection_once_a_lost_agent_is_back(self):
+        # Guards against a cancelled run that goes on for seconds after a cut: the open connection
+        # to its agent delivered nothing until the packets lost in the cut were repeated.
+        self.service._is_loaded = True
+        self.now += owner.LOST_AFTER_SECONDS
+        self.owner.tick(self.now, self.now)
+        for _ in range(2):
+            self.now += 0.5
+            report = self._make_report()
+            curio.run(self.service.handle_report(AGENT, "i1", "a1:1", report))
+        self.assertEqual([AGENT], self.link.reconnected)
 
     def _list_started(self) -> list[str]:
         return [order.task for orders in self.link.sent for order in orders.starts]
@@ -108,6 +132,62 @@
         expected = {"jobs_waiting_no_capacity": 1, "jobs_waiting_order_pending": 1}
         self.assertEqual(expected, self.metrics.counters)
 
+    def test_a_stop_does_not_wait_for_the_pause_after_a_long_plan(self):
+        # Guards against a run that goes on after its cancellation while the owner plans large jobs:
+        # a plan of 1 s was followed by 3 s without orders.
+        self.service._send_orders()
+        self._report()
+        plans = []
+
+        def plan_slowly(*_):
+            plans.append(self.now)
+            self.now += 1.0
+            return []
+
+        async def play() -> None:
+            sending = await curio.spawn(self.service._send_orders_forever)
+            while not plans:
+                await curio.sleep(0.001)
+            self._report()
+            self.owner.apply_cancellation(ids.JobId("j"), START)
+            await self.service._changes.set()
+            async with curio.timeout_after(GUARD_SECONDS):
+                while not any(orders.stops for orders in self.link.sent):
+                    await curio.sleep(0.001)
+            await sending.cancel()
+
+        with (
+            mock.patch.object(owner_service, "PLANNING_PAUSE_FACTOR", 10 * GUARD_SECONDS),
+            mock.patch.object(self.owner._planner, "plan", plan_slowly),
+        ):
+            curio.run(play)
+        self.assertEqual(1, len(plans))
+
+    def test_an_owner_without_changes_plans_at_each_tick_only(self):
+        # Guards against an owner that plans without end, as the time of a stop must not depend on
+        # the pauses between plans.
+        plans = []
+
+        async def play() -> None:
+            sending = await curio.spawn(self.service._send_orders_forever)
+            for _ in range(20):
+                await curio.sleep(owner_service.COALESCE_SECONDS)
+                self.now += owner_service.COALESCE_SECONDS
+            await sending.cancel()
+
+        def plan(*_):
+            plans.append(self.now)
+            self.now += 0.001
+            return []
+
+        with (
+            mock.patch.object(owner_service, "TICK_INTERVAL_SECONDS", 10 * GUARD_SECONDS),
+            mock.patch.object(self.owner._planner, "plan", plan),
+        ):
+            curio.run(self.service._changes.set)
+            curio.run(play)
+        self.assertEqual(1, len(plans))
+
     def test_orders_planned_before_a_suspension_are_not_sent_after_the_lease_has_run_out(self):
         # Guards against two owners: a process that is suspended between its check of the lease
         # and the sending would send orders beside those of its successor.
