--- a/crocusrudder/workflows/agent_daemon.py
+++ b/crocusrudder/workflows/agent_daemon.py
@@ -420,6 +420,7 @@
             "owner": self._owner,
             "report": report,
             "heartbeats": self._state.identity.describe(),
+            "list_entries_unreadable": self._metrics.counters.get("list_entries_unreadable", 0),
         }
 
     def _log(self, name: str, **fields: object) -> None:
--- a/tests/workflows/test_agent_daemon.py
+++ b/tests/workflows/test_agent_daemon.py
@@ -294,6 +294,9 @@
         self.assertLessEqual(len(client._http.requests), 2)
         counters = self.agent._metrics.counters
         self.assertEqual(len(client._http.requests), counters["list_entries_unreadable"])
+        self.assertEqual(
+            counters["list_entries_unreadable"], self.agent._dump()["list_entries_unreadable"]
+        )
 
     def test_a_list_of_another_incarnation_with_the_same_id_is_not_taken_for_the_known_one(self):
         # Guards against ends of the new incarnation that are taken for ends of the old one, whose
