Expire no start while a list may hide its run

A task could run twice: a run whose entry cannot be read and whose stop the worker refuses is in no list, so after 10.4 s it counted as a start that can no longer begin, and its task was placed elsewhere.

Runs are released as expired only on lists that name all runs.

--- a/crocusrudder/workflows/list_checks.py
+++ b/crocusrudder/workflows/list_checks.py
@@ -73,8 +73,11 @@
 ) -> list[fleet.Assignment]:
     """Return the runs that are not listed and whose start can no longer begin.
 
-    Their agents get no answer to the start and to the stop, or the worker refuses the stop.
+    Their agents get no answer to the start and to the stop, or the worker refuses the stop. While a
+    list may not name all runs, such a run may be at work.
     """
+    if view.list_completeness.is_incomplete:
+        return []
     requested_at = now - report.list_age_seconds - POLL_SECONDS
     return [
         assignment
--- a/tests/workflows/test_unreadable_entries.py
+++ b/tests/workflows/test_unreadable_entries.py
@@ -52,6 +52,14 @@
         self.assertIs(model.JobState.COMPLETED, system.get_state("j1"))
         self.assertEqual(2, system.count_starts(TASK))
 
+    def test_a_run_whose_entry_is_unreadable_and_whose_stop_is_refused_is_not_run_twice(self):
+        # Guards against TWICE: the run counted as one whose start can no longer begin.
+        system, worker = self._start_task(60.0)
+        worker.unreadable.add(TASK)
+        worker.stop = lambda *_: False
+        self._run(system, leases.START_EXPIRY_SECONDS + 10.0)
+        self.assertEqual(1, system.count_starts(TASK))
+
     def test_a_new_owner_does_not_start_a_run_that_an_incomplete_list_hides(self):
         # Guards against TWICE after a change of the owner.
         system, worker = self._start_task(8.0)
