Let an error in the outlook of one job stop no other

Callers would see nothing start any more: the sort of all jobs was outside the part of a plan that catches errors, so one job whose outlook raises one, such as a stored estimate of 1e308 in the learned order (ValueError from log) or a stage after one that does not exist (IndexError), ended the owner's process, and that of each owner after it. An error in the log line of an ended job also kept the jobs that ended with it from being stopped.

Both are caught, logged once (job_not_ranked) and counted (jobs_not_ranked); the job is planned like one in time.

--- a/crocusrudder/workflows/decisions/waiting.py
+++ b/crocusrudder/workflows/decisions/waiting.py
@@ -23,6 +23,8 @@
 
 OUTLOOK_WORSE = "job_outlook"
 """Log event of a waiting job whose outlook is worse than before."""
+RANK_FAILED = "job_not_ranked"
+"""Log event of a job whose outlook could not be determined; it counts as one in time."""
 FORECAST_FAILED = "forecast_failed"
 """Log event of a job whose durations could not be estimated."""
 JOB_COMPLETED = "job_completed"
@@ -164,14 +166,21 @@
 
     Without a forecast the order by outlook is that of the callers' estimates.
     """
-    accepted_at = record.job.accepted_at
     if queue is None:
-        return (0, Outlook.IN_TIME, False, 0.0, accepted_at)
+        return make_neutral_rank(record, queue)
     outlook = assess_outlook(record, queue, wall_time, forecast)
     work = 0.0
     if forecast is not None and has_objective(record.job):
         work = forecast.compute_relative_work(record)
-    return (queue.priority, outlook, not has_begun(record), work, accepted_at)
+    return (queue.priority, outlook, not has_begun(record), work, record.job.accepted_at)
+
+
+def make_neutral_rank(
+    record: job_registry.JobRecord, queue: model.Queue | None
+) -> tuple[float, ...]:
+    """Return the sort key of a job whose outlook is not known."""
+    priority = 0 if queue is None else queue.priority
+    return (priority, Outlook.IN_TIME, False, 0.0, record.job.accepted_at)
 
 
 def has_begun(record: job_registry.JobRecord) -> bool:
--- a/crocusrudder/workflows/owner_service.py
+++ b/crocusrudder/workflows/owner_service.py
@@ -74,6 +74,7 @@
     preemption.PREEMPTED: "preemptions",
     **{cause.value: cause.value for cause in over_target.Cause},
     waiting.OUTLOOK_WORSE: "outlooks_worse",
+    waiting.RANK_FAILED: "jobs_not_ranked",
     cancellations.OVERDUE: "cancellations_overdue",
 }
 """Metrics that count the log events of these names."""
--- a/crocusrudder/workflows/planning.py
+++ b/crocusrudder/workflows/planning.py
@@ -2,6 +2,7 @@
 
 import itertools
 import math
+import weakref
 from collections.abc import Mapping
 
 from crocusrudder.core import effects
@@ -63,6 +64,8 @@
             epoch, self._pool, self._duration_model, self._queues
         )
         self._is_reconciled = False
+        self._unranked: weakref.WeakSet[job_registry.JobRecord] = weakref.WeakSet()
+        """Jobs whose outlook could not be determined, which has been logged."""
         self._left_pending: set[job_registry.StageRecord] = set()
         """Stages that the last plan considered and of which it left tasks without a worker."""
         self._waiting_monitor = waiting_reasons.WaitingMonitor(epoch)
@@ -79,11 +82,23 @@
     def log_end(self, record: job_registry.JobRecord) -> None:
         """Log whether a job that has reached a final state was in time."""
         queue = self._queues.get(record.job.queue)
-        end = waiting.assess_end(record, queue, self._forecast) if queue else None
+        try:
+            end = waiting.assess_end(record, queue, self._forecast) if queue else None
+        except Exception as error:
+            self._log_unranked(record, error)
+            return
         if end is not None:
             elapsed = round(record.progress.finished_at - record.job.accepted_at, 3)
             self._log_outlook(waiting.JOB_COMPLETED, record, end, elapsed_s=elapsed)
 
+    def _log_unranked(self, record: job_registry.JobRecord, error: Exception) -> None:
+        """Log once that the outlook of a job cannot be determined, which must not stop others."""
+        if record not in self._unranked:
+            self._unranked.add(record)
+            fields = {"job": record.job.job_id, "error": repr(error)}
+            fields = {"epoch": self._epoch, "code": errors.PlanningError.code, **fields}
+            self._logged.append(effects.LogChange(waiting.RANK_FAILED, fields))
+
     def _log_outlook(
         self,
         event: str,
@@ -209,6 +224,15 @@
     def _rank(self, record: job_registry.JobRecord, wall_time: float) -> tuple[float, ...]:
         """Return a job's sort key, and log its outlook if it is worse than before."""
         queue = self._queues.get(record.job.queue)
+        try:
+            return self._rank_by_outlook(record, queue, wall_time)
+        except Exception as error:
+            self._log_unranked(record, error)
+            return waiting.make_neutral_rank(record, queue)
+
+    def _rank_by_outlook(
+        self, record: job_registry.JobRecord, queue: model.Queue | None, wall_time: float
+    ) -> tuple[float, ...]:
         forecast = self._forecast if self._has_learned_order else None
         key = waiting.compute_rank(record, queue, wall_time, forecast)
         if key[1] > record.worst_outlook:
--- a/tests/workflows/test_owner.py
+++ b/tests/workflows/test_owner.py
@@ -1,6 +1,7 @@
 """Tests of the owner with simulated agents and workers."""
 
 import collections
+import types
 import unittest
 from unittest import mock
 
@@ -15,6 +16,7 @@
 from crocusrudder.workflows import owner
 from crocusrudder.workflows import rows
 from crocusrudder.workflows.decisions import placement
+from crocusrudder.workflows.decisions import waiting
 from tests.workflows import world
 
 ONE_CORE = messages.Resources(1_000, 100, 0)
@@ -168,6 +170,40 @@
         system.run(2.0)
         self.assertIs(model.JobState.COMPLETED, system.get_state("j2"))
 
+    def _fail_for(self, module: types.ModuleType, name: str, job: str):
+        """Return a patch with which a function of a job's record fails for one job."""
+        function = getattr(module, name)
+
+        def fail(record, *args):
+            if record.job.job_id == job:
+                raise ValueError("unexpected")
+            return function(record, *args)
+
+        return mock.patch.object(module, name, fail)
+
+    def test_a_job_that_cannot_be_ranked_stops_neither_the_others_nor_itself(self):
+        # Guards against LOST: the error ended each plan of all jobs, and the process of each owner.
+        system = world.World()
+        system.run(1.0)
+        with self._fail_for(waiting, "compute_rank", "j1"):
+            for job in ("j1", "j2"):
+                system.submit(job, model.Stage(1, ONE_CORE))
+            system.run(3.0)
+        for job in ("j1", "j2"):
+            self.assertIs(model.JobState.COMPLETED, system.get_state(job))
+        logged = [c.fields["job"] for c in system.owner.drain_log() if c.name == "job_not_ranked"]
+        self.assertEqual(["j1"], logged)
+
+    def test_a_job_whose_end_cannot_be_assessed_keeps_no_other_job_from_being_stopped(self):
+        # Guards against UNASKED: jobs that ended in the same report were not stopped.
+        system = world.World()
+        system.submit("j1", model.Stage(1, ONE_CORE))
+        system.submit("j2", model.Stage(1, ONE_CORE))
+        with self._fail_for(waiting, "assess_end", "j1"):
+            system.run(4.0)
+        for job in ("j1", "j2"):
+            self.assertIs(model.JobState.COMPLETED, system.get_state(job))
+
     def _fail_planning(self, *jobs: model.Job) -> tuple[world.World, list[str]]:
         """Fail to plan jobs for 3.5 s; return the system and the jobs of the logged failures."""
         system = world.World()
