--- a/tools/standin/users/worker.py
+++ b/tools/standin/users/worker.py
@@ -17,6 +17,8 @@
 POLL_SECONDS = 0.02
 MAX_LEASE_MS = 6_000
 MAX_WAIT_MS = 2_000
+STOP_SECONDS = 0.15
+"""Time that a stop takes; ``stopTimeoutMs`` of the users' pages is 0.2 s."""
 DEADLY_SPEC = "deadly"
 """Spec of the tasks that crash each worker that starts them."""
 LASTING_SPEC = "lasting"
@@ -51,6 +53,7 @@
         self._fence_token = 0
         self._lease_expires_ms = 0
         self._running: dict[RunKey, float] = {}
+        self._stopping: dict[RunKey, float] = {}
         self._ended: list[list] = []
         self._last_end_number = 0
         self._highest_run_numbers: dict[str, int] = {}
@@ -114,6 +117,8 @@
         if expected and expected != self._name:
             return http_messages.Response(421)
         content = msgspec.json.decode(request.body)
+        if not all(isinstance(content.get(name, 0), int) for name in ("expiresMs", "waitMs")):
+            return self._respond(400)
         if content.get("fenceToken", 0) < self._fence_token:
             return self._respond(409, reason="fence")
         self._fence_token = content.get("fenceToken", 0)
@@ -193,7 +198,7 @@
     def _stop(self, run: RunKey) -> None:
         self._highest_run_numbers[run[0]] = max(self._highest_run_numbers.get(run[0], 0), run[1])
         if run in self._running:
-            self._end(run, "stopped")
+            self._stopping.setdefault(run, time.monotonic() + STOP_SECONDS)
 
     async def _poll_runs(self, content: dict) -> http_messages.Response:
         last_seen = content.get("lastSeen", 0)
@@ -215,6 +220,8 @@
         for run, ends_at in list(self._running.items()):
             if self.clock_ms > self._lease_expires_ms:
                 self._end(run, "lapsed")
+            elif self._stopping.get(run, now) < now:
+                self._end(run, "stopped")
             elif now >= ends_at:
                 self._end(run, "done")
 
@@ -227,6 +234,7 @@
 
     def _end(self, run: RunKey, how: str) -> None:
         del self._running[run]
+        self._stopping.pop(run, None)
         self.history[run] |= {"end": time.monotonic(), "how": how}
         self._last_end_number += 1
         self._ended.append([self._last_end_number, *run, how, ""])
