--- a/tests/workflows/test_odd_histories.py
+++ b/tests/workflows/test_odd_histories.py
@@ -31,6 +31,7 @@
 
     def __init__(self, *args) -> None:
         self.is_list_unreadable = False
+        self.is_list_incomplete = False
         self.is_refusing_stops = False
         self.odd_running: tuple[workflow_messages.RunningTask, ...] = ()
         self.odd_ended: tuple[workflow_messages.EndedRun, ...] = ()
@@ -47,10 +48,18 @@
     def _read_list(self, listed: worker_client.RunList) -> worker_client.RunList | None:
         if self.is_list_unreadable:
             return None
+        odd_ended = (entry for entry in self.odd_ended if entry.number > self.state.acknowledged)
+        ended = (*listed.ended, *odd_ended)
+        running = listed.running
+        if self.is_list_incomplete:
+            # The same entries stay unreadable; ``sum`` does not depend on the process.
+            running = (entry for entry in running if sum(entry.task.encode()) % 2)
         return msgspec.structs.replace(
             listed,
-            running=(*self.odd_running, *listed.running),
-            ended=(*listed.ended, *self.odd_ended),
+            running=(*self.odd_running, *running),
+            ended=worker_client.select_consecutive(ended, self.state.acknowledged),
+            is_complete=not self.is_list_incomplete,
+            unreadable=int(self.is_list_incomplete),
         )
 
     def _stop(self, run: tuple[str, int], now: float) -> bool:
@@ -66,7 +75,7 @@
 
     agent_type = OddAgent
     troubles = (
-        *("unreadable", "refuse_stop", "odd_run", "odd_run", "odd_end", "power_loss"),
+        *("unreadable", "incomplete", "refuse_stop", "odd_run", "odd_run", "odd_end", "power_loss"),
         *("crash", "agent_restart", "owner", "cancel", "drain", "cut_off", "lost_calls", "gone"),
     )
 
@@ -118,6 +127,12 @@
     def _end_unreadable(self, agent: OddAgent) -> None:
         agent.is_list_unreadable = False
 
+    def _begin_incomplete(self, agent: OddAgent) -> None:
+        agent.is_list_incomplete = True
+
+    def _end_incomplete(self, agent: OddAgent) -> None:
+        agent.is_list_incomplete = False
+
     def _begin_refuse_stop(self, agent: OddAgent) -> None:
         agent.is_refusing_stops = True
 
