Divide orders whose starts do not fit into a message

What callers would see: one job of many small tasks with a long spec ends the owner, and after it each process that takes over, so nothing starts or stops any more. Cause: the orders for an agent hold the spec once per start and had no limit, while a message holds 4 MB. The error of the encoder ended the service of the ownership epoch and its process. Class: one item that makes its whole container unusable.

Change: the starts of one message have a limit of 700,000 characters, and the others follow with the next orders, which are due at once.

--- a/crocusrudder/workflows/owner.py
+++ b/crocusrudder/workflows/owner.py
@@ -38,6 +38,12 @@
 """Cancellations remembered whose jobs are not known yet."""
 MAX_WRITES = 90
 """Maximum number of rows written by one commit; the store allows 100."""
+MAX_START_CHARACTERS = 700_000
+"""Characters of the starts in one message of orders, which may hold 4 MB; one takes up to 4 bytes.
+
+The first start is sent whatever its length, which the row of its job limits to 64 KB."""
+START_OVERHEAD_CHARACTERS = 150
+"""Greatest length of the encoded fields of a start beside its spec, checkpoint and ticket."""
 MAX_COMMIT_BYTES = 600_000
 """Progress written by one commit; the store allows 1 MB, and base64 adds a third."""
 
@@ -440,32 +446,14 @@
         view.orders_sent += 1
         if view.orders_unseen_since is None:
             view.orders_unseen_since = now
-        may_start = not view.is_evacuated and self._evacuation_monitor.may_start(now)
-        starts = []
+        starts, is_divided = self._make_starts(view, now)
         stops = []
         for assignment in view.assignments.values():
-            if assignment.phase is fleet.AssignmentPhase.ORDERED:
-                # Orders that leave out a start withdraw it: it is stopped once they are confirmed.
-                if not may_start:
-                    assignment.order_number = assignment.order_number or view.orders_sent
-                    continue
-                if not assignment.record_order(view.orders_sent, view.report_sent_at, now):
-                    continue
-                starts.append(
-                    workflow_messages.StartOrder(
-                        assignment.task_name,
-                        assignment.run,
-                        assignment.task.record.job.spec,
-                        assignment.checkpoint,
-                        assignment.ticket,
-                        assignment.planned_on,
-                    )
-                )
-            elif assignment.phase is fleet.AssignmentPhase.STOPPING:
+            if assignment.phase is fleet.AssignmentPhase.STOPPING:
                 assignment.stop_number = assignment.stop_number or view.orders_sent
                 stops.append((assignment.task_name, assignment.run))
         cpu_shares = view.take_changed_cpu_shares(now)
-        view.has_updates = False
+        view.has_updates = is_divided
         view.sent_at = now
         view.echoed_at = view.received_at
         return workflow_messages.AgentOrders(
@@ -474,11 +462,49 @@
             view.report_sent_at,
             view.worker.worker,
             view.worker.born_ms,
-            tuple(starts),
+            starts,
             tuple(stops),
             cpu_shares,
             view.last_durable_end,
         )
 
+    def _make_starts(
+        self, view: fleet.AgentView, now: float
+    ) -> tuple[tuple[workflow_messages.StartOrder, ...], bool]:
+        """Return the starts to order, and whether others have to wait for the next orders.
+
+        Starts are repeated for a bounded time, so those that wait get their turn.
+        """
+        may_start = not view.is_evacuated and self._evacuation_monitor.may_start(now)
+        starts = []
+        characters = 0
+        for assignment in view.assignments.values():
+            if assignment.phase is not fleet.AssignmentPhase.ORDERED:
+                continue
+            # Orders that leave out a start withdraw it: it is stopped once they are confirmed.
+            if not may_start:
+                assignment.order_number = assignment.order_number or view.orders_sent
+                continue
+            if starts and characters >= MAX_START_CHARACTERS:
+                return tuple(starts), True
+            if not assignment.record_order(view.orders_sent, view.report_sent_at, now):
+                continue
+            order = _make_start(assignment)
+            characters += len(order.spec) + len(order.checkpoint) + len(order.ticket)
+            characters += START_OVERHEAD_CHARACTERS
+            starts.append(order)
+        return tuple(starts), False
+
     def _log(self, name: str, **fields: object) -> None:
         self._logged.append(effects.LogChange(name, {"epoch": self._epoch, **fields}))
+
+
+def _make_start(assignment: fleet.Assignment) -> workflow_messages.StartOrder:
+    return workflow_messages.StartOrder(
+        assignment.task_name,
+        assignment.run,
+        assignment.task.record.job.spec,
+        assignment.checkpoint,
+        assignment.ticket,
+        assignment.planned_on,
+    )
--- a/tests/workflows/test_owner_service.py
+++ b/tests/workflows/test_owner_service.py
@@ -5,12 +5,14 @@
 from unittest import mock
 
 import curio
+import msgspec
 
 from crocusrudder.core import clocks
 from crocusrudder.core import effects
 from crocusrudder.core import ids
 from crocusrudder.observability import metrics
 from crocusrudder.platform import store
+from crocusrudder.wire import codec
 from crocusrudder.wire import messages
 from crocusrudder.wire import workflow_messages
 from crocusrudder.workflows import leases
@@ -120,6 +122,27 @@
         self.service._send_orders()
         self.assertEqual(["j.0.0.0"], self._list_started())
 
+    def test_orders_with_many_starts_are_divided(self):
+        # Guards against one job of many small tasks that ends each process that owns the workers:
+        # the starts for one agent did not fit into a message.
+        stage = model.Stage(1_500, messages.Resources(1, 0, 0))
+        job = model.Job(ids.JobId("many"), QUEUE.name, "x" * 4_000, (stage,), START)
+        self.owner.add_job(job, 6)
+        sender = codec.Sender(ids.ProcessId("e1"), ids.Incarnation("i"), "e1:1")
+        started = {}
+        for _ in range(10):
+            self.service._send_orders()
+            for orders in self.link.sent:
+                sender.encode(orders)
+                started |= {(order.task, order.run): None for order in orders.starts}
+            self.now += owner_service.TICK_INTERVAL_SECONDS
+            seen = self.owner.views[AGENT].orders_sent
+            report = msgspec.structs.replace(
+                self._make_report(), orders_seen=seen, starting=tuple(started)
+            )
+            self.owner.handle_report(AGENT, report, self.now, self.now)
+        self.assertEqual(1_501, len(started))
+
     def test_jobs_with_nothing_running_are_counted_by_reason(self):
         stage = model.Stage(1, messages.Resources(9_000, 1, 0))
         self.owner.add_job(model.Job(ids.JobId("large"), QUEUE.name, "", (stage,), START), 6)
