Drop messages that are too large instead of ending the sender

What callers would see: an agent or an owner that ends again and again, so that a worker runs nothing or no process owns the workers. Cause: the transport raised MessageTooLargeError for a message over 4 MB, which no sender handles; in an agent it ended the loop that sends reports, in an owner the one that sends orders, and with it the process. The state that made the message too large is there again after the start. Class: an error about one item that ends a process.

Change: the transport drops and counts such a message, and logs the first of several in a row. The other loops of the process, and its messages to others, go on.

--- a/crocusrudder/wire/transport.py
+++ b/crocusrudder/wire/transport.py
@@ -122,6 +122,8 @@
         self._addresses: dict[ids.ProcessId, str] = {}
         self._peers: dict[str, _Peer] = {}
         self._unsent: set[_Peer] = set()
+        self._oversized: set[ids.ProcessId] = set()
+        """Processes whose last message was too large to send."""
         self._has_unsent = curio.Event()
         self._bind(bind_address)
 
@@ -145,26 +147,51 @@
         self._addresses.pop(process, None)
         self._addresses[process] = address
         if len(self._addresses) > MAX_ADDRESSES:
-            del self._addresses[next(iter(self._addresses))]
+            oldest = next(iter(self._addresses))
+            del self._addresses[oldest]
+            self._oversized.discard(oldest)
 
     def send(
         self, to: ids.ProcessId, message: messages.Message, incarnation: ids.Incarnation
     ) -> None:
-        """Send a message; drop and count it if the address of the process is unknown."""
+        """Send a message; drop and count it if it is too large or the address is unknown."""
         address = self._addresses.get(to)
         if address is None:
             self._count("wire_dropped_unknown_peer")
             return
+        data = self._encode(to, message, incarnation)
+        if data is None:
+            return
         peer = self._peers.pop(address, None) or self._connect(to, address)
         if peer is None:
             return
         self._peers[address] = peer
         now = time.monotonic()
-        peer.enqueue(self._sender.encode(message, incarnation), now)
+        peer.enqueue(data, now)
         self._count_expired(peer.flush(now))
         if peer.has_queued:
             self._unsent.add(peer)
 
+    def _encode(
+        self, to: ids.ProcessId, message: messages.Message, incarnation: ids.Incarnation
+    ) -> bytes | None:
+        """Return the encoded message; None for one that is too large, which is counted.
+
+        Senders repeat their messages, so an error would end this process again after each start.
+        Only the first of several in a row to a process is logged.
+        """
+        try:
+            data = self._sender.encode(message, incarnation)
+        except errors.MessageTooLargeError as error:
+            self._count("wire_dropped_too_large")
+            if to not in self._oversized:
+                fields = {"peer": to, "kind": type(message).__name__, **error.to_dict()}
+                logs.write_change(effects.LogChange("message_not_sent", fields))
+            self._oversized.add(to)
+            return None
+        self._oversized.discard(to)
+        return data
+
     def _connect(self, to: ids.ProcessId, address: str) -> _Peer | None:
         """Open a connection; count the message as dropped if the address is not one."""
         if len(self._peers) >= MAX_PEERS:
--- a/tests/wire/test_transport.py
+++ b/tests/wire/test_transport.py
@@ -52,6 +52,19 @@
         )
         self.assertEqual(["wire_addresses_refused", "wire_dropped_unknown_peer"], self.counts)
 
+    def test_a_message_that_is_too_large_is_dropped(self):
+        # Guards against a process that ends again after each start, as an agent whose worker lists
+        # more than a message holds: the error ended the loop that sends reports.
+        process = ids.ProcessId("a1")
+        self.link.record_address(process, "127.0.0.1:9")
+        row = bytes(codec.MAX_ENVELOPE_BYTES)
+        large = workflow_messages.JobCall("c", "submit", ids.JobId("j"), row)
+        with mock.patch.object(transport.logs, "write_change") as write_change:
+            for _ in range(3):
+                self.link.send(process, large, transport.ANY_INCARNATION)
+        self.assertEqual(["wire_dropped_too_large"] * 3, self.counts)
+        self.assertEqual(["message_not_sent"], [c.args[0].name for c in write_change.mock_calls])
+
     def test_an_invalid_address_does_not_replace_a_valid_one(self):
         # Guards against an agent that becomes unreachable, or an error that ends the owner's task,
         # as a port of 99999 was connected to as 34463 and a lone surrogate raised UnicodeError.
