Pass a series of brackets in one step when a document is split

What callers would see: runs that end although nothing stopped them, and starts that are not carried out, on a worker whose list holds one very deeply nested entry. Cause: the split took a step for each bracket and blocked the agent meanwhile, at each poll. Class: one bad item that spoils its container.

Change: brackets in series are one token.

--- a/crocusrudder/platform/json_parts.py
+++ b/crocusrudder/platform/json_parts.py
@@ -15,10 +15,10 @@
 _Type = TypeVar("_Type")
 
 _WHITESPACE = b" \t\r\n"
-_TOKEN = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*"|["\[\]{},]', re.DOTALL)
+_TOKEN = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*"|[\[{]+|[\]}]+|[",]', re.DOTALL)
 _MEMBER = re.compile(rb'[ \t\r\n]*("[^"\\]*(?:\\.[^"\\]*)*")[ \t\r\n]*:(.*)', re.DOTALL)
-_OPENING = (b"[", b"{")
-_CLOSING = (b"]", b"}")
+_OPENING = b"[{"
+_CLOSING = b"]}"
 
 
 def split_array(document: bytes) -> list[bytes]:
@@ -59,11 +59,12 @@
     parts = []
     for token in _TOKEN.finditer(text):
         found = token[0]
-        if found in _OPENING:
-            depth += 1
-        elif found in _CLOSING:
-            depth -= 1
-            if depth <= 0 and token.end() < len(text):
+        # A series of brackets is one token: another writer may nest a value 100,000 deep.
+        if found[0] in _OPENING:
+            depth += len(found)
+        elif found[0] in _CLOSING:
+            depth -= len(found)
+            if depth < 0 or depth == 0 and token.end() < len(text):
                 raise errors.MalformedInputError("text after the closing bracket")
         elif found == b"," and depth == 1:
             parts.append(text[start : token.start()])
