Do not claim after an owner's row whose epoch is above its version

What callers would see: no process owns the workers any more, so nothing starts or stops. Cause: any epoch up to 2**53 in the owner's row was followed by a claim of the next one. Run numbers are the epoch times 10,000,000, so those of an epoch that another writer made up cannot be encoded; the orders with the first start raised OverflowError and ended the process, and each that claimed after it. The workers refuse lower epochs from then on. Class: a monotonic mark from unverified input without a way back.

Change: such a row counts as unreadable, like those with a higher epoch before. Each claim raises the epoch by 1 and the store's version by at least 1, so no owner's row has an epoch above its version.

Two tests pass the version, which the function now requires.

--- a/crocusrudder/workflows/agent_daemon.py
+++ b/crocusrudder/workflows/agent_daemon.py
@@ -394,7 +394,7 @@
         requested_at = clocks.read_boot_time()
         try:
             found = await self._client.read_row(rows.CONTROL_TABLE, rows.OWNER_KEY)
-            row = rows.decode_owner(found.value) if found else None
+            row = rows.decode_owner(found.value, found.version) if found else None
         except errors.PlatformError as error:
             self._store_log.record(False, str(error))
             return
--- a/crocusrudder/workflows/entry_daemon.py
+++ b/crocusrudder/workflows/entry_daemon.py
@@ -257,7 +257,7 @@
         if found is None:
             return None
         try:
-            row = rows.decode_owner(found.value)
+            row = rows.decode_owner(found.value, found.version)
         except workflow_errors.UnreadableRowError as error:
             self._metrics.count("rows_unreadable")
             self._log("row_unreadable", table=found.table, key=found.key, **error.to_dict())
--- a/crocusrudder/workflows/owner_service.py
+++ b/crocusrudder/workflows/owner_service.py
@@ -530,7 +530,7 @@
         if found is None or found.version == self._lease.version:
             return
         try:
-            row = rows.decode_owner(found.value)
+            row = rows.decode_owner(found.value, found.version)
         except workflow_errors.UnreadableRowError as error:
             raise workflow_errors.OwnershipLostError(f"owner's row: {error}") from error
         attempt = self._attempts.get(row.sequence)
--- a/crocusrudder/workflows/rows.py
+++ b/crocusrudder/workflows/rows.py
@@ -119,11 +119,15 @@
             )
 
 
-def decode_owner(value: bytes) -> OwnerRow:
-    """Decode the owner's row; raise ``UnreadableRowError`` for a malformed value."""
+def decode_owner(value: bytes, version: int) -> OwnerRow:
+    """Decode the owner's row of a version; raise ``UnreadableRowError`` for a malformed value.
+
+    Each claim raises the epoch by 1 and the version by at least 1, so a higher epoch than the
+    version is not an owner's. No claim must follow it, as workers refuse all lower ones for good.
+    """
     row = _decode(value, OwnerRow)
-    limit = workflow_messages.MAX_NUMBER
-    if not (0 < row.epoch <= limit and 0 <= row.sequence <= limit):
+    is_epoch_valid = 0 < row.epoch <= version
+    if not (is_epoch_valid and 0 <= row.sequence <= workflow_messages.MAX_NUMBER):
         raise errors.UnreadableRowError(f"row has the epoch {row.epoch}, sequence {row.sequence}")
     return row
 
--- a/tests/workflows/test_entry_daemon.py
+++ b/tests/workflows/test_entry_daemon.py
@@ -56,7 +56,7 @@
         return self._row
 
     async def commit(self, writes, expectations):
-        self.claims.append(rows.decode_owner(writes[0].value))
+        self.claims.append(rows.decode_owner(writes[0].value, 41))
         return 41
 
 
@@ -78,6 +78,19 @@
             self.assertEqual(41, lease.row.epoch)
             self.assertEqual(3, entry._metrics.counters["rows_unreadable"])
 
+    def test_an_epoch_above_the_version_of_its_row_is_not_claimed_after(self):
+        # Guards against workers without an owner for good: the numbers of runs under an epoch that
+        # another writer made up could not be encoded, which ended each process that claimed it.
+        odd = rows.OwnerRow(model.OwnerEpoch(2**52), ids.ProcessId("e2"), "127.0.0.1:9", 1)
+        entry = entry_daemon.EntryProcess(make_settings())
+        self.addCleanup(entry._link.close)
+        client = entry._client = FakeOwnerRow(rows.encode(odd))
+        with mock.patch.object(clocks, "read_boot_time") as clock:
+            for clock.return_value in (100.0, 100.1 + leases.TAKEOVER_SECONDS, 110.0):
+                lease = curio.run(entry._try_claim)
+        self.assertEqual([41], [claim.epoch for claim in client.claims])
+        self.assertEqual(41, lease.row.epoch)
+
     def test_a_hello_of_an_epoch_that_does_not_exist_is_followed_until_the_row_is_read(self):
         # Guards against an entry that ignores each later owner, so that it answers no count of
         # pending jobs and sends all calls to the wrong process.
--- a/tests/workflows/test_odd_input.py
+++ b/tests/workflows/test_odd_input.py
@@ -142,7 +142,7 @@
     for decode, value in (
         (lambda value: rows.decode_job(value, job.job_id), rows.encode(job)),
         (rows.decode_progress, rows.encode(progress)),
-        (rows.decode_owner, rows.encode(owner)),
+        (lambda value: rows.decode_owner(value, 10), rows.encode(owner)),
         (
             rows.decode_estimates,
             rows.encode(rows.InterferenceEstimates({}, {"q": (1.0, 2.0, 3.0)})),
