Do not acknowledge the end of a run that no owner has numbered

What callers see: jobs whose tasks run again and again and never complete. Cause: an entry that another writer has put into a worker's list of ends, with a number up to 1,000 ahead, was left out as the end of a run that no owner can have numbered, but its number was still acknowledged. The worker then forgot its next ends before anyone had read them, so their runs counted as absent. Class: a monotonic mark from unverified input.

Change: such an end does not raise the number of the last processed end. It stays listed until the worker's own ends have passed it.

The new test failed before (RUNNING instead of COMPLETED, for a known and an unknown task). Not solved: with a run number from the range of an epoch they are still started 14 times.

--- a/crocusrudder/workflows/reports.py
+++ b/crocusrudder/workflows/reports.py
@@ -204,9 +204,11 @@
         for ended in report.ended:
             if ended.number <= view.last_processed_end:
                 continue
+            if not self._list_filter.is_run_plausible(view, ended.task, ended.run):
+                # Its number may be ahead of the worker's, so it must not be acknowledged.
+                continue
             view.last_processed_end = ended.number
-            if self._list_filter.is_run_plausible(view, ended.task, ended.run):
-                self._apply_end(view, ended, now, wall_time)
+            self._apply_end(view, ended, now, wall_time)
 
     def _apply_end(
         self,
--- a/tests/workflows/test_odd_lists.py
+++ b/tests/workflows/test_odd_lists.py
@@ -90,6 +90,22 @@
                 self.assertIs(model.JobState.COMPLETED, self.system.get_state("later"))
                 self.assertEqual(1, self.system.count_starts("later.0.0.0"))
 
+    def test_an_end_with_a_number_little_ahead_does_not_discard_the_later_ends(self):
+        # Guards against jobs that run again and again: the end of a run that no owner has numbered
+        # was acknowledged, and with it the next ends of the worker, which nobody had read.
+        for task in ("x.0.0.0", "j.0.0.0"):
+            with self.subTest(task=task):
+                self.setUp()
+                odd = workflow_messages.EndedRun(40, task, 1, "done")
+                for agent in self.agents:
+                    agent.worker.duration = 0.5
+                    add_entries(agent, ended=(odd,))
+                self.system.run(1.0)
+                self.system.submit("j", model.Stage(4, ONE_CORE))
+                self.system.run(2.0)
+                self.assertIs(model.JobState.COMPLETED, self.system.get_state("j"))
+                self.assertEqual(1, self.system.count_starts("j.0.0.0"))
+
     def test_an_end_with_a_number_far_ahead_is_left_out_by_a_new_owner(self):
         odd = workflow_messages.EndedRun(2**62, "x.0.0.0", 1, "done")
         for agent in self.agents:
