Log an entry that stays unreadable once per ten seconds

What operators would see: a log that one entry fills. Cause: an agent wrote a line for each list with a part that cannot be read.

Change: one line per 10 s, with the number of lists that were left out since the last one. The counter counts each part in each list as before.

Measured: 30 lists in 15 s with one unreadable end gave 30 lines before (the new test failed: 2 != 30) and 2 after.

--- a/crocusrudder/platform/worker.py
+++ b/crocusrudder/platform/worker.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import itertools
+import time
 import typing
 from collections.abc import Iterable
 from typing import Annotated
@@ -31,6 +32,9 @@
 """Greatest number of the first end that an agent reads; 1,000 ends a second for 35 years."""
 MAX_ERROR_CHARACTERS = 200
 """Length of the quoted decoding error; some errors repeat the input."""
+LINE_INTERVAL_SECONDS = 10.0
+"""Least time between two lines about unreadable entries. An entry stays listed, and an agent gets
+up to 25 lists a second with it."""
 
 _EXPECTED_WORKER_HEADER = "X-Crocusrudder-Expect-Worker"
 _STATUS_OK = 200
@@ -93,12 +97,6 @@
         self.entries += 1
         self.error = self.error or str(error)[:MAX_ERROR_CHARACTERS]
 
-    def log(self) -> None:
-        if self.entries:
-            code = errors.MalformedInputError.code
-            fields = {"code": code, "error": self.error, "entries": self.entries}
-            logs.write_change(effects.LogChange("list_entry_unreadable", fields))
-
 
 _Item = TypeVar("_Item")
 
@@ -143,6 +141,8 @@
         self._host = host
         self._port = int(port)
         self._http = http.HttpClient.from_config(http.HttpConfig(CONNECTIONS))
+        self._unreadable_logged_at = float("-inf")
+        self._omitted_lines = 0
 
     async def start(
         self, worker: str, order: workflow_messages.StartOrder, epoch: int, lease_until_ms: int
@@ -212,7 +212,7 @@
             unreadable.add(errors.MalformedInputError("the response has no lists"))
             unreadable.hides_runs = True
         ended = _convert_ended(response, acknowledged, unreadable)
-        unreadable.log()
+        self._log_unreadable(unreadable)
         return RunList(
             response.clock_ms,
             _convert_running(response),
@@ -221,6 +221,23 @@
             not unreadable.hides_runs,
         )
 
+    def _log_unreadable(self, unreadable: _Unreadable) -> None:
+        if not unreadable.entries:
+            return
+        now = time.monotonic()
+        if now - self._unreadable_logged_at < LINE_INTERVAL_SECONDS:
+            self._omitted_lines += 1
+            return
+        fields = {
+            "code": errors.MalformedInputError.code,
+            "error": unreadable.error,
+            "entries": unreadable.entries,
+            "omitted": self._omitted_lines,
+        }
+        logs.write_change(effects.LogChange("list_entry_unreadable", fields))
+        self._unreadable_logged_at = now
+        self._omitted_lines = 0
+
     async def probe(self, worker: ids.WorkerId, epoch: int) -> ProbeResponse:
         """Ask which incarnation of a worker responds.
 
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -2,6 +2,7 @@
 
 import base64
 import unittest
+from unittest import mock
 
 import curio
 import hypothesis
@@ -364,6 +365,23 @@
             self.assertEqual(expected, [entry.number for entry in listed.ended])
             self.assertEqual(len(numbers) - len(expected), listed.unreadable)
 
+    def test_an_entry_that_stays_unreadable_is_logged_once_per_interval(self):
+        # Guards against a full disk: an agent wrote a line for each of up to 25 lists a second.
+        content = {"clockMs": 7, "running": [], "ended": [[58, "j.0.0.0", 1, "odd", ""]]}
+        client = self._client(*[make_response(200, content)] * 30)
+        with (
+            mock.patch.object(worker.time, "monotonic") as read_clock,
+            mock.patch.object(worker.logs, "write_change") as write_change,
+        ):
+            for number in range(30):
+                read_clock.return_value = number * 0.5
+                poll = client.poll_runs(("w1", 0), 7, 57, 900, 0.5)
+                with self.assertRaises(StopIteration):
+                    poll.send(None)
+        lines = [call.args[0].fields for call in write_change.mock_calls]
+        self.assertEqual(2, len(lines))
+        self.assertEqual([0, 19], [fields["omitted"] for fields in lines])
+
     def test_an_end_without_a_readable_checkpoint_counts(self):
         # Guards against TWICE: the end was left out and later acknowledged with the ends after it,
         # so that the task started again although it was done.
