Bound the lines about listed runs that no owner can have numbered

What callers would see: a change of the owner, and starts that wait for it, after another program has put many entries into a worker's list. Cause: the owner wrote a line for each entry and remembered it for as long as the worker lived. Change: 100 lines per incarnation of the worker.

Measured: the lines about 50,000 entries of one report took 1.8 s of processor time, and the owner's lease is 2 s. The new test failed before (100 != 1000).

--- a/crocusrudder/workflows/list_checks.py
+++ b/crocusrudder/workflows/list_checks.py
@@ -19,6 +19,9 @@
 """Time after an agent has received the stop of a run of an unknown task from which the run no
 longer keeps its worker from starts. A stop takes 0.2 s in the users' deployments, and accepted jobs
 wait for 3 s at most."""
+MAX_LOGGED_ENTRIES = 100
+"""Lines per incarnation of a worker. A list may hold 50,000 entries, whose lines would hold up the
+owner for 1.8 s, about as long as its lease."""
 
 RUN_LEFT_OUT = "run_number_implausible"
 """Log event of a listed run or end that no owner can have ordered; it is left out."""
@@ -31,7 +34,7 @@
 class ListFilter:
     """Leave out the entries of workers' lists that no owner can have caused.
 
-    Each is logged once per incarnation of its worker.
+    Each is logged once per incarnation of its worker, up to ``MAX_LOGGED_ENTRIES``.
     """
 
     def __init__(self, epoch: model.OwnerEpoch) -> None:
@@ -62,7 +65,7 @@
         if self._known.get(view.agent, (None,))[0] != incarnation:
             self._known[view.agent] = (incarnation, set())
         known = self._known[view.agent][1]
-        if entry not in known:
+        if entry not in known and len(known) < MAX_LOGGED_ENTRIES:
             known.add(entry)
             fields = {"epoch": self._epoch, "agent": view.agent, **fields}
             self._logged.append(effects.LogChange(name, fields))
--- a/tests/workflows/test_odd_lists.py
+++ b/tests/workflows/test_odd_lists.py
@@ -162,6 +162,15 @@
                 self.system.run(MAX_WAIT_SECONDS)
                 self.assertEqual(1, self.system.count_starts("j.0.0.0"))
 
+    def test_many_runs_that_no_owner_can_have_numbered_give_few_lines(self):
+        # Guards against an owner that loses its lease while it writes a line for each entry.
+        runs = tuple(workflow_messages.RunningTask(f"x{i}.0.0.0", 1) for i in range(1_000))
+        add_entries(self.agents[0], running=runs)
+        self.system.owner.drain_log()
+        self.system.run(1.0)
+        lines = [line.name for line in self.system.owner.drain_log()]
+        self.assertEqual(list_checks.MAX_LOGGED_ENTRIES, lines.count(list_checks.RUN_LEFT_OUT))
+
     def test_the_end_of_a_run_that_no_owner_can_have_numbered_completes_no_task(self):
         # Guards against MIXED: the task counted as done without having run.
         for run in (1, 2**62):
