Do not follow orders of an epoch that no owner can have

What callers would see: a worker that starts and stops nothing until it restarts. Cause: an agent took the epoch of any orders above its own. After one odd message it refused the owner's orders as those of an earlier epoch, and passed the epoch to its worker, which refuses all lower ones for good. Class: a monotonic mark from unverified input without a way back.

Change: an epoch more than 100,000 above both the known one and that of the owner's row is refused, counted and logged. Refused orders do not count as a sign of the owner, so the agent reads the row meanwhile, and an owner with so high an epoch is followed after that.

Measured: the new tests failed before (orders of epoch were accepted; no counter). Not covered: a made-up epoch within 100,000 of the known one.

--- a/crocusrudder/workflows/agent_daemon.py
+++ b/crocusrudder/workflows/agent_daemon.py
@@ -172,6 +172,9 @@
             return
         if not isinstance(message, workflow_messages.AgentOrders):
             return
+        if not self._state.is_epoch_plausible(message.epoch):
+            self._record_implausible_epoch(envelope.sender, message.epoch)
+            return
         now = clocks.read_boot_time()
         known_epoch = self._state.epoch
         orders = self._state.handle_orders(message, now)
@@ -194,6 +197,12 @@
             if cpu_share[:2] not in starting:
                 await curio.spawn(self._set_cpu_share, orders, cpu_share, daemon=True)
 
+    def _record_implausible_epoch(self, sender: ids.ProcessId, epoch: int) -> None:
+        """Count orders of an epoch that no owner can have; log the first ones."""
+        if "orders_epoch_refused" not in self._metrics.counters:
+            self._log("orders_epoch_refused", sender=sender, order_epoch=epoch)
+        self._metrics.count("orders_epoch_refused")
+
     async def _handle_owner_hello(
         self, sender: ids.ProcessId, hello: workflow_messages.OwnerHello
     ) -> None:
@@ -408,6 +417,7 @@
             self._link.reconnect(self._owner)
         self._owner = row.holder
         self._prober.record_row_epoch(row.epoch)
+        self._state.record_row_epoch(row.epoch)
         self._link.record_address(row.holder, row.address)
         if self._document.process not in row.lost:
             self._state.record_grant(row.epoch, requested_at)
--- a/crocusrudder/workflows/agent_state.py
+++ b/crocusrudder/workflows/agent_state.py
@@ -27,6 +27,9 @@
 """Time without a response after which a deregistered worker has ended; calls take 0.5 s at most."""
 MAX_ORDERS_REMEMBERED = 4_096
 """Runs whose start or stop orders are recognised as repeated."""
+MAX_EPOCH_STEP = 100_000
+"""Greatest step to the epoch of a new owner; takeovers each 3 s reach it after 3.5 days, and the
+owner's row, which is read while no owner is heard, allows more."""
 EXPIRY_MARGIN_SECONDS = leases.LEASE_SECONDS * leases.WORKER_CLOCK_ERROR + 0.2
 """Margin after the lease for a slow worker clock and for a list of ends still in transit."""
 
@@ -40,6 +43,7 @@
         # An earlier agent process may have known of a greater capacity than this one.
         self._capacity_shrunk_at = now
         self._epoch = 0
+        self._row_epoch = 0
         self._listed_epoch = 0
         self._granted_at = float("-inf")
         # An earlier agent process on this machine may have renewed the lease just before.
@@ -165,11 +169,22 @@
             return
         self._granted_at = max(self._granted_at, requested_at)
 
+    def record_row_epoch(self, epoch: int) -> None:
+        """Record the epoch in the owner's row."""
+        self._row_epoch = epoch
+
+    def is_epoch_plausible(self, epoch: int) -> bool:
+        """Return whether an owner may have this epoch.
+
+        The agent passes its epoch to the worker, which refuses all lower ones for good.
+        """
+        return epoch <= max(self._epoch, self._row_epoch) + MAX_EPOCH_STEP
+
     def handle_orders(
         self, orders: workflow_messages.AgentOrders, now: float
     ) -> workflow_messages.AgentOrders | None:
         """Return the orders to execute, without repeated ones; None if they are stale."""
-        if orders.epoch < self._epoch:
+        if orders.epoch < self._epoch or not self.is_epoch_plausible(orders.epoch):
             return None
         if orders.epoch > self._epoch:
             self._orders_seen = 0
--- a/tests/workflows/test_agent_daemon.py
+++ b/tests/workflows/test_agent_daemon.py
@@ -2,6 +2,7 @@
 
 import socket
 import unittest
+from unittest import mock
 
 import curio
 import msgspec
@@ -137,6 +138,17 @@
         setattr(agent_daemon, name, value)
 
 
+class EpochTest(AgentTestCase):
+    def test_orders_of_an_epoch_that_no_owner_can_have_are_counted_and_logged_once(self):
+        # Guards against an agent that gives no reason for orders that it does not carry out.
+        with mock.patch.object(agent_daemon.logs, "write_change") as write_change:
+            for _ in range(3):
+                curio.run(self._deliver(epoch=2**53))
+        self.assertEqual(3, self.agent._metrics.counters["orders_epoch_refused"])
+        names = [call.args[0].name for call in write_change.mock_calls]
+        self.assertEqual(1, names.count("orders_epoch_refused"))
+
+
 class StartTest(AgentTestCase):
     def test_a_start_without_an_answer_is_blocked_however_many_stops_are_refused(self):
         # Guards against a run that stays in the agent's list of starts after the worker could not
--- a/tests/workflows/test_agent_state.py
+++ b/tests/workflows/test_agent_state.py
@@ -50,6 +50,17 @@
         self.state.record_response(0, 100.0 + leases.LEASE_SECONDS)
         self.assertIsNone(self.state.get_lease_end_ms(100.0 + leases.LEASE_SECONDS))
 
+    def test_orders_of_an_epoch_that_no_owner_can_have_are_not_followed(self):
+        # Guards against a worker that starts nothing until it restarts: its agent took an epoch
+        # from one odd message, and refused the owner's orders as those of an earlier one.
+        self.state.handle_orders(make_orders(3, 100.0), 100.0)
+        self.assertIsNone(self.state.handle_orders(make_orders(2**53, 100.1), 100.1))
+        self.assertEqual(3, self.state.epoch)
+        self.assertIsNotNone(self.state.handle_orders(make_orders(4, 100.2), 100.2))
+        # An agent that has just started learns a high epoch from the owner's row.
+        self.state.record_row_epoch(2**30)
+        self.assertIsNotNone(self.state.handle_orders(make_orders(2**30 + 1, 100.3), 100.3))
+
     def test_a_list_without_a_clock_leaves_the_lease_as_it_was(self):
         # Guards against a lease that ends early with all the worker's runs, as its end was computed
         # from a clock of 0.
