Keep a connection for each call that an agent may have in progress

Cause: an agent may make 31 calls at once (28 under its three limits, two polls and a probe), one more than its pool of connections to the worker. Measured: nothing; found by the review.

--- a/crocusrudder/platform/worker.py
+++ b/crocusrudder/platform/worker.py
@@ -23,7 +23,7 @@
 
 CALL_TIMEOUT_SECONDS = 1.0
 """A call to a healthy worker takes 2 ms."""
-CONNECTIONS = 30
+CONNECTIONS = 32
 """Covers all calls that an agent makes at once, so that none waits for a connection."""
 MAX_END_GAP = 1_000
 """Greatest distance of the number of an end from that of the one before. Workers number their ends
