List two faults beside odd entries with tests that fail

Cause: the review showed two ways in which an entry of another writer still loses work, and no small and safe fix is known: a permanent odd entry may hide a run whose start and stop are refused, and an end with a possible run number raises the number up to which ends are acknowledged.

--- a/tests/workflows/test_odd_lists.py
+++ b/tests/workflows/test_odd_lists.py
@@ -117,6 +117,35 @@
         self.system.run(2.0)
         self.assertIs(model.JobState.COMPLETED, self.system.get_state("later"))
 
+    def test_an_end_that_an_owner_may_have_numbered_does_not_discard_the_later_ends(self):
+        # Guards against jobs that run again and again: the end of another writer has a run number
+        # of the present epoch and a number ahead of the worker's, which is acknowledged.
+        odd = workflow_messages.EndedRun(40, "x.0.0.0", 10_000_005, "done")
+        for agent in self.agents:
+            agent.worker.duration = 1.0
+            add_entries(agent, ended=(odd,))
+        self.system.run(1.0)
+        self.system.submit("j", model.Stage(4, ONE_CORE))
+        self.system.run(5.0)
+        self.assertIs(model.JobState.COMPLETED, self.system.get_state("j"))
+        self.assertEqual(1, self.system.count_starts("j.0.0.0"))
+
+    def test_a_start_that_is_never_answered_does_not_hold_its_task_beside_an_odd_entry(self):
+        # Guards against LOST without a bound: a list with an entry that can never be read may hide
+        # the run, the start is not answered and the worker refuses the stop.
+        for agent in self.agents:
+            agent.worker.duration = 2.0
+            agent.worker.has_junk = True
+            agent._call_start = lambda *_: None
+            agent.worker.stop = lambda *_: False
+        self.system.submit("j", model.Stage(1, ONE_CORE))
+        self.system.run(1.0)
+        for agent in self.agents:
+            if not self.system.owner.views[agent.process].assignments:
+                del agent._call_start, agent.worker.stop
+        self.system.run(30.0)
+        self.assertIs(model.JobState.COMPLETED, self.system.get_state("j"))
+
     def test_runs_of_an_unknown_task_on_all_workers_keep_no_job_waiting(self):
         # Guards against LOST: a worker with a run of an unknown task got no starts, for as long as
         # it listed the run, whether or not it accepted the stop.
