--- a/review/scene.py
+++ b/review/scene.py
@@ -22,8 +22,10 @@
 HELD = 0
 BROKEN = 1
 NOT_RUN = 2
-START_SECONDS = 20.0
+START_SECONDS = 10.0
 """Time that the processes get to start, after which the case has not run."""
+MAX_STARTS = 2
+"""Attempts to start the processes, each on other ports."""
 STOP_SECONDS = 6.0
 """``graceS`` of the users' pages: time from SIGTERM to SIGKILL."""
 CALLER_SECONDS = 3.0
@@ -189,17 +191,34 @@
     record = pathlib.Path(script).with_name("record.txt")
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     with tempfile.TemporaryDirectory() as name:
-        scene = Scene(pathlib.Path(name), record, **options)
-        try:
-            scene.start()
-            result = HELD if case(scene, has_trouble) else BROKEN
-        except Exception as error:
-            traceback.print_exc()
-            scene.note(f"the case could not run: {error!r}")
-            result = NOT_RUN
-        finally:
-            scene.stop()
-        scene.note(f"result {result}")
+        scene = _start(pathlib.Path(name), record, options)
+        result = NOT_RUN
+        if scene is not None:
+            try:
+                result = HELD if case(scene, has_trouble) else BROKEN
+            except Exception as error:
+                traceback.print_exc()
+                scene.note(f"the case could not run: {error!r}")
+            finally:
+                scene.stop()
+            scene.note(f"result {result}")
         if os.environ.get("KEEP_LOGS"):
             shutil.copytree(name, os.environ["KEEP_LOGS"], dirs_exist_ok=True)
     sys.exit(result)
+
+
+def _start(folder: pathlib.Path, record: pathlib.Path, options: dict) -> Scene | None:
+    """Return a running scene; None if its processes do not start."""
+    for number in range(MAX_STARTS):
+        attempt = folder / str(number)
+        attempt.mkdir()
+        scene = Scene(attempt, record, **options)
+        try:
+            scene.start()
+            return scene
+        except CaseNotRunError as error:
+            scene.note(f"the processes have not started: {error}")
+            scene.stop()
+            for log in sorted(attempt.glob("*.log")):
+                scene.note(f"{log.name}: {log.read_text(errors='replace')[-300:]!r}")
+    return None
