Keep the starts open that a restarted worker may have carried out

Cause: calls name a worker's id only, so starts sent before the agent notices the restart reach the new incarnation. Once the agent followed it, it forgot these starts, and the owner released all runs of the worker before a list of the new incarnation.

Starts that no list of the earlier incarnation shows now stay open until a list of the new one, or a stop that it has accepted, shows what became of them, and the owner keeps their tasks assigned. Stops of starts without a response are repeated on each incarnation, starts that waited for their turn are not sent to a new one, and ends are acknowledged only right after a list that names them.

A test that expected an acknowledgement without a listed end now lists that end.

--- a/crocusrudder/platform/worker.py
+++ b/crocusrudder/platform/worker.py
@@ -188,15 +188,18 @@
         acknowledged: int,
         lease_until_ms: int | None,
         wait_seconds: float,
+        last_seen: int | None = None,
     ) -> RunList | None:
         """Extend the lease, acknowledge ended runs and return the list; None if the epoch is stale.
 
-        The worker responds after ``wait_seconds`` or as soon as another run ends. ``incarnation``
-        is the worker's id and time of birth. The worker itself checks the id only, which a
-        restarted worker may keep.
+        Ends up to ``last_seen`` are acknowledged, by default up to ``acknowledged``, which the ends
+        in the list are expected to follow. The worker responds after ``wait_seconds`` or as soon as
+        another run ends. ``incarnation`` is the worker's id and time of birth. The worker itself
+        checks the id only, which a restarted worker may keep.
         """
         worker, born_ms = incarnation
-        content: dict[str, Any] = {"fenceToken": epoch, "lastSeen": acknowledged}
+        content: dict[str, Any] = {"fenceToken": epoch}
+        content |= {"lastSeen": acknowledged if last_seen is None else last_seen}
         content |= {"expiresMs": lease_until_ms} if lease_until_ms is not None else {}
         content |= {"waitMs": round(wait_seconds * 1_000)} if wait_seconds else {}
         status, response, unreadable = await self._call("hold", worker, content, wait_seconds)
--- a/crocusrudder/workflows/agent_daemon.py
+++ b/crocusrudder/workflows/agent_daemon.py
@@ -138,6 +138,10 @@
 
     async def _handle_probe(self, is_followed: bool) -> None:
         if is_followed:
+            worker_id = self._state.current_worker.worker
+            for run in self._state.take_unblocked():
+                self._log("start_blocked_again", task=run[0], run=run[1], worker=worker_id)
+                await curio.spawn(self._block, worker_id, run, daemon=True)
             await self._report_worker()
         self._perform_effects()
 
@@ -221,7 +225,8 @@
         except errors.PlatformError as error:
             self._record_call_failure(orders.worker, error)
             self._log("start_unanswered", task=order.task, run=order.run, error=str(error))
-            await self._block(orders, run)
+            self._state.record_start_failure(run, clocks.read_boot_time())
+            await self._block(orders.worker, run)
             return
         self._state.record_start_result(run, rejected, clocks.read_boot_time())
         self._log(
@@ -241,6 +246,8 @@
         self, orders: workflow_messages.AgentOrders, order: workflow_messages.StartOrder
     ) -> model.RejectReason | None:
         now = clocks.read_boot_time()
+        if (orders.worker, orders.born_ms) != self._state.current_incarnation:
+            return model.RejectReason.NOT_READY
         rejection = self._state.find_rejection(order, orders.echo, now)
         if rejection is not None:
             return rejection
@@ -255,12 +262,12 @@
         self._state.record_response(answer.clock_ms, clocks.read_boot_time())
         return answer.rejected
 
-    async def _block(self, orders: workflow_messages.AgentOrders, run: model.RunKey) -> None:
+    async def _block(self, worker_id: ids.WorkerId, run: model.RunKey) -> None:
         """Stop a run whose start was not answered, so that it cannot start later.
 
         Attempts end once the worker accepts one, or has no lease or another incarnation.
         """
-        await self._stop_while(self._state.is_starting, orders, run, self._block_calls)
+        await self._stop_while(self._state.is_starting, worker_id, run, self._block_calls)
 
     async def _stop(self, orders: workflow_messages.AgentOrders, run: model.RunKey) -> None:
         """Carry out an ordered stop.
@@ -269,34 +276,37 @@
         incarnation.
         """
         try:
-            await self._stop_while(self._state.is_stopping, orders, run, self._stop_calls)
+            await self._stop_while(self._state.is_stopping, orders.worker, run, self._stop_calls)
         finally:
             self._state.record_stop_failure(run)
 
     async def _stop_while(
         self,
         is_needed: Callable[[model.RunKey], bool],
-        orders: workflow_messages.AgentOrders,
+        worker_id: ids.WorkerId,
         run: model.RunKey,
         limit: curio.Semaphore,
     ) -> None:
         delay = RETRY_DELAY_SECONDS
-        while is_needed(run) and not await self._try_stop(orders, run, limit):
+        while is_needed(run) and not await self._try_stop(worker_id, run, limit):
             await curio.sleep(delay)
             delay = min(2 * delay, MAX_STOP_DELAY_SECONDS)
 
     async def _try_stop(
-        self, orders: workflow_messages.AgentOrders, run: model.RunKey, limit: curio.Semaphore
+        self, worker_id: ids.WorkerId, run: model.RunKey, limit: curio.Semaphore
     ) -> bool:
-        """Make one attempt to stop a run; return whether the worker accepted it."""
+        """Make one attempt to stop a run; return whether the current worker accepted it."""
         accepted = False
         try:
             async with limit:
                 # The worker refuses the epoch of an owner that has been replaced since the order.
                 epoch = self._state.epoch
-                accepted = await self._worker.stop(orders.worker, *run, epoch)
+                incarnation = self._state.current_incarnation
+                accepted = await self._worker.stop(worker_id, *run, epoch)
+            # A stop holds in the incarnation that accepted it, and no longer.
+            accepted = accepted and incarnation == self._state.current_incarnation
         except errors.PlatformError as error:
-            self._record_call_failure(orders.worker, error)
+            self._record_call_failure(worker_id, error)
             self._log("stop_unanswered", task=run[0], run=run[1], error=str(error))
             self._metrics.count("stops_unanswered")
         else:
@@ -335,6 +345,9 @@
             self._acknowledgements.clear()
             if not await self._poll_runs(current):
                 await curio.sleep(RETRY_DELAY_SECONDS)
+            elif self._state.has_ends_to_acknowledge:
+                # Only a poll right after the list may acknowledge them.
+                continue
             elif self._state.has_unacknowledged_ends:
                 # The worker answers at once while it has ends to list, so a poll without this
                 # pause would be repeated every few milliseconds until the ends are durable.
@@ -351,7 +364,12 @@
         wait = 0.0 if state.is_list_due or lease_end is None else POLL_WAIT_SECONDS
         try:
             listed = await self._worker.poll_runs(
-                current.incarnation, epoch, state.acknowledged, lease_end, wait
+                current.incarnation,
+                epoch,
+                state.acknowledged,
+                lease_end,
+                wait,
+                state.get_end_to_acknowledge(requested_at),
             )
         except errors.PlatformError as error:
             self._record_call_failure(current.worker, error)
--- a/crocusrudder/workflows/agent_state.py
+++ b/crocusrudder/workflows/agent_state.py
@@ -30,6 +30,12 @@
 MAX_EPOCH_STEP = 100_000
 """Greatest step to the epoch of a new owner; takeovers each 3 s reach it after 3.5 days, and the
 owner's row, which is read while no owner is heard, allows more."""
+LATE_START_SECONDS = 10.0
+"""Time for which a start without a response may still be executed; the longest delay seen in the
+users' deployments is 6 s."""
+MAX_LIST_AGE_SECONDS = 0.1
+"""Greatest age of a list whose ends are acknowledged. A worker that restarts under its id numbers
+its ends anew, and is away for longer than this."""
 EXPIRY_MARGIN_SECONDS = leases.LEASE_SECONDS * leases.WORKER_CLOCK_ERROR + 0.2
 """Margin after the lease for a slow worker clock and for a list of ends still in transit."""
 
@@ -38,6 +44,7 @@
     """State of one agent. Times are seconds on the agent's clock, which counts suspension."""
 
     def __init__(self, lease_seconds: float, now: float) -> None:
+        self._max_lease_seconds = lease_seconds
         self._lease_seconds = min(leases.LEASE_SECONDS, lease_seconds)
         self._identity = worker_identity.WorkerIdentity()
         # An earlier agent process may have known of a greater capacity than this one.
@@ -67,6 +74,12 @@
         self._stopped: dict[model.RunKey, float] = {}
         """When the worker accepted the stop of a run."""
         self._blocked: dict[model.RunKey, float] = {}
+        self._unanswered: dict[model.RunKey, float] = {}
+        """When a start failed without a response, for ``LATE_START_SECONDS``."""
+        self._unproven: set[model.RunKey] = set()
+        """Runs whose start may have reached the current incarnation instead of an earlier one."""
+        self._unblocked: list[model.RunKey] = []
+        """Runs to be stopped on the current incarnation, as their start may still reach it."""
         self._orders_seen = 0
         self._acknowledged = 0
         self._owner_heard_at = float("-inf")
@@ -77,6 +90,11 @@
         """Return the state that the current worker sent last; None before the first heartbeat."""
         return self._identity.followed
 
+    @property
+    def current_incarnation(self) -> worker_identity.Incarnation | None:
+        """Return the incarnation that the agent follows; None before the first heartbeat."""
+        return self.current_worker and self.current_worker.incarnation
+
     @property
     def identity(self) -> worker_identity.WorkerIdentity:
         """Return which worker is current, and the candidates to replace it."""
@@ -96,6 +114,15 @@
         """
         return 0 if self._may_have_restarted else self._acknowledged
 
+    def get_end_to_acknowledge(self, now: float) -> int:
+        """Return the number up to which the next poll acknowledges ends; 0 for none.
+
+        The worker may restart under its id at any time and would drop ends of the new incarnation
+        up to that number. So ends are acknowledged only right after a list that names them.
+        """
+        is_recent = now - self._list_received_at <= MAX_LIST_AGE_SECONDS
+        return self.acknowledged if is_recent and self.has_ends_to_acknowledge else 0
+
     @property
     def _may_have_restarted(self) -> bool:
         return self._poll_failed_at > self._listed_at
@@ -152,7 +179,7 @@
             return False
         if known is not None:
             self._crash_monitor.handle_replacement(known, has_deregistered, now)
-            self._start_incarnation(now)
+            self._start_incarnation(incarnation[0] == known.worker, now)
         return True
 
     def handle_deregistration(self, worker_id: str, now: float) -> bool:
@@ -231,6 +258,15 @@
             return model.RejectReason.NO_RESPONSE
         return None
 
+    def take_unblocked(self) -> list[model.RunKey]:
+        """Return the runs to stop on the current incarnation since the last call."""
+        unblocked, self._unblocked = self._unblocked, []
+        return unblocked
+
+    def record_start_failure(self, run: model.RunKey, now: float) -> None:
+        """Record that a start had no response, so it may still be executed."""
+        self._unanswered[run] = now
+
     def record_start_sent(self, run: model.RunKey, now: float) -> None:
         self._starting.add(run)
         self._crash_monitor.record_start_sent(run, now)
@@ -247,6 +283,7 @@
         elif rejected is not None and not self._received.get(run):
             # An earlier process may have sent the start too: only the answered stop excludes it.
             self._rejected[run] = (rejected.value, now)
+            self._unproven.discard(run)
 
     def record_stop_result(self, run: model.RunKey, accepted: bool, now: float) -> None:
         """Record the response to a stop; one that was not accepted had no effect.
@@ -305,6 +342,7 @@
         self._ended = {
             number: entry for number, entry in ended.items() if number > self._acknowledged
         }
+        self._resolve_unproven(listed_runs.keys() | ended_runs, requested_at, now)
         self._started = {
             run: at
             for run, at in self._started.items()
@@ -372,6 +410,21 @@
             self._completeness.is_incomplete,
         )
 
+    def _resolve_unproven(self, listed: Set[model.RunKey], requested_at: float, now: float) -> None:
+        """Reject the runs that an earlier incarnation took with it.
+
+        The current one would list a run whose start it has answered.
+        """
+        if self._completeness.may_miss_runs(now):
+            return
+        self._unproven -= listed
+        answered = self._unproven & self._started.keys()
+        gone = {run for run in answered if self._started[run] <= requested_at}
+        for run in gone:
+            del self._started[run]
+            self._rejected[run] = (model.RejectReason.NOT_READY.value, now)
+        self._unproven -= gone
+
     def _resolve_blocked(self, listed: Set[model.RunKey], requested_at: float, now: float) -> None:
         """Reject stopped runs that are missing from a list requested after the stop."""
         # An incomplete list does not show that a run has ended, but the time since the stop does.
@@ -384,6 +437,7 @@
                 self._started.pop(run, None)
                 self._running.pop(run, None)
                 self._rejected[run] = (model.RejectReason.NO_RESPONSE.value, now)
+                self._unproven.discard(run)
 
     def _is_stop_due(self, run: model.RunKey, now: float) -> bool:
         stopped_at = self._stopped.get(run, float("-inf"))
@@ -413,6 +467,8 @@
         old = now - REJECTION_RETENTION_SECONDS
         self._rejected = {run: item for run, item in self._rejected.items() if item[1] > old}
         self._stopped = {run: at for run, at in self._stopped.items() if at > old}
+        late = now - LATE_START_SECONDS
+        self._unanswered = {run: at for run, at in self._unanswered.items() if at > late}
 
     def _clear_runs(self) -> None:
         self._running = {}
@@ -420,13 +476,32 @@
         self._starting = set()
         self._stopping = set()
         self._blocked = {}
+        self._unproven = set()
+
+    def _start_incarnation(self, has_same_id: bool, now: float) -> None:
+        """Begin with a worker on which nothing runs that the agent knows of.
 
-    def _start_incarnation(self, now: float) -> None:
+        Starts name the id only, so with the same id, the worker may have carried out those that no
+        list of the earlier incarnation shows, and may yet carry out those without a response.
+        """
+        self._discard_old(now)
+        open_starts = self._starting
+        answered = {run: at for run, at in self._started.items() if run not in self._running}
+        unblocked = [run for run in (*self._blocked, *self._unanswered) if run not in open_starts]
         self._clear_runs()
+        self._lease_until = now
+        self._unblocked = []
+        if has_same_id:
+            self._started = answered
+            self._starting = {*open_starts, *unblocked}
+            self._unblocked = list(dict.fromkeys(unblocked))
+            self._unproven = {*answered, *self._starting}
+        if self._unproven:
+            # Their leases end by the clock of the earlier incarnation, which may be far ahead.
+            self._lease_until += self._max_lease_seconds
         self._clock = None
         self._listed_epoch = 0
         self._responded_at = float("-inf")
-        self._lease_until = now
         self._ended = {}
         self._listed_ends = ()
         self._completeness = list_completeness.ListCompleteness()
--- a/crocusrudder/workflows/fleet.py
+++ b/crocusrudder/workflows/fleet.py
@@ -96,6 +96,11 @@
         is_seen = 0 < self.stop_number <= orders_seen
         return is_stopping and self.order_echo == math.inf and not is_seen
 
+    def may_start_late(self, now: float) -> bool:
+        """Return whether an earlier process of the agent may have sent a start that is not over."""
+        is_recent = now - self.ordered_at < leases.START_EXPIRY_SECONDS
+        return self.order_echo == math.inf and bool(self.order_number) and is_recent
+
     def record_order(self, number: int, echo: float, now: float) -> bool:
         """Record that orders with the start are sent; return False if it is not to be repeated."""
         if not self.order_number:
--- a/crocusrudder/workflows/reports.py
+++ b/crocusrudder/workflows/reports.py
@@ -155,7 +155,7 @@
             view.worker = new or known
             return
         if known.incarnation != new.incarnation:
-            self.release_all(view, now, "worker_replaced")
+            self._release_replaced(view, report, now)
             view.last_processed_end = 0
             view.last_durable_end = 0
             view.is_reconciled = False
@@ -168,6 +168,27 @@
         if known.incarnation == new.incarnation and known.capacity != new.capacity:
             self._log_capacity(view, known.capacity)
 
+    def _release_replaced(
+        self, view: fleet.AgentView, report: workflow_messages.AgentReport, now: float
+    ) -> None:
+        """Release the runs that have ended with an earlier incarnation of the worker.
+
+        A start names the worker's id only. If the new incarnation has the same id, the agent tells
+        which starts may have reached it; an agent that has restarted does not know, so the starts
+        of its earlier process are stopped there.
+        """
+        has_same_id = view.worker.worker == report.worker.worker
+        kept = {*report.starting, *((run.task, run.run) for run in report.running)}
+        for key, assignment in list(view.assignments.items()):
+            if has_same_id and key in kept:
+                self._log_run("run_kept", assignment, view, reason="worker_restarted")
+            elif has_same_id and assignment.may_start_late(now):
+                self._log_run("run_kept", assignment, view, reason="agent_restarted")
+                view.mark_stopping(assignment)
+            else:
+                self._log_run("run_gone", assignment, view, reason="worker_replaced")
+                self._release(view, assignment, now)
+
     def _apply_rejections(
         self, view: fleet.AgentView, report: workflow_messages.AgentReport, now: float
     ) -> None:
--- a/tests/workflows/test_agent_daemon.py
+++ b/tests/workflows/test_agent_daemon.py
@@ -30,9 +30,11 @@
     def __init__(self) -> None:
         self.polls = 0
 
-    async def poll_runs(self, incarnation, epoch, acknowledged, lease_until_ms, wait_seconds):
+    async def poll_runs(
+        self, incarnation, epoch, acknowledged, lease_until_ms, wait_seconds, last_seen
+    ):
         self.polls += 1
-        if acknowledged >= ENDED.number:
+        if last_seen >= ENDED.number:
             await curio.Event().wait()
         return worker.RunList(1, (), (ENDED,))
 
@@ -82,7 +84,9 @@
         self.stopped.append((task, run))
         return True
 
-    async def poll_runs(self, incarnation, epoch, acknowledged, lease_until_ms, wait_seconds):
+    async def poll_runs(
+        self, incarnation, epoch, acknowledged, lease_until_ms, wait_seconds, last_seen
+    ):
         return worker.RunList(1, (), ())
 
 
@@ -216,7 +220,7 @@
 
         async def start() -> None:
             self.agent._state.record_start_sent(RUN, 0.0)
-            await self.agent._block(orders, RUN)
+            await self.agent._block(orders.worker, RUN)
 
         curio.run(start())
         self.assertEqual(4, client.stops)
@@ -341,7 +345,8 @@
         # number was acknowledged to the old one: the task runs again.
         client = worker.WorkerClient("127.0.0.1:9")
         self.agent._worker = client
-        listed = test_messages.make_response(200, {"clockMs": 900, "born": 1})
+        ended = [[58, "j.0.0.0", 7, "done", ""]]
+        listed = test_messages.make_response(200, {"clockMs": 900, "born": 1, "ended": ended})
         broken = errors.UnknownOutcomeError("connection reset")
         client._http = test_messages.FakeHttp(listed, broken, listed, listed)
 
@@ -353,7 +358,7 @@
 
         curio.run(poll())
         seen = [msgspec.json.decode(r.body)["lastSeen"] for r in client._http.requests]
-        self.assertEqual([58, 58, 0, 58], seen)
+        self.assertEqual([0, 58, 0, 58], seen)
 
 
 if __name__ == "__main__":
