Store the progress of jobs of any size before their ends are acknowledged

Cause: progress was one row of about 10 bytes for each stage of each occurrence. A row above 65,536 bytes was dropped and the ends were acknowledged all the same; a smaller overflow dropped the failed runs and crashes.

The main row now holds one bit for each task, 12.5 KB for the largest job that is accepted. Failed runs and crashes are in further rows of 16 tasks each, written when they change and deleted once their tasks are done. Nothing is left out, so ends are acknowledged only once all rows are stored. A failed run that is reported after its task is done no longer counts as an attempt. Rows of earlier releases are converted.

--- a/crocusrudder/workflows/decisions/waiting.py
+++ b/crocusrudder/workflows/decisions/waiting.py
@@ -185,7 +185,7 @@
 
 def has_begun(record: job_registry.JobRecord) -> bool:
     """Return whether tasks of a job are done or assigned."""
-    return bool(record.assigned_count or record.progress.done)
+    return bool(record.assigned_count or record.progress.done_tasks)
 
 
 def has_objective(job: model.Job) -> bool:
--- a/crocusrudder/workflows/job_registry.py
+++ b/crocusrudder/workflows/job_registry.py
@@ -2,9 +2,11 @@
 
 import enum
 import heapq
+from collections.abc import Iterable
 from collections.abc import Iterator
 
 from crocusrudder.core import ids
+from crocusrudder.workflows import job_progress
 from crocusrudder.workflows import model
 
 RUNS_PER_EPOCH = 10_000_000
@@ -148,14 +150,13 @@
     ) -> None:
         self.job = job
         self.version = version
-        self.progress = progress or model.Progress()
+        self._stored = job_progress.JobProgress(job, progress)
         self.is_started = self.progress.state is not model.JobState.QUEUED
         self.needs_planning = True
         """Whether a task may have become ready to start since the job was last planned."""
         self.passed_over_since: float | None = None
         """Since when no worker was found for a ready task while no run was listed or completed."""
         self.registry: JobRegistry | None = None
-        self._has_unsaved_changes = False
         self.stored_state = self.progress.state
         self.is_stored = progress is not None
         self.is_long_running = any(stage.long_running for stage in job.stages)
@@ -173,13 +174,27 @@
     def is_final(self) -> bool:
         return self.progress.state in model.FINAL_STATES
 
+    @property
+    def progress(self) -> model.Progress:
+        return self._stored.progress
+
     @property
     def has_unsaved_changes(self) -> bool:
-        return self._has_unsaved_changes
+        """Return whether a row of the job's progress is in no commit."""
+        return bool(self._stored.unsaved)
+
+    def take_rows(self, limit: int) -> list[job_progress.StoredRow]:
+        """Return at most ``limit`` rows to store, which count as saved from now on."""
+        taken = self._stored.take_rows(limit)
+        self._record_change()
+        return taken
+
+    def mark_unsaved(self, numbers: Iterable[int]) -> None:
+        """Mark rows for storing again."""
+        self._stored.mark_unsaved(numbers)
+        self._record_change()
 
-    @has_unsaved_changes.setter
-    def has_unsaved_changes(self, value: bool) -> None:
-        self._has_unsaved_changes = value
+    def _record_change(self) -> None:
         if self.registry is not None:
             self.registry.record_change(self)
 
@@ -255,28 +270,27 @@
         self.passed_over_since = None
         stage = task.stage
         stage.done_count += 1
-        bits = bytearray(self.progress.done.get(stage.key, bytes(-(-len(stage.tasks) // 8))))
-        bits[task.index // 8] |= 1 << task.index % 8
-        self.progress.done[stage.key] = bytes(bits)
-        self.has_unsaved_changes = True
-        if stage.is_done and self._is_complete():
+        key = stage.make_failure_key(task)
+        self._stored.set_done(stage.occurrence, stage.number, task.index, key)
+        self._record_change()
+        if stage.is_done and self._stored.is_complete:
             self.finish(model.JobState.COMPLETED, wall_time)
 
     def count_failure(self, task: Task, run: int) -> int:
         """Record a failed run, once per run number; return how many runs have failed."""
-        key = task.stage.make_failure_key(task)
-        runs = self.progress.failures.get(key, ())
-        if run not in runs:
-            runs = (*runs, run)
-            self.progress.failures[key] = runs
-            self.has_unsaved_changes = True
-        return len(runs)
+        count = self._stored.count_failure(task.stage.make_failure_key(task), run)
+        self._record_change()
+        return count
+
+    def set_crashes(self, task: Task, history: model.CrashHistory) -> None:
+        """Record the crashes of workers under a task."""
+        self._stored.set_crashes(task.stage.make_failure_key(task), history)
+        self._record_change()
 
     def finish(self, state: model.JobState, wall_time: float) -> None:
         """Move the job to a final state."""
-        self.progress.state = state
-        self.progress.finished_at = wall_time
-        self.has_unsaved_changes = True
+        self._stored.finish(state, wall_time)
+        self._record_change()
 
     def mark_started(self) -> None:
         """Record that a task of the job is running."""
@@ -286,20 +300,12 @@
             self.progress.state = model.JobState.RUNNING
 
     def _restore(self, stage: StageRecord) -> StageRecord:
-        bits = self.progress.done.get(stage.key, b"")
         for task in stage.tasks:
-            if task.index // 8 < len(bits) and bits[task.index // 8] >> task.index % 8 & 1:
+            if self._stored.is_done(stage.occurrence, stage.number, task.index):
                 task.phase = TaskPhase.DONE
                 stage.done_count += 1
         return stage
 
-    def _is_complete(self) -> bool:
-        return all(
-            self.get_stage(occurrence, number).is_done
-            for occurrence in range(self.occurrence_count)
-            for number in range(len(self.job.stages))
-        )
-
 
 class JobRegistry:
     """All jobs known to the owner, until they are removed after their retention period."""
--- a/crocusrudder/workflows/model.py
+++ b/crocusrudder/workflows/model.py
@@ -89,18 +89,38 @@
     """Those of ``runs`` whose start may have coincided with the crash, alone or not."""
 
 
+PROGRESS_FORMAT = 1
+"""Format of stored progress: the main row holds no failed runs and crashes; see ``job_progress``.
+
+Rows of earlier releases, with the format 0, hold all progress of a job."""
+
+
 class Progress(msgspec.Struct, array_like=True):
     """Progress of a job that is stored so that a new owner can continue it."""
 
     state: JobState = JobState.QUEUED
     done: dict[str, bytes] = {}
-    """Bit sets of completed tasks, by ``OCCURRENCE.STAGE``."""
+    """Bit sets of completed tasks, by ``OCCURRENCE.STAGE``; only in rows of the format 0."""
     failures: dict[str, tuple[int, ...]] = {}
     """Failed run numbers by ``OCCURRENCE.STAGE.INDEX``; by ``OCCURRENCE.STAGE`` for a gang."""
     finished_at: float = 0.0
     """Unix time in seconds at which the job reached a final state; 0 until then."""
     crashes: dict[str, CrashHistory] = {}
     """Crashes of workers, by the same keys as ``failures``."""
+    done_tasks: bytearray = msgspec.field(default_factory=bytearray)
+    """Bit set of the completed tasks of all occurrences, in the order of ``job_progress.Layout``,
+    the lowest bit of a byte first."""
+    omitted_failures: dict[str, int] = {}
+    """Number of failed runs that ``failures`` does not name any more, by the same keys."""
+    format: int = 0
+
+
+class ProgressPart(msgspec.Struct, frozen=True, array_like=True):
+    """Failed runs and crashes of some tasks, by the keys of ``Progress``."""
+
+    failures: dict[str, tuple[int, ...]] = {}
+    omitted_failures: dict[str, int] = {}
+    crashes: dict[str, CrashHistory] = {}
 
 
 PREEMPTING_PRIORITY = 0
--- a/crocusrudder/workflows/owner.py
+++ b/crocusrudder/workflows/owner.py
@@ -16,6 +16,7 @@
 from crocusrudder.wire import workflow_messages
 from crocusrudder.workflows import cancellations
 from crocusrudder.workflows import fleet
+from crocusrudder.workflows import job_progress
 from crocusrudder.workflows import job_registry
 from crocusrudder.workflows import leases
 from crocusrudder.workflows import model
@@ -47,7 +48,7 @@
 MAX_COMMIT_BYTES = 600_000
 """Progress written by one commit; the store allows 1 MB, and base64 adds a third."""
 
-_UnsavedRow = tuple[job_registry.JobRecord, bytes | None]
+_UnsavedRows = tuple[job_registry.JobRecord, list[job_progress.StoredRow]]
 
 
 class Commit(msgspec.Struct, frozen=True):
@@ -56,6 +57,9 @@
     writes: tuple[tuple[str, str, bytes | None], ...]
     """Table, key and value; None deletes the row."""
     job_states: dict[ids.JobId, model.JobState]
+    """States in the main rows that are written."""
+    job_rows: dict[ids.JobId, tuple[int, ...]]
+    """Numbers of the progress rows that are written."""
     processed_ends: dict[tuple[ids.ProcessId, tuple[ids.WorkerId, int]], int]
     """Number of the last processed end, by agent and the worker incarnation that numbered it."""
     registered_addresses: dict[ids.ProcessId, str]
@@ -272,12 +276,14 @@
         registered = self._list_unregistered()
         for agent, address in registered.items():
             writes.append((rows.ROSTER_TABLE, agent, address.encode() or None))
-        changed = []
-        for record, value in self._list_unsaved(MAX_WRITES - len(writes)):
-            record.has_unsaved_changes = False
-            if value is not None:
-                changed.append(record)
-                writes.append((rows.PROGRESS_TABLE, record.job.job_id, value))
+        states: dict[ids.JobId, model.JobState] = {}
+        written: dict[ids.JobId, tuple[int, ...]] = {}
+        for record, stored in self._take_unsaved(MAX_WRITES - len(writes)):
+            job = record.job.job_id
+            writes += [(rows.PROGRESS_TABLE, key, value) for _, key, value in stored]
+            written[job] = tuple(number for number, _, _ in stored)
+            if job_progress.MAIN_ROW in written[job]:
+                states[job] = record.progress.state
         is_complete = not self._job_registry.unsaved
         ends = {
             (view.agent, view.worker.incarnation): view.last_processed_end
@@ -291,26 +297,26 @@
                 (rows.JOBS_TABLE, rows.make_cancel_key(job), None),
                 (rows.PROGRESS_TABLE, job, None),
             ]
-        states = {record.job.job_id: record.progress.state for record in changed}
         lost = tuple(view.agent for view in self._views.values() if view.is_declared_lost)
-        return Commit(tuple(writes), states, ends, registered, lost, removed)
+        return Commit(tuple(writes), states, written, ends, registered, lost, removed)
 
-    def _list_unsaved(self, limit: int) -> list[_UnsavedRow]:
-        """Return unsaved records with their rows, None for a row that the store cannot hold.
-
-        The store would refuse the whole commit for it, and with it the progress of all jobs.
-        """
-        found: list[_UnsavedRow] = []
+    def _take_unsaved(self, limit: int) -> list[_UnsavedRows]:
+        """Return jobs with at most ``limit`` of their unsaved rows, as many as one commit holds."""
+        found: list[_UnsavedRows] = []
         size = 0
-        for record in itertools.islice(self._job_registry.unsaved.values(), limit):
-            value, is_whole = rows.encode_progress(record.progress)
-            size += len(value or b"")
-            if found and size > MAX_COMMIT_BYTES:
+        for record in list(self._job_registry.unsaved.values()):
+            taken: list[job_progress.StoredRow] = []
+            while record.has_unsaved_changes:
+                spare = (MAX_COMMIT_BYTES - size) // rows.MAX_ROW_BYTES
+                more = record.take_rows(min(limit, spare))
+                if not more:
+                    break
+                size += sum(len(value or b"") for _, _, value in more)
+                limit -= len(more)
+                taken += more
+            if not taken:
                 break
-            if not is_whole:
-                name = "progress_not_stored" if value is None else "progress_shortened"
-                self._log(name, job=record.job.job_id)
-            found.append((record, value))
+            found.append((record, taken))
         return found
 
     def has_changes(self) -> bool:
@@ -351,10 +357,10 @@
 
     def record_commit_failure(self, commit: Commit) -> None:
         """Mark a commit's jobs for storing again, as the commit may not have taken effect."""
-        for job in commit.job_states:
+        for job, numbers in commit.job_rows.items():
             record = self._job_registry.get(job)
             if record is not None:
-                record.has_unsaved_changes = True
+                record.mark_unsaved(numbers)
 
     def dump(self) -> dict[str, object]:
         """Return the owner's state as JSON-compatible values."""
--- a/crocusrudder/workflows/owner_service.py
+++ b/crocusrudder/workflows/owner_service.py
@@ -18,6 +18,7 @@
 from crocusrudder.workflows import cancellations
 from crocusrudder.workflows import errors as workflow_errors
 from crocusrudder.workflows import evacuations
+from crocusrudder.workflows import job_progress
 from crocusrudder.workflows import leases
 from crocusrudder.workflows import list_checks
 from crocusrudder.workflows import model
@@ -61,6 +62,9 @@
 STEP_DOWN_UNANSWERED_SECONDS = 1.7
 """The same for an owner whose commit is still unanswered, as with a slow store."""
 
+_StoredProgress = dict[int, bytes | None]
+"""Values of the progress rows of a job, by their numbers."""
+
 _COUNTED_EVENTS = {
     reports.CAPACITY_EXCEEDED: "capacity_exceeded",
     list_checks.RUN_LEFT_OUT: "runs_left_out",
@@ -238,7 +242,7 @@
                 self._link.record_address(entry, self._decode_address(row))
                 self.handle_entry_hello(entry)
         self._restore_estimates(learned)
-        self._apply_page(jobs, {row.key: row.value for row in progress.rows})
+        self._apply_page(jobs, self._group_progress(progress))
         self._feed_version = jobs.version
         self._is_loaded = True
         self._log("ownership_begun", jobs=len(jobs.rows), agents=len(roster.rows))
@@ -288,7 +292,19 @@
             return []
         return [store.Write(rows.CONTROL_TABLE, rows.ESTIMATES_KEY, value)]
 
-    def _apply_page(self, page: store.Page, progress: dict[str, bytes | None]) -> None:
+    def _group_progress(self, page: store.Page) -> dict[ids.JobId, _StoredProgress]:
+        """Return the progress rows by job, without those that no owner can have written."""
+        grouped: dict[ids.JobId, _StoredProgress] = {}
+        for row in page.rows:
+            try:
+                job, part = rows.split_progress_key(row.key)
+            except workflow_errors.UnreadableRowError as error:
+                self._record_unreadable(row.table, row.key, error)
+                continue
+            grouped.setdefault(job, {})[job_progress.MAIN_ROW if part is None else part] = row.value
+        return grouped
+
+    def _apply_page(self, page: store.Page, progress: dict[ids.JobId, _StoredProgress]) -> None:
         cancellations = []
         for row in page.rows:
             job, is_cancellation = rows.split_cancel_key(row.key)
@@ -307,7 +323,7 @@
         value: bytes,
         version: int,
         is_cancellation: bool,
-        progress: bytes | None = None,
+        progress: _StoredProgress | None = None,
     ) -> None:
         if is_cancellation:
             now = clocks.read_boot_time()
@@ -317,9 +333,7 @@
         try:
             decoded = rows.decode_job(value, job)
             table = rows.PROGRESS_TABLE
-            known = None if progress is None else rows.decode_progress(progress)
-            if known is not None:
-                rows.check_progress(decoded, known)
+            known = None if progress is None else job_progress.decode(decoded, progress)
         except workflow_errors.UnreadableRowError as error:
             self._record_unreadable(table, job, error)
             if progress is not None:
--- a/crocusrudder/workflows/reports.py
+++ b/crocusrudder/workflows/reports.py
@@ -266,7 +266,7 @@
         self, view: fleet.AgentView, task: job_registry.Task, run: int, wall_time: float
     ) -> None:
         task.avoided_agents.add(view.agent)
-        if task.stage.spec.long_running:
+        if task.stage.spec.long_running or task.phase is job_registry.TaskPhase.DONE:
             return
         failures = task.record.count_failure(task, run)
         queue = self._queues.get(task.record.job.queue)
--- a/crocusrudder/workflows/rows.py
+++ b/crocusrudder/workflows/rows.py
@@ -2,6 +2,7 @@
 
 import itertools
 import math
+from collections.abc import Collection
 
 import msgspec
 
@@ -17,6 +18,7 @@
 JOBS_TABLE = "jobs"
 """One row per accepted job, and another one per cancellation."""
 PROGRESS_TABLE = "progress"
+"""One main row per job with progress, and further ones; see ``job_progress``."""
 CONTROL_TABLE = "control"
 OWNER_KEY = "owner"
 ROSTER_TABLE = "roster"
@@ -27,6 +29,8 @@
 """Processor cores of each entry, as a decimal number."""
 ESTIMATES_KEY = "learned"
 """Key of the owner's estimates of the interference between images."""
+PART_SEPARATOR = ".part"
+MAX_PART_DIGITS = 9
 CANCEL_SUFFIX = ".cancel"
 CANCEL_VALUE = b"1"
 MAX_ESTIMATE = 1e15
@@ -74,16 +78,23 @@
     return msgspec.msgpack.encode(value)
 
 
-def encode_progress(progress: model.Progress) -> tuple[bytes | None, bool]:
-    """Encode progress; return whether the value holds all of it.
+def encode_progress(progress: model.Progress) -> bytes:
+    """Encode the main row of a job's progress, which parts complete."""
+    done_tasks = progress.done_tasks.rstrip(b"\0")
+    main = model.Progress(
+        progress.state,
+        finished_at=progress.finished_at,
+        done_tasks=done_tasks,
+        format=model.PROGRESS_FORMAT,
+    )
+    return encode(main)
 
-    Failures and crashes are left out if the row is too large. The value is None if it still is.
-    """
-    value = encode(progress)
-    if len(value) <= MAX_ROW_BYTES:
-        return value, True
-    value = encode(msgspec.structs.replace(progress, failures={}, crashes={}))
-    return value if len(value) <= MAX_ROW_BYTES else None, False
+
+def encode_progress_part(progress: model.Progress, keys: Collection[str]) -> bytes:
+    """Encode the failed runs and crashes under some keys."""
+    sources = (progress.failures, progress.omitted_failures, progress.crashes)
+    selected = ({k: entries[k] for k in sorted(keys) if k in entries} for entries in sources)
+    return encode(model.ProgressPart(*selected))
 
 
 def decode_job(value: bytes, key: ids.JobId) -> model.Job:
@@ -108,15 +119,9 @@
     return progress
 
 
-def check_progress(job: model.Job, progress: model.Progress) -> None:
-    """Raise ``UnreadableRowError`` if the progress does not fit the job's stages."""
-    sizes = {str(number): -(-s.task_count // 8) for number, s in enumerate(job.stages)}
-    for key, bits in progress.done.items():
-        number = key.rpartition(".")[2]
-        if len(bits) != sizes.get(number, len(bits)):
-            raise errors.UnreadableRowError(
-                f"row has {len(bits)} bytes of bits for {key[:MAX_QUOTED]}"
-            )
+def decode_progress_part(value: bytes | None) -> model.ProgressPart:
+    """Decode a part of a job's progress; raise ``UnreadableRowError`` for a malformed value."""
+    return _decode(value, model.ProgressPart)
 
 
 def decode_owner(value: bytes, version: int) -> OwnerRow:
@@ -203,6 +208,22 @@
     return f"{job}{CANCEL_SUFFIX}"
 
 
+def make_progress_key(job: ids.JobId, part: int) -> str:
+    """Return the key of a part of a job's progress."""
+    return f"{job}{PART_SEPARATOR}{part}"
+
+
+def split_progress_key(key: str) -> tuple[ids.JobId, int | None]:
+    """Return the job and the part of a key in the progress table; None for the main row.
+
+    Raises ``UnreadableRowError`` for a key of another form.
+    """
+    job, separator, part = key.partition(PART_SEPARATOR)
+    if separator and not (part.isascii() and part.isdigit() and len(part) <= MAX_PART_DIGITS):
+        raise errors.UnreadableRowError(f"row has the key {key[:MAX_QUOTED]!r}")
+    return ids.JobId(job), int(part) if separator else None
+
+
 def split_cancel_key(key: str) -> tuple[ids.JobId, bool]:
     """Return the job of a key in the jobs table, and whether the key is that of a cancellation."""
     job = key.removesuffix(CANCEL_SUFFIX)
