Bound the time of a plan beside jobs of thousands of tasks

Cause: the owner renews its lease on the loop that plans. Each assigned task made the plan compute the usage of a worker from all its runs, so a plan took the square of the tasks and outlasted the lease; each later owner met the same plan. With short plans, agents still sent a report that named all runs after each start, which kept the owner busy until it stepped down.

Usage, task counts and racks are now updated as they change, CPU shares are lowered once for several runs on workers with many, a plan ends after 500 assignments and jobs of equal priority take turns, and an agent with 64 runs or more pauses after a report.

--- a/benchmarks/planning.py
+++ b/benchmarks/planning.py
@@ -19,6 +19,9 @@
 WORKERS_PER_RACK = 12
 STAGES = 8
 STAGE_TASKS = (9, 39, 78)
+LARGE_STAGE_TASKS = 5_000
+MAX_PLANS = 100
+"""Plans after which a large stage counts as not placeable."""
 WAITING_STAGES = 30
 ROUNDS = 5
 QUEUE = model.QueueName("sheet")
@@ -26,6 +29,7 @@
 CAPACITY = messages.Resources(64_000, 256_000, 0)
 SERVING = messages.Resources(3_800, 2_000, 0)
 BATCH = messages.Resources(7_000, 4_000, 0)
+TINY = messages.Resources(10, 10, 0)
 OVERSIZED = messages.Resources(60_000, 4_000, 0)
 START = 100.0
 
@@ -149,6 +153,23 @@
     return min(results)
 
 
+def _measure_large_stage(workers: int) -> tuple[float, float, int]:
+    """Return the longest plan and all plans of one stage of small tasks in ms, and their number."""
+    fleet = _Fleet(workers)
+    fleet.submit(
+        1, model.Stage(LARGE_STAGE_TASKS, TINY, long_running=True, image="s", latency_target_ms=50)
+    )
+    plans = []
+    placed = 0
+    while placed < LARGE_STAGE_TASKS and len(plans) < MAX_PLANS:
+        before = fleet.seconds.get("large", 0.0)
+        placed += fleet.plan("large")
+        plans.append(fleet.seconds["large"] - before)
+        fleet.order()
+        fleet.report_running()
+    return max(plans) * 1e3, sum(plans) * 1e3, len(plans)
+
+
 def _measure_steady_state(workers: int) -> dict[str, float]:
     """Return processor times in ms of calls that place nothing, and of a report and an order."""
     fleet = _Fleet(workers)
@@ -173,6 +194,11 @@
                 f"{count} workers, {STAGES} stages of {tasks}: {plan_ms:.2f} ms, "
                 f"{placed} placed, {each:.1f} us each"
             )
+        longest, total, plans = _measure_large_stage(count)
+        click.echo(
+            f"{count} workers, one stage of {LARGE_STAGE_TASKS} small tasks: {plans} plans, "
+            f"longest {longest:.1f} ms, all {total:.1f} ms"
+        )
         steady = _measure_steady_state(count)
         values = ", ".join(f"{name} {value:.3f} ms" for name, value in steady.items())
         click.echo(f"{count} workers: {values}")
--- a/crocusrudder/workflows/agent_daemon.py
+++ b/crocusrudder/workflows/agent_daemon.py
@@ -33,6 +33,13 @@
 POLL_WAIT_SECONDS = 0.5
 """Longest time the worker waits for an end before it responds; measurements cover half a second."""
 REPORT_INTERVAL_SECONDS = 0.5
+REPORT_PAUSE_SECONDS = 0.000_15
+"""Pause after a report for each run in it; the owner takes 0.01 ms for each, and more on slow
+machines. A report names all runs of the worker, and each start or end causes one."""
+MIN_RUNS_WITH_PAUSE = 64
+"""Runs from which the pause matters to the owner."""
+MAX_REPORT_PAUSE_SECONDS = 0.6
+"""Longest pause, so that the next report is not missed by the owner after 1.3 s."""
 UNACKNOWLEDGED_POLL_SECONDS = 0.04
 """Interval between polls while ends are not durable yet, which takes about 0.05 s."""
 RETRY_DELAY_SECONDS = 0.1
@@ -402,6 +409,9 @@
             report = self._state.make_report(self._document.data_centre, now)
             self._link.send(self._owner, report, transport.ANY_INCARNATION)
             await self._link.retry_unsent()
+            runs = len(report.running) + len(report.starting) + len(report.ended)
+            if runs >= MIN_RUNS_WITH_PAUSE:
+                await curio.sleep(min(runs * REPORT_PAUSE_SECONDS, MAX_REPORT_PAUSE_SECONDS))
 
     async def _report_after(self, seconds: float) -> None:
         """Trigger a report after some time, when the worker's timeout changes the state."""
--- a/crocusrudder/workflows/decisions/constraints.py
+++ b/crocusrudder/workflows/decisions/constraints.py
@@ -1,6 +1,5 @@
 """Constraints of a stage on the workers of its tasks."""
 
-from crocusrudder.workflows import fleet
 from crocusrudder.workflows import job_registry
 from crocusrudder.workflows import model
 from crocusrudder.workflows.decisions import candidates
@@ -28,13 +27,4 @@
 def is_at_limit(candidate: candidates.CandidateWorker, stage: job_registry.StageRecord) -> bool:
     """Return whether a worker has the maximum number of the stage's tasks, if limited."""
     limit = stage.spec.max_per_worker
-    return bool(limit) and _count_tasks(candidate.view, stage) >= limit
-
-
-def _count_tasks(view: fleet.AgentView, stage: job_registry.StageRecord) -> int:
-    """Return how many runs of a stage's tasks may exist on the worker."""
-    return sum(
-        1
-        for assignment in view.assignments.values()
-        if assignment.task is not None and assignment.task.stage is stage
-    )
+    return bool(limit) and candidate.view.count_tasks(stage) >= limit
--- a/crocusrudder/workflows/decisions/near_places.py
+++ b/crocusrudder/workflows/decisions/near_places.py
@@ -49,6 +49,7 @@
     ) -> None:
         self.stage = stage
         self.tasks = tasks
+        self._members = set(tasks)
         self.queue = queue
         self.rack = ""
         self.wish = locality.Wish(0, 0.0)
@@ -62,6 +63,10 @@
         self.held = 0
         self.is_reconsidered = False
 
+    def has(self, task: job_registry.Task) -> bool:
+        """Return whether the decision covers a task."""
+        return task in self._members
+
     @property
     def request(self) -> rack_places.Request:
         """Return what the tasks need of the rack."""
@@ -108,6 +113,8 @@
         self._may_defer = True
         self._failed: weakref.WeakSet[job_registry.JobRecord] = weakref.WeakSet()
         """Jobs that no longer wait after an error in their decision."""
+        self._split: set[job_registry.StageRecord] = set()
+        """Stages found to run in several racks in this plan, of which all runs are marked."""
         self._rack_places = rack_places.RackPlaces(pool, duration_model, far_factor)
         self._logged: list[effects.LogChange] = []
 
@@ -131,6 +138,7 @@
         self._rack_places.begin_plan()
         self._deferred = {}
         self._may_defer = True
+        self._split = set()
         self._pool.preferred_racks.clear()
         if not self.is_active:
             return
@@ -156,7 +164,7 @@
     ) -> bool:
         """Return whether a task waits although the worker has room for it."""
         entry = self._entries.get(task.stage)
-        if entry is None or task not in entry.tasks:
+        if entry is None or not entry.has(task):
             return False
         if entry.rack in candidate.labels:
             if entry.taken and entry.near_used >= entry.verdict.near and self._may_defer:
@@ -217,7 +225,8 @@
             spec.data_rack and spec.data_rack not in candidate.labels
         )
         assignment.is_comparable = assignment.is_comparable and not assignment.is_far
-        if is_split:
+        if is_split and stage not in self._split:
+            self._split.add(stage)
             for other in self._pool.list_runs(stage):
                 other.is_far = True
                 other.is_comparable = False
@@ -238,7 +247,7 @@
 
     def _check_end(self, entry: _Entry, wait: _Wait, now: float) -> None:
         """End the wait of a stage of which no task waits any more if some were placed."""
-        runs = [run for run in self._pool.list_runs(entry.stage) if run.task in entry.tasks]
+        runs = [run for run in self._pool.list_runs(entry.stage) if entry.has(run.task)]
         if not runs:
             return
         is_near = not any(run.is_far for run in runs)
--- a/crocusrudder/workflows/decisions/placement.py
+++ b/crocusrudder/workflows/decisions/placement.py
@@ -295,9 +295,8 @@
     def list_racks(self, stage: job_registry.StageRecord) -> set[str]:
         """Return the racks in which tasks of a stage are assigned; empty for an unknown one."""
         return {
-            candidates.get_rack(self._views[task.agent]) if task.agent in self._views else ""
-            for task in stage.tasks
-            if task.agent
+            candidates.get_rack(self._views[agent]) if agent in self._views else ""
+            for agent in stage.agents
         }
 
     def list_runs(self, stage: job_registry.StageRecord) -> list[fleet.Assignment]:
--- a/crocusrudder/workflows/decisions/workers.py
+++ b/crocusrudder/workflows/decisions/workers.py
@@ -38,7 +38,7 @@
     view: fleet.AgentView,
 ) -> list[tuple[job_registry.StageRecord, str, float]]:
     """Return each latency-critical stage on the worker with its image and target in ms."""
-    stages = dict.fromkeys(task.stage for task in view.usage.latency_critical)
+    stages = view.usage.latency_critical_stages
     return [(stage, stage.spec.image, stage.spec.latency_target_ms) for stage in stages]
 
 
--- a/crocusrudder/workflows/fleet.py
+++ b/crocusrudder/workflows/fleet.py
@@ -123,8 +123,11 @@
     """Requested by best-effort runs, which reserve no CPU capacity."""
     latency_critical_millicores: int = 0
     latency_critical: tuple[job_registry.Task, ...] = ()
+    latency_critical_stages: tuple[job_registry.StageRecord, ...] = ()
+    """Stages of the tasks in ``latency_critical``."""
     latency_targets_ms: dict[str, float] = {}
-    """Lowest latency target by image of the latency-critical tasks."""
+    """Lowest latency target by image of the latency-critical tasks; the same object as long as it
+    holds for further tasks."""
     best_effort: tuple[Assignment, ...] = ()
     """The best-effort runs that are not being stopped."""
     best_effort_by_image: dict[str, int] = {}
@@ -167,6 +170,7 @@
         """Whether the worker has exited after deregistering; nothing runs until a new one joins."""
         self._assignments: dict[model.RunKey, Assignment] = {}
         self._assignments_view = types.MappingProxyType(self._assignments)
+        self._task_counts: dict[job_registry.StageRecord, int] = {}
         self._usage: Usage | None = None
         self.orders_sent = 0
         self.orders_seen = 0
@@ -276,14 +280,33 @@
         )
 
     def add_assignment(self, assignment: Assignment) -> None:
-        self._assignments[(assignment.task_name, assignment.run)] = assignment
-        self._usage = None
+        key = (assignment.task_name, assignment.run)
+        if key in self._assignments:
+            self.remove_assignment(self._assignments[key])
+        self._assignments[key] = assignment
+        self._count_tasks(assignment, 1)
+        if self._usage is not None:
+            self._usage = _add_usage(self._usage, assignment)
 
     def remove_assignment(self, assignment: Assignment) -> None:
         """Remove an assignment; one that is not there is ignored."""
-        if self._assignments.pop((assignment.task_name, assignment.run), None) is not None:
+        removed = self._assignments.pop((assignment.task_name, assignment.run), None)
+        if removed is not None:
+            self._count_tasks(removed, -1)
             self._usage = None
 
+    def count_tasks(self, stage: job_registry.StageRecord) -> int:
+        """Return how many runs of a stage's tasks may exist on the worker."""
+        return self._task_counts.get(stage, 0)
+
+    def _count_tasks(self, assignment: Assignment, change: int) -> None:
+        if assignment.task is None:
+            return
+        stage = assignment.task.stage
+        count = self._task_counts.pop(stage, 0) + change
+        if count:
+            self._task_counts[stage] = count
+
     def record_agent_start(self, address: str) -> None:
         """Record a new process of the agent, which does not know what the earlier one received."""
         self.address = address
@@ -364,8 +387,38 @@
         best_effort_millicores,
         latency_critical_millicores,
         tuple(latency_critical),
+        tuple(dict.fromkeys(task.stage for task in latency_critical)),
         targets_ms,
         tuple(best_effort),
         by_image,
         has_unknown,
     )
+
+
+def _add_usage(usage: Usage, assignment: Assignment) -> Usage:
+    """Return the usage with one more run, without a pass over all the others.
+
+    Load pattern: a plan that places thousands of tasks on one worker.
+    """
+    added = _compute_usage((assignment,))
+    stages = usage.latency_critical_stages
+    targets_ms = usage.latency_targets_ms
+    for image, target_ms in added.latency_targets_ms.items():
+        if target_ms < targets_ms.get(image, math.inf):
+            targets_ms = targets_ms | added.latency_targets_ms
+    by_image = usage.best_effort_by_image
+    for image, millicores in added.best_effort_by_image.items():
+        by_image = by_image | {image: by_image.get(image, 0) + millicores}
+    return Usage(
+        usage.millicores + added.millicores,
+        usage.memory_mb + added.memory_mb,
+        usage.accelerators + added.accelerators,
+        usage.best_effort_millicores + added.best_effort_millicores,
+        usage.latency_critical_millicores + added.latency_critical_millicores,
+        usage.latency_critical + added.latency_critical,
+        stages + tuple(s for s in added.latency_critical_stages if s not in stages),
+        targets_ms,
+        usage.best_effort + added.best_effort,
+        by_image,
+        usage.has_unknown or added.has_unknown,
+    )
--- a/crocusrudder/workflows/job_registry.py
+++ b/crocusrudder/workflows/job_registry.py
@@ -36,7 +36,6 @@
         "alive_since",
         "assigned_at",
         "avoided_agents",
-        "agent",
         "checkpoint",
         "index",
         "name",
@@ -46,6 +45,7 @@
         "reported_run",
         "run",
         "stage",
+        "_agent",
         "_phase",
     )
 
@@ -54,7 +54,7 @@
         self.stage = stage
         self.index = index
         self._phase = TaskPhase.PENDING
-        self.agent: ids.ProcessId | None = None
+        self._agent: ids.ProcessId | None = None
         self.run = 0
         self.reported_run = 0
         """Number of the last run that a worker has listed as running."""
@@ -77,6 +77,22 @@
         """Return whether the worker has listed the assigned run as running."""
         return self._phase is TaskPhase.ASSIGNED and self.reported_run == self.run
 
+    @property
+    def agent(self) -> ids.ProcessId | None:
+        """Return the agent to which the task is assigned."""
+        return self._agent
+
+    @agent.setter
+    def agent(self, agent: ids.ProcessId | None) -> None:
+        counts = self.stage.agents
+        if self._agent is not None:
+            count = counts.pop(self._agent) - 1
+            if count:
+                counts[self._agent] = count
+        if agent is not None:
+            counts[agent] = counts.get(agent, 0) + 1
+        self._agent = agent
+
     @property
     def phase(self) -> TaskPhase:
         return self._phase
@@ -95,6 +111,7 @@
     """The tasks of one stage in one occurrence of a job."""
 
     __slots__ = (
+        "agents",
         "done_count",
         "number",
         "occurrence",
@@ -110,6 +127,8 @@
         self.occurrence = occurrence
         self.number = number
         self.spec = record.job.stages[number]
+        self.agents: dict[ids.ProcessId, int] = {}
+        """Number of assigned tasks by agent."""
         self.done_count = 0
         self.passed_over_since: float | None = None
         """Since when no worker was found for a task of this long-running stage."""
@@ -168,6 +187,8 @@
         """When a task of the job was last assigned to a worker."""
         self.assigned_count = 0
         """Number of tasks in the phase ``ASSIGNED``."""
+        self._first_open = 0
+        """First occurrence of which not all tasks are known to be done."""
         self._stages: dict[tuple[int, int], StageRecord] = {}
 
     @property
@@ -239,11 +260,17 @@
         """Yield the incomplete stages that are due and whose preceding stages are complete."""
         if self.is_final:
             return
-        for occurrence in range(self.occurrence_count):
+        while self._first_open < self.occurrence_count - 1 and self._is_done(self._first_open):
+            self._first_open += 1
+        for occurrence in range(self._first_open, self.occurrence_count):
             if self.get_due_time(occurrence) > wall_time + early_seconds:
                 return
             yield from self._iterate_occurrence(occurrence)
 
+    def _is_done(self, occurrence: int) -> bool:
+        numbers = range(len(self.job.stages))
+        return all(self.get_stage(occurrence, number).is_done for number in numbers)
+
     def _iterate_occurrence(self, occurrence: int) -> Iterator[StageRecord]:
         for number, spec in enumerate(self.job.stages):
             stage = self.get_stage(occurrence, number)
--- a/crocusrudder/workflows/planning.py
+++ b/crocusrudder/workflows/planning.py
@@ -18,6 +18,7 @@
 from crocusrudder.workflows.decisions import moves
 from crocusrudder.workflows.decisions import near_places
 from crocusrudder.workflows.decisions import placement
+from crocusrudder.workflows.decisions import plan_budget
 from crocusrudder.workflows.decisions import preemption
 from crocusrudder.workflows.decisions import starvation
 from crocusrudder.workflows.decisions import throttling
@@ -27,6 +28,9 @@
 START_EARLY_SECONDS = 0.0
 """How long before its due time an occurrence may start; the requirement is at most 0.25 s."""
 
+MIN_RUNS_PER_LIMIT = 32
+"""Runs on a worker from which CPU shares are not lowered for each assigned run by itself."""
+
 ERROR_RETRY_SECONDS = 1.0
 """Delay before a job is planned again after an unexpected error, which is logged each time."""
 
@@ -63,6 +67,11 @@
         self._preemptions = preemption.PreemptionPlanner(
             epoch, self._pool, self._duration_model, self._queues
         )
+        self._budget = plan_budget.PlanBudget()
+        self._limited_runs: dict[ids.ProcessId, int] = {}
+        """Number of runs for which CPU shares were last lowered in this plan, by agent."""
+        self._unlimited: dict[ids.ProcessId, fleet.AgentView] = {}
+        """Workers with runs for which CPU shares have yet to be lowered."""
         self._is_reconciled = False
         self._unranked: weakref.WeakSet[job_registry.JobRecord] = weakref.WeakSet()
         """Jobs whose outlook could not be determined, which has been logged."""
@@ -130,6 +139,8 @@
         self._pool.refresh(views, now)
         self._searches.begin_plan()
         self._trials.begin_plan(views, now)
+        self._budget.begin_plan()
+        self._limited_runs.clear()
         self._moves.begin(views, now)
         self._preemptions.begin_plan(now)
         self._is_reconciled = is_reconciled
@@ -144,18 +155,41 @@
         ]
         plannable = ((r, queue) for r, queue in jobs if self._find_job_obstacle(r, now) is None)
         self._near_planner.begin_plan(plannable, now, wall_time)
-        for record, queue in jobs:
-            selected += self._moves.select(record, queue.service, now)
-            if self._find_job_obstacle(record, now) is None:
-                selected += self._plan_job(record, queue, now, wall_time)
-        for record, queue in self._near_planner.take_deferred():
-            selected += self._plan_job(record, queue, now, wall_time)
+        for _, group in itertools.groupby(jobs, lambda job: job[1].priority):
+            selected += self._plan_in_turns(list(group), now, wall_time)
+        deferred = self._near_planner.take_deferred()
+        selected += self._plan_in_turns(deferred, now, wall_time, may_move=False)
+        self._limit_remaining(now)
         self._logged += self._near_planner.finish_plan(now)
         self._logged += self._forecast.drain_log()
         active = self._job_registry.active.values()
         self._logged += self._waiting_monitor.check(active, now, wall_time, self._explain)
         return selected
 
+    def _plan_in_turns(
+        self,
+        jobs: list[tuple[job_registry.JobRecord, model.Queue]],
+        now: float,
+        wall_time: float,
+        may_move: bool = True,
+    ) -> list[moves.Move]:
+        """Plan jobs of equal priority, again and again while tasks of some are left."""
+        selected: list[moves.Move] = []
+        while jobs and not self._budget.is_spent:
+            unfinished = []
+            for record, queue in jobs:
+                if may_move:
+                    selected += self._moves.select(record, queue.service, now)
+                if self._budget.is_spent or self._find_job_obstacle(record, now) is not None:
+                    continue
+                self._budget.begin_turn()
+                selected += self._plan_job(record, queue, now, wall_time)
+                if self._budget.is_turn_over:
+                    unfinished.append((record, queue))
+            jobs = unfinished
+            may_move = False
+        return selected
+
     def _find_job_obstacle(
         self, record: job_registry.JobRecord, now: float
     ) -> waiting_reasons.WaitReason | None:
@@ -201,6 +235,9 @@
         selected: list[moves.Move] = []
         try:
             for stage in record.iterate_ready(wall_time, START_EARLY_SECONDS):
+                if self._budget.is_turn_over:
+                    record.needs_planning = True
+                    break
                 self._plan_stage(stage, queue.service, now)
                 if stage in self._left_pending:
                     selected += self._preemptions.select(stage, queue, now, wall_time)
@@ -261,12 +298,15 @@
                 self._plan_tasks(pending, service, now)
         if any(task.phase is job_registry.TaskPhase.PENDING for task in pending):
             stage.record.needs_planning = True
-            self._left_pending.add(stage)
+            if not self._budget.is_turn_over:
+                self._left_pending.add(stage)
 
     def _plan_tasks(
         self, pending: list[job_registry.Task], service: ids.ServiceName, now: float
     ) -> None:
         for task in pending:
+            if self._budget.is_turn_over:
+                return
             if now < task.not_before:
                 continue
             self._moves.release_room(task)
@@ -393,7 +433,8 @@
         view.add_assignment(assignment)
         view.has_updates = True
         self._pool.reserve(candidate, task.stage.spec)
-        self._throttle_controller.limit_started(view, now)
+        self._limit_started(view, now)
+        self._budget.record_assignment()
         task.phase = job_registry.TaskPhase.ASSIGNED
         task.agent = view.agent
         task.run = run
@@ -415,6 +456,26 @@
         }
         self._logged.append(effects.LogChange("run_assigned", fields))
 
+    def _limit_started(self, view: fleet.AgentView, now: float) -> None:
+        """Lower the CPU shares on a worker for the runs just assigned to it.
+
+        The cost grows with the runs on the worker, so one call covers as many further runs as are a
+        small share of them.
+        """
+        runs = len(view.assignments)
+        if runs - self._limited_runs.get(view.agent, 0) >= max(runs // MIN_RUNS_PER_LIMIT, 1):
+            self._throttle_controller.limit_started(view, now)
+            self._limited_runs[view.agent] = runs
+            self._unlimited.pop(view.agent, None)
+        else:
+            self._unlimited[view.agent] = view
+
+    def _limit_remaining(self, now: float) -> None:
+        """Lower the CPU shares for the runs that no call has covered yet."""
+        for view in self._unlimited.values():
+            self._throttle_controller.limit_started(view, now)
+        self._unlimited.clear()
+
     def _undo_assignment(
         self, task: job_registry.Task, candidate: candidates.CandidateWorker
     ) -> None:
--- a/crocusrudder/workflows/reports.py
+++ b/crocusrudder/workflows/reports.py
@@ -278,7 +278,7 @@
         self, view: fleet.AgentView, report: workflow_messages.AgentReport, now: float
     ) -> None:
         present = set(report.starting)
-        view.measurements = {}
+        measurements: dict[str, float] = {}
         for running in report.running:
             if not self._list_filter.is_run_plausible(view, running.task, running.run):
                 continue
@@ -289,13 +289,14 @@
             if assignment.phase is fleet.AssignmentPhase.ORDERED:
                 assignment.phase = fleet.AssignmentPhase.CONFIRMED
             assignment.checkpoint = running.checkpoint or assignment.checkpoint
-            view.measurements[running.task] = running.measure
+            measurements[running.task] = running.measure
             if assignment.task is not None:
                 assignment.task.record.mark_started()
                 assignment.task.reported_run = running.run
                 if running.percent != assignment.task.percent:
                     assignment.task.percent = running.percent
                     assignment.task.progressed_at = now
+        view.measurements = measurements
         for key in report.starting:
             assignment = view.assignments.get(key)
             if assignment is not None and assignment.phase is fleet.AssignmentPhase.ORDERED:
--- /dev/null
+++ b/tests/workflows/decisions/test_plan_budget.py
@@ -0,0 +1,147 @@
+"""Tests of the cost of one plan beside a job of thousands of tasks.
+
+Guards against LOST: a plan that placed 5,000 small tasks took longer than the owner's lease, so the
+ownership went from entry to entry and nothing was started at all.
+"""
+
+import itertools
+import unittest
+from unittest import mock
+
+from crocusrudder.wire import messages
+from crocusrudder.workflows import fleet
+from crocusrudder.workflows import job_registry
+from crocusrudder.workflows import model
+from crocusrudder.workflows.decisions import plan_budget
+from tests.workflows import world
+
+TASKS = 2_000
+TINY = messages.Resources(1, 1, 0)
+LASTING = model.Stage(TASKS, TINY, long_running=True, image="hold", latency_target_ms=5.0)
+FILLING = model.Stage(TASKS, TINY, image="fill", best_effort=True)
+URGENT = model.QueueName("urgent")
+
+
+class PlanBudgetTest(unittest.TestCase):
+    def setUp(self):
+        self.system = world.World(agents=3)
+        queues = (
+            model.Queue(world.QUEUE, "host", "/q/", world.SERVICE, 1, 2),
+            model.Queue(URGENT, "host", "/u/", world.SERVICE, 0, 2),
+        )
+        configuration = model.Configuration(2, queues, (model.Service(world.SERVICE),))
+        self.system.owner.set_configuration(configuration)
+        self.system.run(1.0)
+
+    def _add(self, name: str, stage: model.Stage, queue: model.QueueName = world.QUEUE):
+        job = model.Job(name, queue, "", (stage,), world.WALL_TIME_OFFSET)
+        self.system.owner.add_job(job, 10)
+        return self.system.owner.job_registry.get(name)
+
+    def _plan(self) -> None:
+        """Plan without any message from an agent in between."""
+        self.system.now += 0.001
+        self.system.owner.tick(self.system.now, world.WALL_TIME_OFFSET + self.system.now)
+
+    def test_one_plan_assigns_a_bounded_number_of_tasks_and_the_next_ones_go_on(self):
+        large = self._add("large", LASTING)
+        assigned = [0]
+        while assigned[-1] < TASKS:
+            self._plan()
+            assigned.append(large.assigned_count)
+            step = assigned[-1] - assigned[-2]
+            self.assertLess(0, step)
+            self.assertLessEqual(step, plan_budget.MAX_ASSIGNMENTS)
+        self.assertFalse(large.needs_planning)
+
+    def test_small_jobs_are_planned_with_the_first_tasks_of_a_large_one(self):
+        self._add("large", LASTING)
+        small = [self._add(f"small{number}", model.Stage(2, TINY)) for number in range(20)]
+        self._plan()
+        self.assertEqual({2}, {record.assigned_count for record in small})
+
+    def test_a_more_urgent_job_is_planned_before_all_turns_of_a_large_one(self):
+        large = self._add("large", LASTING)
+        urgent = self._add("urgent", model.Stage(400, TINY), URGENT)
+        self._plan()
+        self.assertEqual((400, 100), (urgent.assigned_count, large.assigned_count))
+
+    def test_a_gang_is_not_divided(self):
+        gang = self._add("gang", model.Stage(700, TINY, gang=True))
+        self._plan()
+        self.assertEqual(700, gang.assigned_count)
+
+    def test_tasks_left_by_the_budget_do_not_count_as_without_room(self):
+        # The forecast of room and preemption start from the tasks that found none.
+        urgent = self._add("urgent", model.Stage(TASKS, TINY, estimated_seconds=60.0), URGENT)
+        self._plan()
+        self.assertLess(urgent.assigned_count, TASKS)
+        self.assertEqual(set(), self.system.owner._planner._left_pending)
+
+    def test_the_cost_of_placing_grows_with_the_tasks_and_not_with_their_square(self):
+        visited = itertools.count()
+        compute_usage = fleet._compute_usage
+
+        def count_visited(assignments):
+            def visit(assignment):
+                next(visited)
+                return assignment
+
+            return compute_usage(map(visit, assignments))
+
+        self._add("large", LASTING)
+        self._add("filling", FILLING)
+        with mock.patch.object(fleet, "_compute_usage", count_visited):
+            for _ in range(20):
+                self._plan()
+        self.assertEqual(
+            2 * TASKS, sum(len(v.assignments) for v in self.system.owner.views.values())
+        )
+        # 2,000 times 4,000 visits before.
+        self.assertLess(next(visited), 20 * TASKS)
+
+    def test_shares_are_lowered_for_the_last_run_of_a_plan_too(self):
+        # One call may cover several runs, and the order to start a run holds its share.
+        covered = {}
+
+        def limit_started(view, now):
+            covered[view.agent] = len(view.assignments)
+
+        self._add("large", LASTING)
+        controller = self.system.owner._throttle_controller
+        with mock.patch.object(controller, "limit_started", limit_started):
+            self._plan()
+        views = self.system.owner.views
+        self.assertLess(0, len(covered))
+        self.assertEqual({agent: len(views[agent].assignments) for agent in covered}, covered)
+
+
+class UsageTest(unittest.TestCase):
+    def test_usage_that_is_added_up_equals_the_usage_of_all_runs(self):
+        view = fleet.AgentView("a")
+        stages = (
+            model.Stage(3, TINY, image="s", latency_target_ms=5.0),
+            model.Stage(3, TINY, image="s", latency_target_ms=3.0),
+            model.Stage(3, TINY, image="b", best_effort=True),
+            model.Stage(3, messages.Resources(5, 6, 7)),
+        )
+        job = model.Job("j", world.QUEUE, "", stages, 0.0)
+        record = job_registry.JobRecord(job, 1)
+        self.assertEqual(fleet.Usage(), view.usage)
+        tasks = list(
+            itertools.chain.from_iterable(record.get_stage(0, n).tasks for n in range(len(stages)))
+        )
+        for number, task in enumerate([*tasks[::2], *tasks[1::2], None]):
+            name = task.name if task else "k.0.0.0"
+            phase = fleet.AssignmentPhase.ORDERED
+            view.add_assignment(fleet.Assignment(name, number, task, phase))
+            self.assertEqual(fleet._compute_usage(view.assignments.values()), view.usage)
+        self.assertEqual(3, view.count_tasks(record.get_stage(0, 1)))
+        for assignment in list(view.assignments.values()):
+            view.remove_assignment(assignment)
+            self.assertEqual(fleet._compute_usage(view.assignments.values()), view.usage)
+        self.assertEqual(0, view.count_tasks(record.get_stage(0, 1)))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/workflows/test_agent_daemon.py
+++ b/tests/workflows/test_agent_daemon.py
@@ -260,6 +260,31 @@
         self.assertEqual([RUN], client.stopped)
 
 
+class ReportTest(AgentTestCase):
+    def test_reports_of_many_runs_leave_the_owner_time_for_others(self):
+        # Guards against an owner that is busy for seconds: each of thousands of starts caused a
+        # report that named all of them.
+        self._set_constant("REPORT_PAUSE_SECONDS", 3_600.0)
+        self._set_constant("MAX_REPORT_PAUSE_SECONDS", 3_600.0)
+        sent = []
+        self.agent._link.send = lambda *message: sent.append(message)
+        self.agent._owner = ids.ProcessId("e1")
+
+        async def report(runs: int) -> int:
+            for number in range(runs):
+                self.agent._state.record_start_sent((f"j.0.0.{number}", 1), 0.0)
+            sent.clear()
+            reporting = await curio.spawn(self.agent._report_forever)
+            for _ in range(ROUNDS):
+                await self.agent._updates.set()
+                await curio.sleep(0)
+            await reporting.cancel()
+            return len(sent)
+
+        self.assertLess(1, curio.run(report(1)))
+        self.assertEqual(1, curio.run(report(agent_daemon.MIN_RUNS_WITH_PAUSE)))
+
+
 class PollTest(AgentTestCase):
     def setUp(self):
         super().setUp()
--- a/tests/workflows/test_job_registry.py
+++ b/tests/workflows/test_job_registry.py
@@ -1,6 +1,7 @@
 """Tests of the sets of jobs that the owner derives from changes instead of searching all jobs."""
 
 import unittest
+from unittest import mock
 
 from crocusrudder.core import ids
 from crocusrudder.wire import messages
@@ -30,6 +31,20 @@
         record.mark_unsaved([row[0]])
         self.assertEqual(["j1"], list(self.registry.unsaved))
 
+    def test_occurrences_that_are_done_are_not_visited_again(self):
+        # Guards against plans whose time grows with all occurrences that a job ever had.
+        job = model.Job(ids.JobId("j1"), model.QueueName("q"), "", (STAGE, STAGE), 0.0, 100, 1.0)
+        record = job_registry.JobRecord(job, 1)
+        for occurrence in range(90):
+            for number in range(2):
+                for task in record.get_stage(occurrence, number).tasks:
+                    record.mark_done(task, 5.0)
+        ready = [stage.key for stage in record.iterate_ready(9.0, 0.0)]
+        self.assertEqual([f"{o}.{n}" for o in range(90, 100) for n in range(2)], ready)
+        with mock.patch.object(record, "get_stage", wraps=record.get_stage) as get_stage:
+            self.assertEqual(ready, [stage.key for stage in record.iterate_ready(9.0, 0.0)])
+        self.assertLess(get_stage.call_count, 50)
+
     def test_a_job_in_a_final_state_is_returned_once_and_is_not_active(self):
         record = self._add("j1")
         self._add("j2")
