Store cancellations of unknown jobs, so that a late submission has no effect

Cause: the cancellation of a job without a row stored nothing, and the only condition of a submission was that the job has no row.

--- a/crocusrudder/workflows/entry_http.py
+++ b/crocusrudder/workflows/entry_http.py
@@ -126,6 +126,10 @@
         return _make_error_response(
             504, "CR-WFL-504", "the outcome is not known; the request can be repeated"
         )
+    if outcome is calls.Outcome.CANCELLED_BEFORE:
+        return _make_error_response(
+            503, "CR-WFL-409", "the job was cancelled before it was stored; it never runs"
+        )
     if outcome is calls.Outcome.UNKNOWN_JOB:
         return _make_error_response(410, "CR-WFL-410", "there is no such job")
     if method == "GET" and outcome in _STATE_OUTCOMES:
--- a/crocusrudder/workflows/owner.py
+++ b/crocusrudder/workflows/owner.py
@@ -37,6 +37,9 @@
 """Maximum number of finished jobs removed by one commit."""
 MAX_EARLY_CANCELLATIONS = 4_096
 """Cancellations remembered whose jobs are not known yet."""
+UNKNOWN_CANCELLATION_SECONDS = 60.0
+"""Time for which the cancellation of a job without a row is kept. A submission without a response
+may be performed seconds later, and callers repeat it for seconds."""
 MAX_WRITES = 90
 """Maximum number of rows written by one commit; the store allows 100."""
 MAX_START_CHARACTERS = 700_000
@@ -66,6 +69,8 @@
     """Addresses stored, by agent; empty for an agent that was removed."""
     lost_agents: tuple[ids.ProcessId, ...]
     removed_jobs: tuple[ids.JobId, ...]
+    expired_cancellations: tuple[ids.JobId, ...]
+    """Jobs without a row whose cancellation is removed."""
 
 
 class Owner:
@@ -98,6 +103,8 @@
         self._cancellation_monitor = cancellations.CancellationMonitor(epoch)
         self._early_cancellations: dict[ids.JobId, tuple[int, float]] = {}
         """Version of the row and Unix time of cancellations whose jobs are not known yet."""
+        self._unknown_cancellations: dict[ids.JobId, float] = {}
+        """When cancellations of jobs without a row were first seen, oldest first; a Unix time."""
         self._started_at = now
         self._seen_at = now
         """Time of the last report, tick or cancellation."""
@@ -207,6 +214,10 @@
         self._log("job_cancelled", job=job)
         self._deactivate_final_jobs()
 
+    def record_unknown_cancellation(self, job: ids.JobId, wall_time: float) -> None:
+        """Record the stored cancellation of a job without a row, so that it is removed in time."""
+        self._unknown_cancellations.setdefault(job, wall_time)
+
     def handle_report(
         self,
         agent: ids.ProcessId,
@@ -297,8 +308,10 @@
                 (rows.JOBS_TABLE, rows.make_cancel_key(job), None),
                 (rows.PROGRESS_TABLE, job, None),
             ]
+        expired = self._list_expired_cancellations(wall_time, MAX_WRITES - len(writes))
+        writes += [(rows.JOBS_TABLE, rows.make_cancel_key(job), None) for job in expired]
         lost = tuple(view.agent for view in self._views.values() if view.is_declared_lost)
-        return Commit(tuple(writes), states, written, ends, registered, lost, removed)
+        return Commit(tuple(writes), states, written, ends, registered, lost, removed, expired)
 
     def _take_unsaved(self, limit: int) -> list[_UnsavedRows]:
         """Return jobs with at most ``limit`` of their unsaved rows, as many as one commit holds."""
@@ -353,6 +366,8 @@
                 view.lost_stored_at = now
         for job in commit.removed_jobs:
             self._job_registry.remove(job)
+        for job in commit.expired_cancellations:
+            self._unknown_cancellations.pop(job, None)
         return finished
 
     def record_commit_failure(self, commit: Commit) -> None:
@@ -448,6 +463,13 @@
             if not record.has_unsaved_changes and record.stored_state in model.FINAL_STATES
         )
 
+    def _list_expired_cancellations(self, wall_time: float, limit: int) -> tuple[ids.JobId, ...]:
+        oldest = wall_time - UNKNOWN_CANCELLATION_SECONDS
+        old = itertools.takewhile(
+            lambda item: item[1] < oldest, self._unknown_cancellations.items()
+        )
+        return tuple(job for job, _ in itertools.islice(old, max(limit, 0)))
+
     def _make_orders(self, view: fleet.AgentView, now: float) -> workflow_messages.AgentOrders:
         view.orders_sent += 1
         if view.orders_unseen_since is None:
--- a/crocusrudder/workflows/owner_service.py
+++ b/crocusrudder/workflows/owner_service.py
@@ -310,7 +310,9 @@
             job, is_cancellation = rows.split_cancel_key(row.key)
             if row.value is None:
                 continue
-            if is_cancellation:
+            if is_cancellation and row.value == rows.UNKNOWN_CANCEL_VALUE:
+                self._owner.record_unknown_cancellation(job, time.time())
+            elif is_cancellation:
                 cancellations.append((job, row))
             else:
                 self._apply_row(job, row.value, row.version, False, progress.get(job))
--- a/crocusrudder/workflows/rows.py
+++ b/crocusrudder/workflows/rows.py
@@ -33,6 +33,9 @@
 MAX_PART_DIGITS = 9
 CANCEL_SUFFIX = ".cancel"
 CANCEL_VALUE = b"1"
+UNKNOWN_CANCEL_VALUE = b"0"
+"""Value of a cancellation of a job that had no row. No row of the job can follow it, since a
+submission is stored only if its job has no cancellation."""
 MAX_ESTIMATE = 1e15
 """Limit of logarithms, their squares, weights and numbers of reports in estimates."""
 MAX_FLOOR = 100.0
