Let the soak darken workers, delay writes, and cancel what got no answer

Workers now go dark for 0.1 to 1 s and keep their id, the store leaves 30 % of the writes unanswered for a time and performs them 1 to 6 s later, and callers that give up cancel.

--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -150,6 +150,11 @@
                 statuses.append(status)
                 return True
             statuses.append(status)
+        if job in self._cancel_delays and set(statuses) != {503}:
+            # The caller gives up without an answer, so the submission may still be performed.
+            self._cancellations[job] = None
+            self._cancels_due[job] = time.monotonic() + self._cancel_delays[job]
+            return True
         return len(statuses) >= 2 * MAX_TRIES
 
     def _make_job(self, job: str) -> dict:
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -34,6 +34,8 @@
     SLOW = "slow"
     EVACUATE = "evacuate"
     REBIRTH = "rebirth"
+    DARK = "dark"
+    LATE_WRITES = "late-writes"
     HANGUP = "hangup"
     ROLL = "roll"
     ODD_HEARTBEAT = "odd-heartbeat"
@@ -46,6 +48,7 @@
 KIND_WEIGHTS = {Kind.KILL: 3, Kind.STOP: 3, Kind.PAUSE: 3, Kind.LINK: 5, Kind.STORE_DOWN: 1}
 WORKER_KIND_WEIGHTS = {Kind.WORKER_CRASH: 1, Kind.SHRINK: 1}
 FLEET_KIND_WEIGHTS = {Kind.SLOW: 2, Kind.EVACUATE: 1}
+LATE_KIND_WEIGHTS = {Kind.DARK: 2, Kind.LATE_WRITES: 1}
 SIGNAL_KIND_WEIGHTS = {Kind.HANGUP: 2, Kind.STOP: 1, Kind.ROLL: 1}
 ODD_KIND_WEIGHTS = {
     Kind.ODD_HEARTBEAT: 4,
@@ -57,6 +60,9 @@
 }
 CALM_KINDS = frozenset({*ODD_KIND_WEIGHTS, Kind.EVACUATE}) - {Kind.REBIRTH}
 """Kinds that do not disturb a deployment: it has to keep all bounds of time beside them."""
+DARK_SHARE = 0.2
+"""Share of its duration for which the fault leaves a worker dark: 0.1 to 1 s, less than the timeout
+after which its agent notices a restart."""
 LINK_MODES = [mode for mode in proxy.Mode if mode is not proxy.Mode.PASS]
 
 
--- a/tools/soak/runner.py
+++ b/tools/soak/runner.py
@@ -16,6 +16,7 @@
 from tools.soak import odd_entries
 from tools.soak import proxy
 from tools.standin.users import deployment as deployments
+from tools.standin.users import store
 from tools.standin.users import worker
 
 SHRUNK_MILLICORES = 500
@@ -164,6 +165,15 @@
                 self._evacuate(name)
             case faults.Kind.REBIRTH:
                 deployment.rebirth_worker(name)
+            case faults.Kind.DARK:
+                deployment.darken_worker(name, faults.DARK_SHARE * fault.duration_seconds)
+                time.sleep(fault.duration_seconds)
+            case faults.Kind.LATE_WRITES:
+                deployment.begin_late_writes(f"{fault.starts_at}")
+                time.sleep(fault.duration_seconds)
+                deployment.end_late_writes()
+                # The last of them are performed after this time.
+                time.sleep(store.LATE_SECONDS[1])
             case _:
                 self._add_odd_entry(fault)
 
@@ -277,6 +287,7 @@
         *faults.draw_faults(f"workers {seed}", seconds, workers, faults.WORKER_KIND_WEIGHTS),
         *faults.draw_faults(f"fleet {seed}", seconds, workers, faults.FLEET_KIND_WEIGHTS),
         *faults.draw_faults(f"odd {seed}", seconds, workers, faults.ODD_KIND_WEIGHTS),
+        *faults.draw_faults(f"late {seed}", seconds, workers, faults.LATE_KIND_WEIGHTS),
         *faults.draw_faults(f"signals {seed}", seconds, names, faults.SIGNAL_KIND_WEIGHTS),
     ]
     stops = [faults.list_stops(fault, names) for fault in drawn if fault.kind is faults.Kind.ROLL]
@@ -293,6 +304,8 @@
 
 def _make_conflict_key(fault: faults.Fault) -> tuple[str, str]:
     """Return a key that two faults share if they may not overlap."""
+    if fault.kind is faults.Kind.LATE_WRITES:
+        return fault.kind.value, ""
     if fault.kind in INDEPENDENT_KINDS:
         return fault.kind.value, fault.target
     return "process", fault.target
--- a/tools/standin/users/deployment.py
+++ b/tools/standin/users/deployment.py
@@ -219,6 +219,17 @@
         """Make a worker crash; a new incarnation follows under the same id."""
         self._call(self.store_port, "PUT", f"/standin/rebirth/{worker}")
 
+    def darken_worker(self, worker: str, seconds: float) -> None:
+        """Make a worker silent for a time; it starts again under the same id."""
+        self._call(self.store_port, "PUT", f"/standin/dark/{worker}/{seconds}")
+
+    def begin_late_writes(self, seed: str) -> None:
+        """Make the store leave some writes unanswered, and perform them seconds later."""
+        self._call(self.store_port, "PUT", f"/standin/late-writes/{seed}")
+
+    def end_late_writes(self) -> None:
+        self._call(self.store_port, "PUT", "/standin/writes-in-time")
+
     def read_heartbeat(self, worker: str) -> tuple[str, dict]:
         """Return the id of the current incarnation of a worker and its latest heartbeat."""
         content = self._call(self.store_port, "GET", f"/standin/heartbeat/{worker}")[1]
--- a/tools/standin/users/platform.py
+++ b/tools/standin/users/platform.py
@@ -2,6 +2,7 @@
 
 import base64
 import pathlib
+import random
 
 import click
 import curio
@@ -87,6 +88,15 @@
                 self._hosts[name].keeps_id = True
                 await self._hosts[name].incarnations[-1].crashing.set()
                 return http_messages.make_json_response(200, {})
+            case "PUT", ("standin", "dark", name, seconds):
+                await self._hosts[name].darken(float(seconds))
+                return http_messages.make_json_response(200, {})
+            case "PUT", ("standin", "late-writes", seed):
+                self._store.late_writes = random.Random(seed)
+                return http_messages.make_json_response(200, {})
+            case "PUT", ("standin", "writes-in-time"):
+                self._store.late_writes = None
+                return http_messages.make_json_response(200, {})
             case "GET", ("standin", "heartbeat", name):
                 current = self._hosts[name].incarnations[-1]
                 content = {"id": current.name, "heartbeat": current.make_heartbeat()}
