--- a/tools/standin/users/platform.py
+++ b/tools/standin/users/platform.py
@@ -92,10 +92,10 @@
                 await self._hosts[name].darken(float(seconds))
                 return http_messages.make_json_response(200, {})
             case "PUT", ("standin", "late-writes", seed):
-                self._store.late_writes = random.Random(seed)
+                self._store.deferral_draws = random.Random(seed)
                 return http_messages.make_json_response(200, {})
             case "PUT", ("standin", "writes-in-time"):
-                self._store.late_writes = None
+                self._store.deferral_draws = None
                 return http_messages.make_json_response(200, {})
             case "GET", ("standin", "heartbeat", name):
                 current = self._hosts[name].incarnations[-1]
--- a/tools/standin/users/store.py
+++ b/tools/standin/users/store.py
@@ -29,7 +29,7 @@
         self._version = 0
         self._changed = curio.Condition()
         self.is_down = False
-        self.late_writes: random.Random | None = None
+        self.deferral_draws: random.Random | None = None
         """Draws the writes that are left unanswered and performed late; None for no such writes."""
 
     async def handle(self, request: http_messages.Request) -> http_messages.Response:
@@ -46,14 +46,16 @@
         return http_messages.Response(404)
 
     async def _transact_or_defer(self, content: dict) -> http_messages.Response:
-        draws = self.late_writes
+        draws = self.deferral_draws
         if draws is None or draws.random() >= LATE_SHARE:
             return await self.transact(content)
-        await curio.spawn(self._transact_late, content, draws.uniform(*LATE_SECONDS), daemon=True)
+        await curio.spawn(
+            self._perform_deferred, content, draws.uniform(*LATE_SECONDS), daemon=True
+        )
         await curio.sleep(SILENCE_SECONDS)
         return http_messages.Response(503)
 
-    async def _transact_late(self, content: dict, seconds: float) -> None:
+    async def _perform_deferred(self, content: dict, seconds: float) -> None:
         await curio.sleep(seconds)
         await self.transact(content)
 
