--- a/tools/soak/runner.py
+++ b/tools/soak/runner.py
@@ -165,18 +165,24 @@
                 self._evacuate(name)
             case faults.Kind.REBIRTH:
                 deployment.rebirth_worker(name)
-            case faults.Kind.DARK:
-                deployment.darken_worker(name, faults.DARK_SHARE * fault.duration_seconds)
-                time.sleep(fault.duration_seconds)
-            case faults.Kind.LATE_WRITES:
-                deployment.begin_late_writes(f"{fault.starts_at}")
-                time.sleep(fault.duration_seconds)
-                deployment.end_late_writes()
-                # The last of them are performed after this time.
-                time.sleep(store.LATE_SECONDS[1])
+            case faults.Kind.DARK | faults.Kind.LATE_WRITES:
+                self._delay_answers(fault)
             case _:
                 self._add_odd_entry(fault)
 
+    def _delay_answers(self, fault: faults.Fault) -> None:
+        """Leave calls to a worker, or some writes to the store, without an answer."""
+        deployment = self._deployment
+        if fault.kind is faults.Kind.DARK:
+            deployment.darken_worker(fault.target, faults.DARK_SHARE * fault.duration_seconds)
+            time.sleep(fault.duration_seconds)
+            return
+        deployment.begin_late_writes(f"{fault.starts_at}")
+        time.sleep(fault.duration_seconds)
+        deployment.end_late_writes()
+        # The last of them are performed after this time.
+        time.sleep(store.LATE_SECONDS[1])
+
     def _add_odd_entry(self, fault: faults.Fault) -> None:
         deployment = self._deployment
         worker_name = fault.target
