--- a/review/platform_2.py
+++ b/review/platform_2.py
@@ -49,8 +49,6 @@
     def __init__(self, *arguments: object) -> None:
         super().__init__(*arguments)
         self._capacities = [(time.monotonic(), MILLICORES)]
-        self._last_seen = 0
-        self._end_runs: dict[int, worker.RunKey] = {}
         self.latest[self.name] = self
 
     def make_heartbeat(self) -> dict:
@@ -76,14 +74,9 @@
         return http_messages.make_json_response(response.status, lists)
 
     def _note_ends(self, last_seen: int) -> None:
-        now = time.monotonic()
-        for number in range(self._last_seen + 1, min(last_seen, self._last_end_number) + 1):
-            self.history[self._end_runs[number]]["noted"] = now
-        self._last_seen = max(self._last_seen, last_seen)
-
-    def _end(self, run: worker.RunKey, how: str) -> None:
-        super()._end(run, how)
-        self._end_runs[self._last_end_number] = run
+        for number, *run, _, _ in self._ended:
+            if number <= last_seen:
+                self.history[tuple(run)]["noted"] = time.monotonic()
 
 
 async def _carry_out_late(name: str, request: http_messages.Request) -> None:
