--- a/review/6/scene.py
+++ b/review/6/scene.py
@@ -17,7 +17,7 @@
 }
 KILL_AFTER_SECONDS = 3.5
 """Time from the last start to the kill; the runs end before another entry takes over."""
-RESTART_SECONDS = 1.0
+RESTART_SECONDS = 2.0
 """Time from the kill to the restart by the platform."""
 
 
--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 cd "$(dirname "$0")/../.." || exit 2
 export PYTHONPATH=target/deps:.
-timeout --kill-after=5 115 python3 -m review.7.scene
+timeout --kill-after=10 105 python3 -m review.7.scene
 result=$?
 [ "$result" -le 1 ] && exit "$result"
 exit 2
