Wait for the ends that a worker has yet to list

Cause: a worker lists 500 ends at a time, and a list was taken for the whole. What is in neither list counted as not on the worker: for the reconciliation of a new owner, for the stop of absent runs, and for the rejection of stopped and unproven runs by the agent. The guard for unreadable lists ends after 6.3 s, which a slow store exceeds.

A list with 500 ends now says that more may follow, and nothing is concluded from absence until a shorter one arrives.

--- a/crocusrudder/platform/worker.py
+++ b/crocusrudder/platform/worker.py
@@ -28,6 +28,8 @@
 MAX_END_GAP = 1_000
 """Greatest distance of the number of an end from that of the one before. Workers number their ends
 from 1 and list 500 at a time, in order, of which some may be unreadable."""
+MAX_LISTED_ENDS = 500
+"""Ends in one list; a worker that holds more lists them after these have been acknowledged."""
 MAX_FIRST_END = 2**40
 """Greatest number of the first end that an agent reads; 1,000 ends a second for 35 years."""
 MAX_ERROR_CHARACTERS = 200
@@ -92,6 +94,8 @@
     error: str = ""
     hides_runs: bool = False
     """Whether a running task may be among what could not be read."""
+    omitted_ends: int = 0
+    """Number of listed ends that are left out."""
 
     def add(self, error: Exception) -> None:
         self.entries += 1
@@ -111,6 +115,8 @@
     """Number of parts of the response that could not be read."""
     is_complete: bool = True
     """Whether a run that ``running`` does not name is not on the worker."""
+    has_more_ends: bool = False
+    """Whether the worker may hold further ends, so that a run in neither list may have ended."""
 
 
 class StartResponse(msgspec.Struct, frozen=True):
@@ -214,6 +220,7 @@
         if response.running is response.ended is None:
             unreadable.add(errors.MalformedInputError("the response has no lists"))
             unreadable.hides_runs = True
+        ends_listed = len(response.ended or ()) + unreadable.omitted_ends
         ended = _convert_ended(response, acknowledged, unreadable)
         self._log_unreadable(unreadable)
         return RunList(
@@ -222,6 +229,7 @@
             ended,
             unreadable.entries,
             not unreadable.hides_runs,
+            ends_listed >= MAX_LISTED_ENDS,
         )
 
     def _log_unreadable(self, unreadable: _Unreadable) -> None:
@@ -286,32 +294,38 @@
         _decode_part(members.get("clockMs", b"0"), _Count, unreadable) or 0,
         _decode_part(members.get("reason", b'""'), str, unreadable) or "",
         _decode_running(members.get("running", b"[]"), unreadable),
-        _decode_entries(members.get("ended", b"[]"), _WireEnded, unreadable),
+        _decode_ended(members.get("ended", b"[]"), unreadable),
         _decode_part(members.get("born", b"0"), _Count, unreadable) or 0,
     )
     return response, unreadable
 
 
-def _decode_entries(part: bytes, type_: type[_Item], unreadable: _Unreadable) -> list[_Item]:
+def _split_entries(part: bytes, unreadable: _Unreadable) -> list[msgspec.Raw]:
     if part == b"null":
         return []
     try:
-        items = json_parts.split_array(part)
+        return json_parts.split_array(part)
     except errors.MalformedInputError as error:
         unreadable.add(error)
         return []
-    if type_ is msgspec.Raw:
-        return items
+
+
+def _decode_ended(part: bytes, unreadable: _Unreadable) -> list[_WireEnded]:
+    """Decode the ended runs, and count those that are left out."""
+    items = _split_entries(part, unreadable)
     entries = (
-        _decode_part(item, type_, unreadable) or _decode_partly(item, type_) for item in items
+        _decode_part(item, _WireEnded, unreadable) or _decode_partly(item, _WireEnded)
+        for item in items
     )
-    return [entry for entry in entries if entry is not None]
+    found = [entry for entry in entries if entry is not None]
+    unreadable.omitted_ends = len(items) - len(found)
+    return found
 
 
 def _decode_running(part: bytes, unreadable: _Unreadable) -> list[_WireRunning]:
     """Decode the running tasks; one whose name and run can be read counts as present at least."""
     count = unreadable.entries
-    entries = _decode_entries(part, msgspec.Raw, unreadable)
+    entries = _split_entries(part, unreadable)
     unreadable.hides_runs = unreadable.entries > count
     found = []
     for item in entries:
--- a/crocusrudder/wire/workflow_messages.py
+++ b/crocusrudder/wire/workflow_messages.py
@@ -120,7 +120,9 @@
     crashes: tuple[WorkerCrash, ...] = ()
     """Crashes of recent incarnations of the worker, oldest first."""
     list_incomplete: bool = False
-    """Whether runs that the report does not name may be on the worker."""
+    """Whether runs that the report does not name may be on the worker or have ended there."""
+    has_more_ends: bool = False
+    """Whether the worker may hold further ends, which it lists once these are acknowledged."""
 
     def __post_init__(self) -> None:
         _check_finite(self.sent_at, self.list_age_seconds)
--- a/crocusrudder/workflows/agent_state.py
+++ b/crocusrudder/workflows/agent_state.py
@@ -66,6 +66,8 @@
         self._listed_ends: tuple[int, ...] = ()
         self._has_unreadable = False
         self._completeness = list_completeness.ListCompleteness()
+        """Completeness of the running tasks."""
+        self._ends_completeness = list_completeness.ListCompleteness()
         self._poll_failed_at = float("-inf")
         self._rejected: dict[model.RunKey, tuple[str, float]] = {}
         self._received: dict[model.RunKey, bool] = {}
@@ -342,6 +344,7 @@
         self._ended = {
             number: entry for number, entry in ended.items() if number > self._acknowledged
         }
+        self._ends_completeness.record(not listed.has_more_ends, now, bool(self._ended))
         self._resolve_unproven(listed_runs.keys() | ended_runs, requested_at, now)
         self._started = {
             run: at
@@ -407,15 +410,16 @@
             has_ended,
             now - self._list_received_at,
             self._crash_monitor.list_crashes(now),
-            self._completeness.is_incomplete,
+            self._completeness.is_incomplete or self._ends_completeness.is_incomplete,
+            self._ends_completeness.is_incomplete,
         )
 
     def _resolve_unproven(self, listed: Set[model.RunKey], requested_at: float, now: float) -> None:
         """Reject the runs that an earlier incarnation took with it.
 
-        The current one would list a run whose start it has answered.
+        The current one would list a run whose start it has answered, or its end.
         """
-        if self._completeness.may_miss_runs(now):
+        if self._completeness.may_miss_runs(now) or self._ends_completeness.may_miss_runs(now):
             return
         self._unproven -= listed
         answered = self._unproven & self._started.keys()
@@ -426,7 +430,12 @@
         self._unproven -= gone
 
     def _resolve_blocked(self, listed: Set[model.RunKey], requested_at: float, now: float) -> None:
-        """Reject stopped runs that are missing from a list requested after the stop."""
+        """Reject stopped runs that are missing from a list requested after the stop.
+
+        A run whose end is not listed yet may have ended as done before the stop.
+        """
+        if self._ends_completeness.may_miss_runs(now):
+            return
         # An incomplete list does not show that a run has ended, but the time since the stop does.
         if self._completeness.is_incomplete:
             requested_at = min(requested_at, now - leases.STOP_TIMEOUT_SECONDS)
@@ -505,6 +514,7 @@
         self._ended = {}
         self._listed_ends = ()
         self._completeness = list_completeness.ListCompleteness()
+        self._ends_completeness = list_completeness.ListCompleteness()
         self._rejected = {}
         self._stopped = {}
         self._acknowledged = 0
--- a/crocusrudder/workflows/fleet.py
+++ b/crocusrudder/workflows/fleet.py
@@ -153,6 +153,8 @@
         self.is_reconciled = False
         """Whether the worker's runs have been reported under the current ownership epoch."""
         self.list_completeness = list_completeness.ListCompleteness()
+        self.has_more_ends = False
+        """Whether the worker may hold ends beyond those in the last report."""
         self.address = ""
         self.registered_address = ""
         """The agent's address in its stored roster row; empty without a row."""
--- a/crocusrudder/workflows/list_completeness.py
+++ b/crocusrudder/workflows/list_completeness.py
@@ -1,6 +1,7 @@
 """Completeness of the latest lists of a worker's runs.
 
-A list of which a part could not be read shows which runs are present, but not which are absent.
+A list of which a part could not be read, or that names only the first of many ends, shows which
+runs are present or have ended, but not which are absent.
 """
 
 from crocusrudder.workflows import leases
@@ -17,11 +18,15 @@
         """Return whether the last list may not name all runs."""
         return self._incomplete_since is not None
 
-    def record(self, is_complete: bool, now: float) -> None:
-        """Record the arrival of a list."""
+    def record(self, is_complete: bool, now: float, awaits_ends: bool = False) -> None:
+        """Record the arrival of a list.
+
+        With ``awaits_ends``, the worker lists the rest as soon as the ends in this list have been
+        stored and acknowledged, which may take long, so the time limit begins anew.
+        """
         if is_complete:
             self._incomplete_since = None
-        elif self._incomplete_since is None:
+        elif self._incomplete_since is None or awaits_ends:
             self._incomplete_since = now
 
     def may_miss_runs(self, now: float) -> bool:
--- a/crocusrudder/workflows/owner.py
+++ b/crocusrudder/workflows/owner.py
@@ -234,6 +234,9 @@
         self._report_handler.stop_incomplete_gangs(self._views.values())
         if view.is_reconciled or report.lapsed:
             self._awaited_agents.pop(agent, None)
+        elif report.has_more_ends and agent in self._awaited_agents:
+            # Tasks whose ends the worker has yet to list must not be started before.
+            self._awaited_agents[agent] = now + leases.LEASE_EXPIRY_SECONDS
         self._throttle_controller.adjust(view, now)
         self._deactivate_final_jobs()
 
--- a/crocusrudder/workflows/reports.py
+++ b/crocusrudder/workflows/reports.py
@@ -28,6 +28,10 @@
 """Delay before a task whose run was rejected is placed again."""
 CAPACITY_EXCEEDED = "capacity_exceeded"
 """Log event of a change after which the runs on a worker take more than its capacity."""
+ENDS_OUTSTANDING = "ends_outstanding"
+"""Log event of a worker that holds more ends than its list names."""
+ENDS_LISTED = "ends_listed"
+"""Log event of a worker all of whose ends are listed again."""
 
 _BLOCK_SECONDS = {
     model.RejectReason.NO_CAPACITY: NO_CAPACITY_BLOCK_SECONDS,
@@ -98,7 +102,7 @@
             self.release_all(view, now, "worker_lapsed")
         if report.epoch != self._epoch:
             return
-        view.list_completeness.record(not report.list_incomplete, now)
+        self._record_completeness(view, report, now)
         if not view.list_completeness.may_miss_runs(now):
             view.is_reconciled = True
         self._apply_rejections(view, report, now)
@@ -109,6 +113,27 @@
             for run in self._health_register.check_stall(view, now, report.list_age_seconds):
                 self.move_run(view, run)
 
+    def _record_completeness(
+        self, view: fleet.AgentView, report: workflow_messages.AgentReport, now: float
+    ) -> None:
+        """Record whether a run that the report does not name is certainly not on the worker."""
+        # Only an end that can be applied is ever acknowledged.
+        awaits_ends = report.has_more_ends and any(
+            self._list_filter.is_run_plausible(view, ended.task, ended.run)
+            for ended in report.ended
+        )
+        view.list_completeness.record(not report.list_incomplete, now, awaits_ends)
+        if view.has_more_ends != report.has_more_ends:
+            view.has_more_ends = report.has_more_ends
+            self._log(
+                ENDS_OUTSTANDING if report.has_more_ends else ENDS_LISTED,
+                agent=view.agent,
+                worker=view.worker.worker if view.worker else "",
+                listed=len(report.ended),
+                assigned=len(view.assignments),
+                reconciled=view.is_reconciled,
+            )
+
     def release_all(self, view: fleet.AgentView, now: float, reason: str) -> None:
         """Release all assignments of a worker on which certainly nothing runs any more."""
         for assignment in list(view.assignments.values()):
@@ -160,6 +185,7 @@
             view.last_durable_end = 0
             view.is_reconciled = False
             view.list_completeness = list_completeness.ListCompleteness()
+            view.has_more_ends = False
             view.blocked_until = 0.0
             view.set_aside_until = 0.0
             view.cpu_shares_sent = {}
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -404,6 +404,14 @@
             listed = curio.run(self._client(response).poll_runs(("w1", 0), 7, 57, 900, 0.5))
             self.assertIs(is_complete, listed.is_complete, body)
 
+    def test_a_full_list_of_ends_may_not_be_the_last(self):
+        # Guards against TWICE (review/6): the first 500 ends were taken for all of them.
+        for count, odd, has_more in ((499, 0, False), (500, 0, True), (490, 10, True)):
+            ended = [[number, "j.0.0.9", number, "done", ""] for number in range(1, count + 1)]
+            content = {"clockMs": 5, "running": [], "ended": [*ended, *[["odd"]] * odd]}
+            poll = self._client(make_response(200, content)).poll_runs(("w1", 0), 7, 0, 900, 0.5)
+            self.assertIs(has_more, curio.run(poll).has_more_ends)
+
     def test_one_odd_entry_leaves_the_others_of_a_list_readable(self):
         # Guards against a worker whose whole list is refused, so that its leases expire, because of
         # one entry that a JSON decoder refuses together with the whole document.
--- a/tests/workflows/world.py
+++ b/tests/workflows/world.py
@@ -120,7 +120,9 @@
             if run[0] not in self.unreadable
         )
         unreadable = len(self.running) - len(running) + self.has_junk
-        return worker_client.RunList(1, running, tuple(self.ended), unreadable, not unreadable)
+        ended = tuple(self.ended[: worker_client.MAX_LISTED_ENDS])
+        has_more_ends = len(ended) == worker_client.MAX_LISTED_ENDS
+        return worker_client.RunList(1, running, ended, unreadable, not unreadable, has_more_ends)
 
     def _make_running(
         self, run: tuple[str, int], end: float, now: float
