Read on after a page of the store without a readable key

The call now fails, and the owner repeats it. The new test fails without the change (three reads returned a page).

--- a/crocusrudder/platform/store.py
+++ b/crocusrudder/platform/store.py
@@ -149,8 +149,12 @@
             rows += [_convert(row, table) for row in page.rows]
             # Later pages do not show what has changed in the range of the first one since.
             version = page.ver if version is None else version
-            if not page.more or not page.rows:
+            if not page.more:
                 return Page(tuple(rows), version)
+            if not page.rows:
+                raise errors.UnknownOutcomeError(
+                    f"a page of the table {table!r} has no readable key, and others follow it"
+                )
             first = page.rows[-1].key + "\x00"
 
     async def read_row(self, table: str, key: str) -> StoreRow | None:
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -211,6 +211,14 @@
         self.assertEqual(["a", "b"], [row.key for row in page.rows])
         self.assertIn("from=a%00", fake.requests[1].target)
 
+    def test_a_page_without_a_readable_key_is_not_the_last(self):
+        # Guards against LOST and TWICE: the rows after such a page were taken not to exist.
+        for rows in ([], [{"key": 7}], [{"value": ""}, {"key": None}]):
+            with self.assertRaises(errors.UnknownOutcomeError):
+                self._call(
+                    make_response(200, {"rows": rows, "ver": 5, "morePages": True}), commit=False
+                )
+
     def test_changes_made_between_the_pages_of_a_read_are_left_to_the_feed(self):
         # Guards against LOST: a row stored between two pages, with a key of the first, was in
         # neither, and the feed was followed from the version of the last page.
