Refuse jobs without steps, and set aside those that fail to load

Cause: the occurrences of a job are bounded by its tasks only, and a job without steps has none. Each plan went through all of its occurrences in one loop.

A job without steps gets a coded 400, and such a row is set aside with row_unreadable.

--- a/crocusrudder/platform/operator.py
+++ b/crocusrudder/platform/operator.py
@@ -215,7 +215,12 @@
 
 
 def check_stages(job: ids.JobId, stages: Sequence[model.Stage], occurrences: int) -> None:
-    """Raise ``MalformedInputError`` if the stages of a job cannot be planned."""
+    """Raise ``MalformedInputError`` if the stages of a job cannot be planned.
+
+    A job has a stage at least: its occurrences are bounded by their tasks only.
+    """
+    if not stages:
+        raise errors.MalformedInputError(f"job {job}: has no stages")
     for number, stage in enumerate(stages):
         if stage.task_count < 1 or any(not 0 <= other < number for other in stage.after):
             raise errors.MalformedInputError(
@@ -237,7 +242,7 @@
         stage.count,
         messages.Resources(stage.cpu, stage.memory_mb, stage.gpu),
         stage.estimated_ms / 1_000,
-        tuple(stage.after),
+        tuple(dict.fromkeys(stage.after)),
         stage.gang,
         stage.same_rack,
         stage.requires,
--- a/crocusrudder/workflows/errors.py
+++ b/crocusrudder/workflows/errors.py
@@ -27,6 +27,12 @@
     code = "CR-WFL-003"
 
 
+class LoadingError(WorkflowError):
+    """Loading a stored job failed unexpectedly; it is set aside, and the others are loaded."""
+
+    code = "CR-WFL-005"
+
+
 class UnknownDataCentreError(WorkflowError):
     """The operator's request names a data centre in which no worker is known."""
 
--- a/crocusrudder/workflows/job_registry.py
+++ b/crocusrudder/workflows/job_registry.py
@@ -258,7 +258,7 @@
 
     def iterate_ready(self, wall_time: float, early_seconds: float) -> Iterator[StageRecord]:
         """Yield the incomplete stages that are due and whose preceding stages are complete."""
-        if self.is_final:
+        if self.is_final or not self.job.stages:
             return
         while self._first_open < self.occurrence_count - 1 and self._is_done(self._first_open):
             self._first_open += 1
--- a/crocusrudder/workflows/owner_service.py
+++ b/crocusrudder/workflows/owner_service.py
@@ -135,7 +135,8 @@
         self._entry_cores: dict[ids.ProcessId, float] = {}
         self._started_at = now
         self._set_aside: set[ids.JobId] = set()
-        """Jobs with unreadable progress, of which tasks that have ended must not run again."""
+        """Jobs that could not be loaded, or whose progress is unreadable: tasks of these that have
+        ended must not run again."""
         self._is_loaded = False
         self._plan_not_before = now
         self._estimates_stored_at = 0.0
@@ -341,8 +342,16 @@
             if progress is not None:
                 self._set_aside.add(job)
             return
-        if job not in self._set_aside:
+        if job in self._set_aside:
+            return
+        try:
             self._owner.add_job(decoded, version, known)
+        except Exception as error:
+            # One job must not keep each new owner from loading the others.
+            self._set_aside.add(job)
+            fields = {"job": job, "code": workflow_errors.LoadingError.code, "error": repr(error)}
+            self._log("job_not_loaded", **fields)
+            self._metrics.count("jobs_not_loaded")
 
     async def _watch_jobs(self) -> None:
         while True:
--- a/tests/workflows/test_job_registry.py
+++ b/tests/workflows/test_job_registry.py
@@ -45,6 +45,12 @@
             self.assertEqual(ready, [stage.key for stage in record.iterate_ready(9.0, 0.0)])
         self.assertLess(get_stage.call_count, 50)
 
+    def test_a_job_without_stages_has_nothing_ready(self):
+        # Guards against a plan without an end (review/7), whatever check a row has passed.
+        job = model.Job(ids.JobId("j1"), model.QueueName("q"), "", (), 0.0, 10**12)
+        record = job_registry.JobRecord(job, 1)
+        self.assertEqual([], list(record.iterate_ready(9.0, 0.0)))
+
     def test_a_job_in_a_final_state_is_returned_once_and_is_not_active(self):
         record = self._add("j1")
         self._add("j2")
--- a/tests/workflows/test_owner_service.py
+++ b/tests/workflows/test_owner_service.py
@@ -339,11 +339,28 @@
             "endless": self._make_job("endless", model.Stage(1, estimated_seconds=math.inf)),
             "after": self._make_job("after", stage, model.Stage(1, after=(7,))),
             "negative": self._make_job("negative", model.Stage(1, messages.Resources(-1, 1, 0))),
+            "empty": rows.encode(
+                model.Job(ids.JobId("empty"), QUEUE.name, "", (), START, occurrences=10**9)
+            ),
         }
         service = self._load(jobs={**odd, "j1": self._make_job("j1")})
         self.assertEqual(["j1"], list(service.owner.job_registry.records))
         self.assertEqual(len(odd), service._metrics.counters["rows_unreadable"])
 
+    def test_a_job_that_fails_to_load_is_set_aside_beside_the_others(self):
+        # Guards against an error in one job that ends the task of each new owner.
+        add_job = owner.Owner.add_job
+
+        def fail(self, job, *args):
+            if job.job_id == "j1":
+                raise RuntimeError("does not load")
+            return add_job(self, job, *args)
+
+        with mock.patch.object(owner.Owner, "add_job", fail):
+            service = self._load(jobs={name: self._make_job(name) for name in ("j1", "j2")})
+        self.assertEqual(["j2"], list(service.owner.job_registry.records))
+        self.assertEqual(1, service._metrics.counters["jobs_not_loaded"])
+
     def test_progress_that_does_not_fit_the_job_sets_it_aside(self):
         # Guards against an agent whose reports are never applied again: the end of a task raised
         # IndexError with each report.
