Give state and searches only to the occurrences that are worked on

Cause: each plan created and tried all occurrences that were due. The budget of a plan bounded what it assigned, not what it tried in vain, and the lease is not renewed while a plan is made.

ready_stages gives state to the next occurrence while few tasks of its stage have had no place, and the stored bits tell what is done. A plan tries equal stages once, counts vain searches, first visits of stages and decisions about near places against its budget, and the next one goes on with the jobs that had no turn. Labels and amounts that no worker has are refused without a ranking.

Two tests change. That of repeated demands counted a search which is not needed any more; it now also has demands that only a search can refuse. That of done occurrences counted calls of get_stage; it now counts reads of the stored progress, with a bound for a restored job as well.

--- a/benchmarks/planning.py
+++ b/benchmarks/planning.py
@@ -1,7 +1,8 @@
 """Processor time of the owner's planning, reports and orders, by number of workers.
 
 Each worker runs eight tasks. A plan has eight stages of 39 tasks: every second one best effort,
-every third one in one rack. The plans with nothing placeable have 30 waiting stages.
+every third one in one rack. The plans with nothing placeable have 30 waiting stages; the last ones
+have 6 or 600 jobs that no worker suits, each with 100,000 occurrences that are due.
 """
 
 import time
@@ -23,6 +24,9 @@
 MAX_PLANS = 100
 """Plans after which a large stage counts as not placeable."""
 WAITING_STAGES = 30
+HOPELESS_JOBS = (6, 600)
+OCCURRENCES = 100_000
+HOPELESS_PLANS = 3
 ROUNDS = 5
 QUEUE = model.QueueName("sheet")
 SERVICE = ids.ServiceName("dispatch")
@@ -57,11 +61,12 @@
         self.plan()
         self.report_all(self._list_runs())
 
-    def submit(self, jobs: int, stage: model.Stage) -> None:
-        """Add jobs of one stage."""
+    def submit(self, jobs: int, stage: model.Stage, occurrences: int = 0) -> None:
+        """Add jobs of one stage, whose occurrences are all due."""
         for _ in range(jobs):
             self._jobs += 1
-            job = model.Job(ids.JobId(f"{self._jobs:016x}"), QUEUE, "spec", (stage,), START)
+            name = ids.JobId(f"{self._jobs:016x}")
+            job = model.Job(name, QUEUE, "spec", (stage,), START, occurrences)
             self.owner.add_job(job, 1)
 
     def plan(self, name: str = "") -> int:
@@ -182,6 +187,18 @@
     return {name: fleet.seconds[name] / fleet.calls[name] * 1e3 for name in fleet.seconds if name}
 
 
+def _measure_hopeless(workers: int, jobs: int) -> tuple[float, float]:
+    """Return the first plan and the longest later one in ms beside jobs that no worker suits."""
+    fleet = _Fleet(workers)
+    fleet.submit(jobs, model.Stage(1, BATCH, required_label="none"), OCCURRENCES)
+    plans = []
+    for _ in range(HOPELESS_PLANS):
+        before = fleet.seconds.get("hopeless", 0.0)
+        fleet.plan("hopeless")
+        plans.append((fleet.seconds["hopeless"] - before) * 1e3)
+    return plans[0], max(plans[1:])
+
+
 @click.command()
 @click.option("--workers", type=int, multiple=True, help="Number of workers; repeatable.")
 def main(workers: tuple[int, ...]) -> None:
@@ -202,6 +219,12 @@
         steady = _measure_steady_state(count)
         values = ", ".join(f"{name} {value:.3f} ms" for name, value in steady.items())
         click.echo(f"{count} workers: {values}")
+        for jobs in HOPELESS_JOBS:
+            first, later = _measure_hopeless(count, jobs)
+            click.echo(
+                f"{count} workers, {jobs} jobs of {OCCURRENCES} occurrences that no worker suits: "
+                f"first plan {first:.1f} ms, later ones up to {later:.1f} ms"
+            )
 
 
 if __name__ == "__main__":
--- a/crocusrudder/workflows/decisions/durations.py
+++ b/crocusrudder/workflows/decisions/durations.py
@@ -69,6 +69,10 @@
         runs.count += 1
         runs.mean += (value - runs.mean) / runs.count
 
+    def forget_stage(self, stage: job_registry.StageRecord) -> None:
+        """Drop the runs of a stage that is done; its queue's mean stays."""
+        self._stages.pop(stage, None)
+
     def forget_job(self, record: job_registry.JobRecord) -> None:
         """Drop the runs of a job that has reached a final state; its queue's mean stays."""
         self._stages = {
--- a/crocusrudder/workflows/decisions/near_places.py
+++ b/crocusrudder/workflows/decisions/near_places.py
@@ -32,6 +32,8 @@
 FAILED = "near_wait_failed"
 """Names of the log lines."""
 
+MAX_ENTRIES = 1_000
+"""Stages on which one plan decides, at 15 us each and more where runs are expected to end."""
 MAX_RACKS = 3
 """Racks compared for a group that fits in none; those with the most places."""
 
@@ -123,6 +125,14 @@
         """Return whether tasks run longer away from their data or group."""
         return self._far_factor > 1.0
 
+    def decides(self, record: job_registry.JobRecord) -> bool:
+        """Return whether tasks of a job may wait, so that each plan decides on its stages first."""
+        return (
+            self.is_active
+            and record not in self._failed
+            and any(stage.data_rack or stage.same_rack for stage in record.job.stages)
+        )
+
     def is_waiting(self, stage: job_registry.StageRecord) -> bool:
         """Return whether tasks of a stage wait for a near place."""
         return stage in self._waits
@@ -132,8 +142,11 @@
         jobs: Iterable[tuple[job_registry.JobRecord, model.Queue]],
         now: float,
         wall_time: float,
-    ) -> None:
-        """Decide for all tasks that run faster in one rack; those that gain most come first."""
+    ) -> set[job_registry.JobRecord]:
+        """Decide for all tasks that run faster in one rack; those that gain most come first.
+
+        Return the jobs for which there is no time, which this plan must leave out.
+        """
         self._entries = {}
         self._rack_places.begin_plan()
         self._deferred = {}
@@ -141,13 +154,16 @@
         self._split = set()
         self._pool.preferred_racks.clear()
         if not self.is_active:
-            return
-        entries = [
-            entry
-            for record, queue in jobs
-            if any(stage.data_rack or stage.same_rack for stage in record.job.stages)
-            for entry in self._list_entries(record, queue, now, wall_time)
-        ]
+            return set()
+        entries: list[_Entry] = []
+        left_out = set()
+        for record, queue in jobs:
+            if not self.decides(record):
+                continue
+            if len(entries) < MAX_ENTRIES:
+                entries += self._list_entries(record, queue, now, wall_time)
+            else:
+                left_out.add(record)
         taken: _Taken = {}
         for entry in sorted(entries, key=lambda entry: entry.order):
             if not self._try_to_decide(entry, taken, now):
@@ -158,6 +174,7 @@
             self._entries[entry.stage] = entry
             if entry.stage.spec.same_rack:
                 self._pool.preferred_racks[entry.stage] = entry.rack
+        return left_out
 
     def holds(
         self, task: job_registry.Task, candidate: candidates.CandidateWorker, now: float
@@ -262,8 +279,6 @@
         wall_time: float,
     ) -> list[_Entry]:
         """Return the stages of a job that may wait; none after an error."""
-        if record in self._failed:
-            return []
         try:
             return list(self._make_entries(record, queue, now, wall_time))
         except Exception as error:
--- a/crocusrudder/workflows/decisions/placement.py
+++ b/crocusrudder/workflows/decisions/placement.py
@@ -7,6 +7,8 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 
+import msgspec
+
 from crocusrudder.core import ids
 from crocusrudder.wire import messages
 from crocusrudder.workflows import fleet
@@ -22,6 +24,9 @@
 MAX_LAST_RESORT_SCORES = 5_000
 """Workers scored in one plan for tasks of starved jobs, at 4 to 8 us each."""
 
+MAX_UNPLACEABLE = 64
+"""Demands that are remembered as not placeable, each of which is compared with later ones."""
+
 REJECTED_SCORE = 0.125
 """Cost of a worker without room, as a share of the cost of a worker that is scored."""
 
@@ -53,6 +58,12 @@
         self._withheld: set[ids.ProcessId] = set()
         self._unplaceable: dict[tuple, list[messages.Resources]] = {}
         """Demands that no worker could meet, by service and the other constraints of placement."""
+        self._largest: dict[ids.ServiceName, messages.Resources] = {}
+        """Most of each resource that is free on any worker, by service."""
+        self._labels: dict[ids.ServiceName, frozenset[str]] = {}
+        """Labels of all workers, by service."""
+        self.examined_workers = 0
+        """Number of times that a worker was examined for a task, over all plans."""
         self._last_resort_rankings: dict[candidates.Shape, candidates.Ranking] = {}
         self._last_resort_scores = 0.0
         self._reserved_shares: dict[candidates.Shape, float] = {}
@@ -68,6 +79,8 @@
         self._rankings = {}
         self._changes = []
         self._unplaceable = {}
+        self._largest = {}
+        self._labels = {}
         self._last_resort_rankings = {}
         self._last_resort_scores = 0
         self._reserved_shares = {}
@@ -106,11 +119,34 @@
         # did not fit will not fit either.
         if any(demand.is_within(spec.demand) for demand in unplaceable):
             return None
+        if not self._is_demand_met(spec, service):
+            return None
         candidate = self._find_best(task, service)
-        if candidate is None and not spec.max_per_worker:
+        if candidate is None and not spec.max_per_worker and len(unplaceable) < MAX_UNPLACEABLE:
             unplaceable.append(spec.demand)
         return candidate
 
+    def _is_demand_met(self, spec: model.Stage, service: ids.ServiceName) -> bool:
+        """Return False if no worker has the label, or as much of a resource, as a task demands."""
+        workers = self._by_service.get(service, ())
+        labels = self._labels.get(service)
+        if labels is None:
+            labels = frozenset().union(*(worker.labels for worker in workers))
+            self._labels[service] = labels
+        if spec.required_label and spec.required_label not in labels:
+            return False
+        largest = self._largest.get(service)
+        if largest is None:
+            largest = self._largest[service] = messages.Resources(
+                max((worker.millicores for worker in workers), default=-1),
+                max((worker.memory_mb for worker in workers), default=-1),
+                max((worker.accelerators for worker in workers), default=-1),
+            )
+        demand = spec.demand
+        if spec.best_effort:
+            demand = msgspec.structs.replace(demand, millicores=0)
+        return demand.is_within(largest)
+
     @property
     def may_search_last_resort(self) -> bool:
         """Return whether this plan may take more time for tasks of starved jobs."""
@@ -133,6 +169,7 @@
         ranking = self._last_resort_rankings.get(shape)
         if ranking is None:
             workers = (*self._by_service.get(service, ()), *self._set_aside.get(service, ()))
+            self.examined_workers += len(workers)
             self._last_resort_scores += REJECTED_SCORE * len(workers)
             self._reserved_shares[shape] = candidates.compute_reserved_share(workers, spec.demand)
             ranking = self._last_resort_rankings[shape] = candidates.Ranking(
@@ -141,7 +178,7 @@
                 self._changes,
             )
         candidate = ranking.find_best(lambda other: other.view.agent not in self._withheld)
-        if candidate is None and not spec.max_per_worker:
+        if candidate is None and not spec.max_per_worker and len(unplaceable) < MAX_UNPLACEABLE:
             unplaceable.append(spec.demand)
         return candidate
 
@@ -157,6 +194,7 @@
         candidate.release(spec)
         self._changes.append(candidate)
         self._unplaceable.clear()
+        self._largest.clear()
 
     def find(self, agent: ids.ProcessId) -> candidates.CandidateWorker | None:
         """Return the worker of an agent; None if plans may not assign tasks to it."""
@@ -253,8 +291,10 @@
         shape = self._make_shape(task, service)
         ranking = self._rankings.get(shape)
         if ranking is None:
+            workers = self._by_service.get(service, ())
+            self.examined_workers += len(workers)
             ranking = self._rankings[shape] = candidates.Ranking(
-                self._by_service.get(service, ()),
+                workers,
                 functools.partial(self._score, task.stage, shape),
                 self._changes,
             )
--- a/crocusrudder/workflows/decisions/plan_budget.py
+++ b/crocusrudder/workflows/decisions/plan_budget.py
@@ -1,8 +1,9 @@
-"""Limit what one plan assigns, and divide it among jobs.
+"""Limit what one plan does, and divide it among jobs.
 
-Load pattern: a job of thousands of tasks beside small ones. While a plan is made, the owner neither
-renews its lease nor applies reports, so a plan ends after a number of assignments and the next one
-goes on. Jobs of equal priority take turns, so that small jobs do not wait for a large one.
+Load pattern: a job of thousands of tasks, or thousands of jobs that fit nowhere, beside small ones.
+While a plan is made, the owner neither renews its lease nor applies reports, so a plan ends after a
+number of assignments and attempts, and the next one goes on. Jobs of equal priority take turns, so
+that small jobs do not wait for a large one.
 """
 
 MAX_ASSIGNMENTS = 500
@@ -10,19 +11,33 @@
 MAX_ASSIGNMENTS_PER_TURN = 125
 """Tasks of one job assigned before other jobs of its priority get a turn; the users' stages have 78
 at most."""
+MAX_SEARCH_COST = 50_000
+"""Time that one plan takes for tasks without a worker, in units of about 1 us."""
+ATTEMPT_COST = 10
+"""Cost of a stage for whose tasks workers are sought in vain, beside that of the workers that are
+examined, at 1 each."""
+MAX_TASKS_VISITED = 20_000
+"""Tasks of stages without any run that one plan visits; the first visit takes 4 us for each."""
 
 
 class PlanBudget:
-    """Assignments that the present plan, and the present turn of a job, may still make."""
+    """What the present plan, and the present turn of a job, may still do."""
 
     def __init__(self) -> None:
         self._left = MAX_ASSIGNMENTS
         self._left_in_turn = MAX_ASSIGNMENTS_PER_TURN
+        self._search_left = MAX_SEARCH_COST
+        self._tasks_left = MAX_TASKS_VISITED
 
     @property
     def is_spent(self) -> bool:
         """Return whether the plan has to end."""
-        return self._left <= 0
+        return self._left <= 0 or self.is_search_over
+
+    @property
+    def is_search_over(self) -> bool:
+        """Return whether the plan has to end before it has tried all jobs."""
+        return self._search_left <= 0 or self._tasks_left <= 0
 
     @property
     def is_turn_over(self) -> bool:
@@ -31,10 +46,20 @@
 
     def begin_plan(self) -> None:
         self._left = MAX_ASSIGNMENTS
+        self._search_left = MAX_SEARCH_COST
+        self._tasks_left = MAX_TASKS_VISITED
 
     def begin_turn(self) -> None:
         self._left_in_turn = MAX_ASSIGNMENTS_PER_TURN
 
+    def record_visit(self, tasks: int) -> None:
+        """Count a visit to a stage of so many tasks, of which one may exceed what is left."""
+        self._tasks_left -= tasks
+
+    def record_attempt(self, workers: int) -> None:
+        """Count a stage that keeps tasks without a worker, for which so many were examined."""
+        self._search_left -= ATTEMPT_COST + workers
+
     def record_assignment(self) -> None:
         """Count an assignment; one gang may exceed what is left, as it is not divided."""
         self._left -= 1
--- a/crocusrudder/workflows/decisions/waiting.py
+++ b/crocusrudder/workflows/decisions/waiting.py
@@ -102,16 +102,21 @@
         """Return how many tasks a job may run at once; infinite if not known to be limited."""
         return self._rooms.get(queue, math.inf)
 
-    def estimate(self, stage: job_registry.StageRecord) -> durations.Estimate:
-        """Return the expected duration of a task of the stage; after an error, as the caller said.
+    def estimate(self, record: job_registry.JobRecord, number: int) -> durations.Estimate:
+        """Return the expected duration of a task of a stage; after an error, as the caller said.
 
         One job must not keep all others, and each later owner, from being planned.
         """
+        seconds = record.job.stages[number].estimated_seconds
         try:
+            # A stage without state has no runs to learn from, and may have 100,000 tasks.
+            stage = record.find_stage(0, number)
+            if stage is None:
+                return self._duration_model.correct(record.job.queue, seconds)
             return self._duration_model.estimate(stage)
         except Exception as error:
-            self._record_error(stage.record.job.job_id, error)
-            return durations.Estimate(stage.spec.estimated_seconds, 0.0, False)
+            self._record_error(record.job.job_id, error)
+            return durations.Estimate(seconds, 0.0, False)
 
     def drain_log(self) -> list[effects.LogChange]:
         """Return the errors logged since the last call, and clear them."""
@@ -134,11 +139,11 @@
 
     def _compute_work(self, record: job_registry.JobRecord) -> float:
         """Return the seconds that a job's remaining tasks need one after the other."""
-        stages = (record.get_stage(0, number) for number in range(len(record.job.stages)))
+        counts = (record.count_left(0, number) for number in range(len(record.job.stages)))
         return sum(
-            self.estimate(stage).seconds * (len(stage.tasks) - stage.done_count)
-            for stage in stages
-            if not stage.is_done
+            self.estimate(record, number).seconds * left
+            for number, left in enumerate(counts)
+            if left
         )
 
 
@@ -249,29 +254,25 @@
     record: job_registry.JobRecord, forecast: Forecast
 ) -> tuple[float, float, float]:
     """Return a job's longest chain, what remains of it, and the deviation of their logarithm."""
-    stages = [record.get_stage(0, number) for number in range(len(record.job.stages))]
-    estimates = [forecast.estimate(stage) for stage in stages]
+    numbers = range(len(record.job.stages))
+    estimates = [forecast.estimate(record, number) for number in numbers]
+    left = [record.count_left(0, number) for number in numbers]
     room = max(forecast.get_room(record.job.queue), 1.0)
     remaining = [
-        estimate.seconds * _count_rounds(stage, room)
-        for stage, estimate in zip(stages, estimates, strict=True)
+        estimate.seconds * _count_rounds(record, count, room)
+        for estimate, count in zip(estimates, left, strict=True)
     ]
     deviation = max(
-        (
-            estimate.deviation
-            for stage, estimate in zip(stages, estimates, strict=True)
-            if not stage.is_done
-        ),
+        (estimate.deviation for estimate, count in zip(estimates, left, strict=True) if count),
         default=0.0,
     )
     total = _add_chain(record.job.stages, [estimate.seconds for estimate in estimates])
     return total, _add_chain(record.job.stages, remaining), deviation
 
 
-def _count_rounds(stage: job_registry.StageRecord, room: float) -> float:
-    """Return how many durations of a task a stage still needs, with room for ``room`` tasks."""
-    left = len(stage.tasks) - stage.done_count
-    running = min(stage.record.assigned_count, left)
+def _count_rounds(record: job_registry.JobRecord, left: int, room: float) -> float:
+    """Return how many durations of a task a stage with ``left`` tasks needs, with ``room``."""
+    running = min(record.assigned_count, left)
     pending = left - running
     rounds = max(math.ceil(pending / room), 1) if pending else 0
     return rounds + (RUNNING_REMAINDER if running else 0.0)
--- a/crocusrudder/workflows/job_progress.py
+++ b/crocusrudder/workflows/job_progress.py
@@ -37,6 +37,15 @@
         """Return the number of tasks in all occurrences."""
         return self._offsets[-1] * self._occurrences
 
+    @property
+    def occurrence_tasks(self) -> int:
+        """Return the number of tasks in one occurrence."""
+        return self._offsets[-1]
+
+    def get_task_count(self, stage: int) -> int:
+        """Return the number of tasks of a stage in one occurrence."""
+        return self._offsets[stage + 1] - self._offsets[stage]
+
     def get_position(self, occurrence: int, stage: int, index: int = 0) -> int:
         """Return the position of a task; raise ``ValueError`` if the job has no such task."""
         is_known = 0 <= occurrence < self._occurrences and 0 <= stage < len(self._offsets) - 1
@@ -98,6 +107,35 @@
         done = self._progress.done_tasks
         return byte < len(done) and bool(done[byte] >> bit & 1)
 
+    def is_stage_done(self, occurrence: int, stage: int) -> bool:
+        """Return whether all tasks of a stage are done."""
+        return not self.count_left(occurrence, stage)
+
+    def count_left(self, occurrence: int, stage: int) -> int:
+        """Return how many tasks of a stage are not done."""
+        first = self._layout.get_position(occurrence, stage)
+        count = self._layout.get_task_count(stage)
+        return count - self._count_done(first, count)
+
+    def is_begun(self, occurrence: int) -> bool:
+        """Return whether a task of an occurrence is done."""
+        first = self._layout.get_position(occurrence, 0)
+        return self._count_done(first, self._layout.occurrence_tasks) > 0
+
+    @property
+    def first_open_occurrence(self) -> int:
+        """Return the first occurrence with a task that is not done; their number if all are."""
+        done = int.from_bytes(self._progress.done_tasks, "little")
+        # Adding 1 carries through the lowest bits that are set.
+        first = (done ^ (done + 1)).bit_length() - 1
+        return first // self._layout.occurrence_tasks
+
+    def _count_done(self, first: int, count: int) -> int:
+        """Return how many of consecutive tasks are done."""
+        start, end = first // 8, -(-(first + count) // 8)
+        bits = int.from_bytes(self._progress.done_tasks[start:end], "little")
+        return (bits >> first % 8 & (1 << count) - 1).bit_count()
+
     def set_done(self, occurrence: int, stage: int, index: int, key: str) -> None:
         """Record that a task is done, and forget the failed runs and crashes under its key."""
         self._set_bit(self._layout.get_position(occurrence, stage, index))
--- a/crocusrudder/workflows/job_registry.py
+++ b/crocusrudder/workflows/job_registry.py
@@ -8,6 +8,7 @@
 from crocusrudder.core import ids
 from crocusrudder.workflows import job_progress
 from crocusrudder.workflows import model
+from crocusrudder.workflows import ready_stages
 
 RUNS_PER_EPOCH = 10_000_000
 """Run numbers reserved for one ownership epoch, enough for five hours at 550 starts a second. Each
@@ -148,6 +149,16 @@
     def is_done(self) -> bool:
         return self.done_count == len(self.tasks)
 
+    @property
+    def is_untouched(self) -> bool:
+        """Return whether no task has a worker, is done, or has failed or been rejected.
+
+        Where such a stage finds no worker, those of later occurrences do not, either.
+        """
+        return not (
+            self.done_count or self.agents or any(task.avoided_agents for task in self.tasks)
+        )
+
     def list_pending(self) -> list[Task]:
         """Return the tasks that have not been placed."""
         return [task for task in self.tasks if task.phase is TaskPhase.PENDING]
@@ -187,9 +198,8 @@
         """When a task of the job was last assigned to a worker."""
         self.assigned_count = 0
         """Number of tasks in the phase ``ASSIGNED``."""
-        self._first_open = 0
-        """First occurrence of which not all tasks are known to be done."""
         self._stages: dict[tuple[int, int], StageRecord] = {}
+        self._ready_stages = ready_stages.ReadyStages(self, self._stored)
 
     @property
     def is_final(self) -> bool:
@@ -244,43 +254,45 @@
         if not (0 <= number < len(self.job.stages) and 0 <= occurrence < self.occurrence_count):
             return None
         key = (occurrence, number)
-        if key not in self._stages:
-            self._stages[key] = self._restore(StageRecord(self, occurrence, number))
-        return self._stages[key]
+        stage = self._stages.get(key)
+        if stage is None:
+            stage = self._stages[key] = self._restore(StageRecord(self, occurrence, number))
+            self._ready_stages.record_state(stage)
+        return stage
+
+    def find_stage(self, occurrence: int, number: int) -> StageRecord | None:
+        """Return a stage; None if it has no state."""
+        return self._stages.get((occurrence, number))
+
+    def count_left(self, occurrence: int, number: int) -> int:
+        """Return how many tasks of a stage are not done."""
+        return self._stored.count_left(occurrence, number)
 
     def list_completed_stages(self, occurrence: int) -> frozenset[int]:
         """Return the numbers of the stages whose tasks are all done."""
         return frozenset(
             number
             for number in range(len(self.job.stages))
-            if (stage := self._stages.get((occurrence, number))) is not None and stage.is_done
+            if self._stored.is_stage_done(occurrence, number)
         )
 
-    def iterate_ready(self, wall_time: float, early_seconds: float) -> Iterator[StageRecord]:
-        """Yield the incomplete stages that are due and whose preceding stages are complete."""
+    def iterate_ready(
+        self, wall_time: float, early_seconds: float, may_open: bool = True
+    ) -> Iterator[StageRecord]:
+        """Yield the incomplete stages that are due and whose preceding stages are complete.
+
+        Only the first occurrences of a stage of which no task has found a place are among them;
+        see ``ready_stages``. Unless ``may_open``, only stages that have state are.
+        """
         if self.is_final or not self.job.stages:
-            return
-        while self._first_open < self.occurrence_count - 1 and self._is_done(self._first_open):
-            self._first_open += 1
-        for occurrence in range(self._first_open, self.occurrence_count):
-            if self.get_due_time(occurrence) > wall_time + early_seconds:
-                return
-            yield from self._iterate_occurrence(occurrence)
-
-    def _is_done(self, occurrence: int) -> bool:
-        numbers = range(len(self.job.stages))
-        return all(self.get_stage(occurrence, number).is_done for number in numbers)
-
-    def _iterate_occurrence(self, occurrence: int) -> Iterator[StageRecord]:
-        for number, spec in enumerate(self.job.stages):
-            stage = self.get_stage(occurrence, number)
-            if not stage.is_done and all(
-                self.get_stage(occurrence, other).is_done for other in spec.after
-            ):
-                yield stage
+            return iter(())
+        limit = wall_time + early_seconds
+        return self._ready_stages.iterate(
+            lambda occurrence: self.get_due_time(occurrence) <= limit, may_open
+        )
 
     def iterate_tasks(self) -> Iterator[Task]:
-        """Yield the tasks of all stages created so far."""
+        """Yield the tasks of all stages that have state."""
         for stage in self._stages.values():
             yield from stage.tasks
 
@@ -300,7 +312,13 @@
         key = stage.make_failure_key(task)
         self._stored.set_done(stage.occurrence, stage.number, task.index, key)
         self._record_change()
-        if stage.is_done and self._stored.is_complete:
+        if not stage.is_done:
+            return
+        self._ready_stages.record_done(stage)
+        if self.job.occurrences:
+            # The stored progress tells what is done, and a job may have 100,000 occurrences.
+            self._stages.pop((stage.occurrence, stage.number), None)
+        if self._stored.is_complete:
             self.finish(model.JobState.COMPLETED, wall_time)
 
     def count_failure(self, task: Task, run: int) -> int:
--- a/crocusrudder/workflows/owner_service.py
+++ b/crocusrudder/workflows/owner_service.py
@@ -38,6 +38,8 @@
 PLANNING_PAUSE_FACTOR = 3.0
 """Pause after a plan, as a multiple of the time the plan took. Planning then uses at most a quarter
 of a core, which leaves time for reports and callers with hundreds of workers."""
+SLOW_PLAN_SECONDS = 0.5
+"""Duration of a plan from which it is logged. The owner's lease is not renewed meanwhile."""
 ORDERS_INTERVAL_SECONDS = 0.02
 """Interval of orders during that pause. Stops do not wait for the next plan."""
 TICK_INTERVAL_SECONDS = 0.1
@@ -429,6 +431,10 @@
         if is_plan_due:
             planned_at = clocks.read_boot_time()
             self._plan_not_before = planned_at + PLANNING_PAUSE_FACTOR * (planned_at - now)
+            self._metrics.observe("plan_seconds", planned_at - now)
+            if planned_at - now >= SLOW_PLAN_SECONDS:
+                active = len(self._owner.job_registry.active)
+                self._log("plan_slow", seconds=round(planned_at - now, 3), jobs=active)
         for agent, orders in self._owner.make_orders(now):
             # The process may have been suspended since the last check, for longer than its lease.
             if self._lease.may_act(clocks.read_boot_time()):
--- a/crocusrudder/workflows/planning.py
+++ b/crocusrudder/workflows/planning.py
@@ -76,7 +76,11 @@
         self._unranked: weakref.WeakSet[job_registry.JobRecord] = weakref.WeakSet()
         """Jobs whose outlook could not be determined, which has been logged."""
         self._left_pending: set[job_registry.StageRecord] = set()
-        """Stages that the last plan considered and of which it left tasks without a worker."""
+        """Stages that the plans of this round considered and of which they left tasks without a
+        worker."""
+        self._tried: weakref.WeakSet[job_registry.JobRecord] = weakref.WeakSet()
+        """Jobs that have had their turn in this round. A round is a plan, with those that follow
+        it as long as they have no time for all jobs."""
         self._waiting_monitor = waiting_reasons.WaitingMonitor(epoch)
         self._logged: list[effects.LogChange] = []
 
@@ -146,19 +150,24 @@
         self._is_reconciled = is_reconciled
         limited = {stage.record.job.queue for stage in self._left_pending}
         self._forecast.begin_plan(self._job_registry.active.values(), limited, wall_time)
-        self._left_pending.clear()
+        if not self._tried:
+            self._left_pending.clear()
         selected = []
         jobs = [
             (record, queue)
             for record in self._sort_jobs(wall_time)
-            if (queue := self._queues.get(record.job.queue)) is not None
+            if record not in self._tried
+            and (queue := self._queues.get(record.job.queue)) is not None
         ]
         plannable = ((r, queue) for r, queue in jobs if self._find_job_obstacle(r, now) is None)
-        self._near_planner.begin_plan(plannable, now, wall_time)
+        left_out = self._near_planner.begin_plan(plannable, now, wall_time)
+        jobs = [job for job in jobs if job[0] not in left_out]
         for _, group in itertools.groupby(jobs, lambda job: job[1].priority):
             selected += self._plan_in_turns(list(group), now, wall_time)
         deferred = self._near_planner.take_deferred()
         selected += self._plan_in_turns(deferred, now, wall_time, may_move=False)
+        if not left_out and not self._is_job_untried(jobs, now):
+            self._tried.clear()
         self._limit_remaining(now)
         self._logged += self._near_planner.finish_plan(now)
         self._logged += self._forecast.drain_log()
@@ -184,12 +193,24 @@
                     continue
                 self._budget.begin_turn()
                 selected += self._plan_job(record, queue, now, wall_time)
+                if not record.progress.crashes:
+                    # A task that awaits its trial has to be considered by each plan.
+                    self._tried.add(record)
                 if self._budget.is_turn_over:
                     unfinished.append((record, queue))
             jobs = unfinished
             may_move = False
         return selected
 
+    def _is_job_untried(
+        self, jobs: list[tuple[job_registry.JobRecord, model.Queue]], now: float
+    ) -> bool:
+        """Return whether the plan had no time for a job, so that the next one goes on there."""
+        return self._budget.is_search_over and any(
+            record not in self._tried and self._find_job_obstacle(record, now) is None
+            for record, _ in jobs
+        )
+
     def _find_job_obstacle(
         self, record: job_registry.JobRecord, now: float
     ) -> waiting_reasons.WaitReason | None:
@@ -233,12 +254,21 @@
         """Assign what finds room; return the runs to stop for tasks that do not."""
         record.needs_planning = bool(record.job.occurrences)
         selected: list[moves.Move] = []
+        without_worker: set[int] = set()
+        """Numbers of stages for which this plan has found no worker."""
+        may_open = not self._near_planner.decides(record)
         try:
-            for stage in record.iterate_ready(wall_time, START_EARLY_SECONDS):
+            for stage in record.iterate_ready(wall_time, START_EARLY_SECONDS, may_open):
                 if self._budget.is_turn_over:
                     record.needs_planning = True
                     break
+                if stage.number in without_worker and stage.is_untouched:
+                    continue
+                visited = len(stage.tasks) if stage.is_untouched else 0
                 self._plan_stage(stage, queue.service, now)
+                self._budget.record_visit(visited)
+                if self._has_found_none(stage, now):
+                    without_worker.add(stage.number)
                 if stage in self._left_pending:
                     selected += self._preemptions.select(stage, queue, now, wall_time)
         except Exception as error:
@@ -250,6 +280,17 @@
             self._logged.append(effects.LogChange("job_not_planned", {"code": code, **fields}))
         return selected
 
+    def _has_found_none(self, stage: job_registry.StageRecord, now: float) -> bool:
+        """Return whether no worker suits a stage of any occurrence, as far as this plan knows."""
+        return (
+            stage in self._left_pending
+            and stage.is_untouched
+            # Each long-running stage counts by itself when it is starved.
+            and not stage.spec.long_running
+            and not self._near_planner.is_waiting(stage)
+            and _find_stage_obstacle(stage, stage.tasks, now) is None
+        )
+
     def _sort_jobs(self, wall_time: float) -> list[job_registry.JobRecord]:
         """Return the jobs with tasks to place or move in the order in which they get room."""
         active = self._job_registry.active
@@ -291,6 +332,7 @@
         now: float,
     ) -> None:
         pending = stage.list_pending()
+        examined = self._pool.examined_workers
         if _find_stage_obstacle(stage, pending, now) is None:
             if stage.spec.gang:
                 self._plan_gang(stage, service, now)
@@ -300,6 +342,7 @@
             stage.record.needs_planning = True
             if not self._budget.is_turn_over:
                 self._left_pending.add(stage)
+                self._budget.record_attempt(self._pool.examined_workers - examined)
 
     def _plan_tasks(
         self, pending: list[job_registry.Task], service: ids.ServiceName, now: float
--- a/crocusrudder/workflows/reports.py
+++ b/crocusrudder/workflows/reports.py
@@ -287,6 +287,8 @@
         for member in members:
             if not task.record.is_final:
                 task.record.mark_done(member, wall_time)
+        if task.record.job.occurrences and task.stage.is_done:
+            self._duration_model.forget_stage(task.stage)
 
     def _count_failure(
         self, view: fleet.AgentView, task: job_registry.Task, run: int, wall_time: float
--- a/tests/workflows/decisions/test_plan_budget.py
+++ b/tests/workflows/decisions/test_plan_budget.py
@@ -66,6 +66,56 @@
         self._plan()
         self.assertEqual((400, 100), (urgent.assigned_count, large.assigned_count))
 
+    def test_jobs_without_a_worker_beyond_the_budget_are_left_to_the_next_plans(self):
+        # Guards against LOST (review/8): what a plan tried in vain was not bounded. The plans that
+        # follow must not begin with the same jobs again.
+        hopeless = model.Stage(1, TINY, required_label="none")
+        for number in range(20):
+            self._add(f"hopeless{number}", hopeless, URGENT)
+        small = self._add("small", model.Stage(1, TINY))
+        choose = mock.Mock(wraps=self.system.owner._planner._pool.choose)
+        self.system.owner._planner._pool.choose = choose
+        plans = 0
+        with mock.patch.object(plan_budget, "MAX_SEARCH_COST", 5 * plan_budget.ATTEMPT_COST):
+            while not small.assigned_count:
+                choose.reset_mock()
+                self._plan()
+                self.assertLessEqual(choose.call_count, 6)
+                plans += 1
+                self.assertLessEqual(plans, 5)
+            # The round is over: the next plan begins with the most urgent jobs again.
+            first = self._add("urgent", model.Stage(1, TINY), URGENT)
+            second = self._add("small2", model.Stage(1, TINY))
+            for _ in range(5):
+                self.assertEqual((0, 0), (first.assigned_count, second.assigned_count))
+                self._plan()
+            self.assertEqual((1, 1), (first.assigned_count, second.assigned_count))
+
+    def test_equal_stages_without_a_worker_are_tried_once_in_a_plan(self):
+        # Guards against LOST (review/8): each occurrence that was due was tried by each plan.
+        hopeless = model.Stage(1, TINY, required_label="none")
+        job = model.Job("h", world.QUEUE, "", (hopeless,), world.WALL_TIME_OFFSET, 5_000)
+        self.system.owner.add_job(job, 10)
+        choose = mock.Mock(wraps=self.system.owner._planner._pool.choose)
+        self.system.owner._planner._pool.choose = choose
+        for _ in range(3):
+            choose.reset_mock()
+            self._plan()
+            self.assertEqual(1, choose.call_count)
+
+    def test_large_stages_get_state_in_different_plans(self):
+        # Guards against plans that take longer than the owner's lease: the state of a job of
+        # 100,000 tasks takes 0.4 s.
+        records = [
+            self._add(f"large{number}", model.Stage(TASKS, TINY, estimated_seconds=1.0))
+            for number in range(3)
+        ]
+        with mock.patch.object(plan_budget, "MAX_TASKS_VISITED", TASKS):
+            for count in (1, 2, 3):
+                self._plan()
+                states = [bool(list(record.iterate_tasks())) for record in records]
+                self.assertEqual(count, sum(states))
+
     def test_a_gang_is_not_divided(self):
         gang = self._add("gang", model.Stage(700, TINY, gang=True))
         self._plan()
--- a/tests/workflows/decisions/test_throttling.py
+++ b/tests/workflows/decisions/test_throttling.py
@@ -242,10 +242,22 @@
 
     def test_a_demand_that_did_not_fit_is_not_searched_for_again_in_the_same_plan(self):
         # Guards against plans that use a whole core with 60 workers and many pending jobs.
-        pool = make_pool([make_view()])
+        views = [make_view("a1"), make_view("a2")]
+        for view, capacity in zip(views, ((64_000, 50, 0), (20_000, 9_000, 0)), strict=True):
+            capacity = messages.Resources(*capacity)
+            view.worker = msgspec.structs.replace(view.worker, capacity=capacity)
+        pool = make_pool(views)
         pool._find_best = mock.Mock(side_effect=pool._find_best)
-        for millicores, search_count in ((70_000, 1), (80_000, 1), (65_000, 2), (10_000, 3)):
-            stage = model.Stage(1, messages.Resources(millicores, 100, 0))
+        for millicores, label, search_count in (
+            (70_000, "", 0),
+            (1_000, "b", 0),
+            (60_000, "", 1),
+            (62_000, "", 1),
+            (40_000, "", 2),
+            (10_000, "", 3),
+        ):
+            demand = messages.Resources(millicores, 100, 0)
+            stage = model.Stage(1, demand, required_label=label)
             record = job_registry.JobRecord(model.Job(ids.JobId("j"), "q", "", (stage,), 0.0), 1)
             candidate = pool.choose(record.get_stage(0, 0).tasks[0], SERVICE)
             self.assertEqual(search_count, pool._find_best.call_count)
--- a/tests/workflows/test_job_registry.py
+++ b/tests/workflows/test_job_registry.py
@@ -41,9 +41,15 @@
                     record.mark_done(task, 5.0)
         ready = [stage.key for stage in record.iterate_ready(9.0, 0.0)]
         self.assertEqual([f"{o}.{n}" for o in range(90, 100) for n in range(2)], ready)
-        with mock.patch.object(record, "get_stage", wraps=record.get_stage) as get_stage:
+        progress = record._stored
+        with mock.patch.object(progress, "_count_done", wraps=progress._count_done) as count_done:
             self.assertEqual(ready, [stage.key for stage in record.iterate_ready(9.0, 0.0)])
-        self.assertLess(get_stage.call_count, 50)
+            self.assertLess(count_done.call_count, 5)
+            restored = job_registry.JobRecord(job, 1, record.progress)
+            count_restored = mock.Mock(wraps=restored._stored._count_done)
+            restored._stored._count_done = count_restored
+            self.assertEqual(ready, [stage.key for stage in restored.iterate_ready(9.0, 0.0)])
+        self.assertLess(count_restored.call_count, 100)
 
     def test_a_job_without_stages_has_nothing_ready(self):
         # Guards against a plan without an end (review/7), whatever check a row has passed.
