Let the tests of the host wait until both hosts are done

Cause, established by a trial that holds a connection back: the tests were wrong. With 0.5 s without a connection from one host to the other, test_delivers_messages_and_results_of_effects_to_the_core has no end, as that host has finished by then and sends nothing any more, which is how a process ends. With 1.5 s for both, test_a_newer_message_is_refused_to_its_sender has no end, as the only refusal is dropped after the grace period that the transport documents.

Both hosts now go on until both have received and read, and the newer message is delivered until its refusal arrives, so the assertions are as strict as before. They use free ports instead of fixed ones.

--- a/tests/hosting/test_host.py
+++ b/tests/hosting/test_host.py
@@ -1,5 +1,7 @@
 """Tests of the host with two real transports on loopback."""
 
+import contextlib
+import socket
 import unittest
 
 import curio
@@ -14,20 +16,24 @@
 from crocusrudder.wire import transport
 
 PING = messages.ConfigurationRequest(ids.Revision(5))
-ADDRESSES = {"a": "127.0.0.1:29471", "b": "127.0.0.1:29472"}
+REPEAT_SECONDS = 0.1
 
 
 class PingCore:
-    """Core that sends pings until it has received one and its read of rows has completed."""
+    """Core that sends pings until it and its partner have received one and read their rows.
+
+    A host that has finished sends nothing any more, not even what waits for a connection.
+    """
 
     def __init__(self, other):
         self._other = other
         self._received = []
         self.stored = False
+        self.partner = self
 
     @property
     def is_finished(self):
-        return self.stored
+        return self.stored and self.partner.stored
 
     @property
     def received_messages(self):
@@ -52,11 +58,26 @@
     return events.RowsRead(effect.operation, {})
 
 
-def make_host(name, other):
+def find_free_addresses(count):
+    """Return addresses at which nothing listens."""
+    with contextlib.ExitStack() as stack:
+        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for probe in probes:
+            probe.bind(("127.0.0.1", 0))
+        return [f"127.0.0.1:{probe.getsockname()[1]}" for probe in probes]
+
+
+def make_hosts():
+    """Return two hosts with ping cores, each with its bound transport."""
+    addresses = dict(zip("ab", find_free_addresses(2), strict=True))
+    return [make_host(name, other, addresses) for name, other in ("ab", "ba")]
+
+
+def make_host(name, other, addresses):
     """Return a host with a ping core, and its bound transport."""
-    sender = codec.Sender(ids.ProcessId(name), ids.Incarnation("1"), ADDRESSES[name])
-    link = transport.Transport(sender, ADDRESSES[name], lambda counter: None)
-    link.record_address(ids.ProcessId(other), ADDRESSES[other])
+    sender = codec.Sender(ids.ProcessId(name), ids.Incarnation("1"), addresses[name])
+    link = transport.Transport(sender, addresses[name], lambda counter: None)
+    link.record_address(ids.ProcessId(other), addresses[other])
     return host.Host(PingCore(other), link, {effects.ReadRows: read_nothing}, {}), link
 
 
@@ -64,8 +85,7 @@
     """Guards against a mismatch of major versions that is not reported to the sender."""
 
     def test_a_newer_message_is_refused_to_its_sender(self):
-        first, first_link = make_host("a", "b")
-        second, second_link = make_host("b", "a")
+        (first, first_link), (second, second_link) = make_hosts()
         newer = msgspec.msgpack.decode(first_link._sender.encode(PING))
         newer[0] = messages.PROTOCOL_MAJOR + 1
 
@@ -73,7 +93,10 @@
             async with curio.TaskGroup(wait=any) as group:
                 await group.spawn(first.run())
                 await group.spawn(second_link.retry_forever())
-                await second_link._deliver(msgspec.msgpack.encode(newer), second.deliver)
+                while not first.core.received_messages:
+                    # The refusal is dropped if there is no connection within the grace period.
+                    await second_link._deliver(msgspec.msgpack.encode(newer), second.deliver)
+                    await curio.sleep(REPEAT_SECONDS)
 
         curio.run(exchange)
         first_link.close()
@@ -85,8 +108,8 @@
     """Guards against messages that are lost and results of effects that never reach the core."""
 
     def test_delivers_messages_and_results_of_effects_to_the_core(self):
-        first, first_link = make_host("a", "b")
-        second, second_link = make_host("b", "a")
+        (first, first_link), (second, second_link) = make_hosts()
+        first.core.partner, second.core.partner = second.core, first.core
 
         async def run_both():
             async with curio.TaskGroup() as group:
