Wait for the longest lease of a worker that restarted under its id

Cause: a poll for a worker's former life that its next life answered named a time of the earlier clock, so the next life got the longest lease there is (10 s), which holds for runs that start later, too. The owner waited 6.3 s after the last grant.

The agent reports for how long runs may go on whatever was renewed, the owner waits as long, and its row tells later owners.

--- a/crocusrudder/platform/errors.py
+++ b/crocusrudder/platform/errors.py
@@ -60,6 +60,12 @@
     code = "CR-PLT-006"
 
 
+class RestartedWorkerError(WrongWorkerError):
+    """An incarnation with the worker's id, but another time of birth, executed the call."""
+
+    code = "CR-PLT-008"
+
+
 class UnknownRequestError(PlatformError):
     """The operator made a request that this system does not serve."""
 
--- a/crocusrudder/platform/worker.py
+++ b/crocusrudder/platform/worker.py
@@ -139,7 +139,7 @@
 
     Calls raise ``NotExecutedError`` if the worker did nothing, ``UnknownOutcomeError`` if it may
     have executed the call or may still do so, and ``WrongWorkerError`` if another incarnation
-    responds.
+    responds, ``RestartedWorkerError`` if that incarnation has executed it.
     """
 
     def __init__(self, address: str) -> None:
@@ -210,7 +210,7 @@
         content |= {"waitMs": round(wait_seconds * 1_000)} if wait_seconds else {}
         status, response, unreadable = await self._call("hold", worker, content, wait_seconds)
         if born_ms and response.born and response.born != born_ms:
-            raise errors.WrongWorkerError(f"{worker} has restarted")
+            raise errors.RestartedWorkerError(f"{worker} has restarted")
         if status == _STATUS_CONFLICT:
             return None
         if status != _STATUS_OK:
--- a/crocusrudder/wire/workflow_messages.py
+++ b/crocusrudder/wire/workflow_messages.py
@@ -123,9 +123,11 @@
     """Whether runs that the report does not name may be on the worker or have ended there."""
     has_more_ends: bool = False
     """Whether the worker may hold further ends, which it lists once these are acknowledged."""
+    unbounded_seconds: float = 0.0
+    """Time for which runs may go on however long ago their lease was renewed."""
 
     def __post_init__(self) -> None:
-        _check_finite(self.sent_at, self.list_age_seconds)
+        _check_finite(self.sent_at, self.list_age_seconds, self.unbounded_seconds)
 
 
 class StartOrder(msgspec.Struct, frozen=True, array_like=True):
--- a/crocusrudder/workflows/agent_daemon.py
+++ b/crocusrudder/workflows/agent_daemon.py
@@ -149,6 +149,8 @@
             for run in self._state.take_unblocked():
                 self._log("start_blocked_again", task=run[0], run=run[1], worker=worker_id)
                 await curio.spawn(self._block, worker_id, run, daemon=True)
+            if self._state.get_unbounded_seconds(clocks.read_boot_time()):
+                await self._record_stale_renewal(worker_id, "restart")
             await self._report_worker()
         self._perform_effects()
 
@@ -266,9 +268,23 @@
         except (errors.NotExecutedError, errors.WrongWorkerError) as error:
             self._record_call_failure(orders.worker, error)
             return model.RejectReason.UNHEALTHY
-        self._state.record_response(answer.clock_ms, clocks.read_boot_time())
+        # A response of an earlier incarnation says nothing about the present one's clock.
+        if (orders.worker, orders.born_ms) == self._state.current_incarnation:
+            await self._record_clock(orders.worker, answer.clock_ms)
         return answer.rejected
 
+    async def _record_clock(self, worker_id: ids.WorkerId, clock_ms: int) -> None:
+        """Record a response of the worker, and report at once if it has another clock."""
+        if self._state.record_response(clock_ms, clocks.read_boot_time()):
+            await self._record_stale_renewal(worker_id, "clock")
+
+    async def _record_stale_renewal(self, worker_id: ids.WorkerId, cause: str) -> None:
+        """Log that the worker has a lease without a bound by renewals, and report it at once."""
+        seconds = self._state.get_unbounded_seconds(clocks.read_boot_time())
+        self._log("lease_unbounded", worker=worker_id, cause=cause, seconds=round(seconds, 2))
+        self._metrics.count("leases_unbounded")
+        await self._updates.set()
+
     async def _block(self, worker_id: ids.WorkerId, run: model.RunKey) -> None:
         """Stop a run whose start was not answered, so that it cannot start later.
 
@@ -382,6 +398,9 @@
             self._record_call_failure(current.worker, error)
             self._metrics.count("holds_failed")
             state.record_poll_failure(clocks.read_boot_time())
+            if isinstance(error, errors.RestartedWorkerError) and lease_end is not None:
+                state.record_stale_renewal(clocks.read_boot_time())
+                await self._record_stale_renewal(current.worker, "hold")
             self._worker_log.record(False, str(error))
             return False
         self._worker_log.record(True)
--- a/crocusrudder/workflows/agent_state.py
+++ b/crocusrudder/workflows/agent_state.py
@@ -15,6 +15,7 @@
 from crocusrudder.workflows import list_completeness
 from crocusrudder.workflows import model
 from crocusrudder.workflows import worker_identity
+from crocusrudder.workflows import worker_lease
 from crocusrudder.workflows.decisions import crash_evidence
 
 REACHABLE_SECONDS = 1.5
@@ -30,21 +31,15 @@
 MAX_EPOCH_STEP = 100_000
 """Greatest step to the epoch of a new owner; takeovers each 3 s reach it after 3.5 days, and the
 owner's row, which is read while no owner is heard, allows more."""
-LATE_START_SECONDS = 10.0
-"""Time for which a start without a response may still be executed; the longest delay seen in the
-users' deployments is 6 s."""
 MAX_LIST_AGE_SECONDS = 0.1
 """Greatest age of a list whose ends are acknowledged. A worker that restarts under its id numbers
 its ends anew, and is away for longer than this."""
-EXPIRY_MARGIN_SECONDS = leases.LEASE_SECONDS * leases.WORKER_CLOCK_ERROR + 0.2
-"""Margin after the lease for a slow worker clock and for a list of ends still in transit."""
 
 
 class AgentState:
     """State of one agent. Times are seconds on the agent's clock, which counts suspension."""
 
     def __init__(self, lease_seconds: float, now: float) -> None:
-        self._max_lease_seconds = lease_seconds
         self._lease_seconds = min(leases.LEASE_SECONDS, lease_seconds)
         self._identity = worker_identity.WorkerIdentity()
         # An earlier agent process may have known of a greater capacity than this one.
@@ -53,8 +48,7 @@
         self._row_epoch = 0
         self._listed_epoch = 0
         self._granted_at = float("-inf")
-        # An earlier agent process on this machine may have renewed the lease just before.
-        self._lease_until = now + leases.LEASE_SECONDS
+        self._worker_lease = worker_lease.WorkerLease(lease_seconds, now)
         self._clock: tuple[int, float] | None = None
         self._responded_at = float("-inf")
         self._running: dict[model.RunKey, workflow_messages.RunningTask] = {}
@@ -77,7 +71,7 @@
         """When the worker accepted the stop of a run."""
         self._blocked: dict[model.RunKey, float] = {}
         self._unanswered: dict[model.RunKey, float] = {}
-        """When a start failed without a response, for ``LATE_START_SECONDS``."""
+        """When a start failed without a response, for ``leases.LATE_CALL_SECONDS``."""
         self._unproven: set[model.RunKey] = set()
         """Runs whose start may have reached the current incarnation instead of an earlier one."""
         self._unblocked: list[model.RunKey] = []
@@ -318,7 +312,7 @@
             return None
         # Least time by which the worker's clock has advanced since it was read.
         elapsed = (now - read_at) * (1 - leases.WORKER_CLOCK_ERROR)
-        self._lease_until = max(self._lease_until, now + remaining)
+        self._worker_lease.record_renewal(now + remaining)
         return clock_ms + round((elapsed + remaining) * 1_000)
 
     def handle_list(
@@ -330,8 +324,7 @@
         self._listed_at = requested_at
         self._list_received_at = now
         before = (tuple(self._running), tuple(self._ended), self._listed_epoch)
-        if listed.clock_ms:
-            self._clock = (listed.clock_ms, now)
+        self._record_clock(listed.clock_ms, now)
         self._responded_at = now
         self._listed_epoch = epoch
         listed_runs = {(entry.task, entry.run): entry for entry in listed.running}
@@ -366,12 +359,33 @@
         """Record that a poll had no usable response, as when the worker restarts meanwhile."""
         self._poll_failed_at = now
 
-    def record_response(self, clock_ms: int, now: float) -> None:
-        """Record a response of the worker; ``clock_ms`` is 0 if it held no clock reading."""
+    def record_stale_renewal(self, now: float) -> None:
+        """Record that another incarnation with the worker's id has executed a renewal."""
+        self._worker_lease.record_stale_renewal(now)
+
+    def get_unbounded_seconds(self, now: float) -> float:
+        """Return for how long runs may go on however long ago the last renewal was."""
+        return self._worker_lease.get_unbounded_seconds(now)
+
+    def record_response(self, clock_ms: int, now: float) -> bool:
+        """Record a response of the worker; ``clock_ms`` is 0 if it held no clock reading.
+
+        Return whether the reading is that of another clock.
+        """
         self._responded_at = now
         self._crash_monitor.record_response(now)
-        if clock_ms:
-            self._clock = (clock_ms, now)
+        return self._record_clock(clock_ms, now)
+
+    def _record_clock(self, clock_ms: int, now: float) -> bool:
+        """Record a reading of the clock; return whether it is that of another incarnation."""
+        if not clock_ms:
+            return False
+        known, self._clock = self._clock, (clock_ms, now)
+        if known is None or self._worker_lease.is_clock_plausible(clock_ms, known, now):
+            return False
+        # The call that was answered carried a time that the other clock had given.
+        self._worker_lease.record_stale_renewal(now)
+        return True
 
     def record_call_failure(
         self, worker_id: ids.WorkerId, is_connection_closed: bool, now: float
@@ -412,6 +426,7 @@
             self._crash_monitor.list_crashes(now),
             self._completeness.is_incomplete or self._ends_completeness.is_incomplete,
             self._ends_completeness.is_incomplete,
+            self._worker_lease.get_unbounded_seconds(now),
         )
 
     def _resolve_unproven(self, listed: Set[model.RunKey], requested_at: float, now: float) -> None:
@@ -456,7 +471,7 @@
         """Return whether the worker cannot be running anything."""
         # An unanswered start carries the end of the lease, so the run cannot start after that.
         unanswered = now - self._responded_at > REACHABLE_SECONDS
-        return unanswered and now > self._lease_until + EXPIRY_MARGIN_SECONDS
+        return unanswered and self._worker_lease.is_over(now)
 
     def _has_worker_ended(self, now: float) -> bool:
         """Return whether the worker has deregistered and no longer responds."""
@@ -476,7 +491,7 @@
         old = now - REJECTION_RETENTION_SECONDS
         self._rejected = {run: item for run, item in self._rejected.items() if item[1] > old}
         self._stopped = {run: at for run, at in self._stopped.items() if at > old}
-        late = now - LATE_START_SECONDS
+        late = now - leases.LATE_CALL_SECONDS
         self._unanswered = {run: at for run, at in self._unanswered.items() if at > late}
 
     def _clear_runs(self) -> None:
@@ -498,16 +513,16 @@
         answered = {run: at for run, at in self._started.items() if run not in self._running}
         unblocked = [run for run in (*self._blocked, *self._unanswered) if run not in open_starts]
         self._clear_runs()
-        self._lease_until = now
+        self._worker_lease.begin_incarnation(now)
         self._unblocked = []
         if has_same_id:
             self._started = answered
             self._starting = {*open_starts, *unblocked}
             self._unblocked = list(dict.fromkeys(unblocked))
             self._unproven = {*answered, *self._starting}
-        if self._unproven:
-            # Their leases end by the clock of the earlier incarnation, which may be far ahead.
-            self._lease_until += self._max_lease_seconds
+            self._worker_lease.record_stale_renewal(now + worker_lease.STALE_CALL_SECONDS)
+            for failed_at in self._unanswered.values():
+                self._worker_lease.record_stale_renewal(failed_at + leases.LATE_CALL_SECONDS)
         self._clock = None
         self._listed_epoch = 0
         self._responded_at = float("-inf")
--- a/crocusrudder/workflows/fleet.py
+++ b/crocusrudder/workflows/fleet.py
@@ -18,6 +18,8 @@
 
 AGENT_TIMEOUT_SECONDS = 1.3
 """Time without a report after which an agent gets no new starts; it reports every 0.5 s."""
+UNBOUNDED_TOLERANCE_SECONDS = 0.3
+"""Margin for the drift of the agents' clocks, and once more for the delay of reports."""
 CPU_SHARE_RESEND_SECONDS = 2.0
 """Interval at which CPU shares are sent again, as agents do not acknowledge them."""
 
@@ -98,7 +100,7 @@
 
     def may_start_late(self, now: float) -> bool:
         """Return whether an earlier process of the agent may have sent a start that is not over."""
-        is_recent = now - self.ordered_at < leases.START_EXPIRY_SECONDS
+        is_recent = now - self.ordered_at < leases.LATE_START_EXPIRY_SECONDS
         return self.order_echo == math.inf and bool(self.order_number) and is_recent
 
     def record_order(self, number: int, echo: float, now: float) -> bool:
@@ -164,6 +166,10 @@
 
         A later owner relies on the time in that row, so the agent gets no orders until it has been
         removed from the row."""
+        self.unbounded_until = 0.0
+        """Time up to which runs may go on however long ago the last lease grant was."""
+        self.stored_unbounded_until = 0.0
+        """The same as the owner's row has it."""
         self.is_evacuated = False
         """Whether the operator allows no starts in the worker's data centre."""
         self.max_runs = float("inf")
@@ -214,6 +220,21 @@
         since = self.orders_unseen_since
         return since is None or self.received_at - since < leases.ORDER_VALID_SECONDS
 
+    @property
+    def is_lease_bound_stored(self) -> bool:
+        """Return whether a later owner would wait long enough for the worker's runs to end."""
+        return self.unbounded_until <= self.stored_unbounded_until
+
+    def record_unbounded(self, seconds: float, now: float) -> None:
+        """Record for how long runs may go on without a renewal, as reported.
+
+        Small increases, as the delays of reports cause them, change nothing.
+        """
+        seconds = min(max(seconds, 0.0), leases.MAX_UNBOUNDED_SECONDS)
+        until = now + seconds + 2 * UNBOUNDED_TOLERANCE_SECONDS if seconds else 0.0
+        if not 0.0 <= until - self.unbounded_until <= UNBOUNDED_TOLERANCE_SECONDS:
+            self.unbounded_until = until
+
     def is_schedulable(self, now: float) -> bool:
         """Return whether new runs may be assigned to the worker."""
         return self.find_block_reason(now) is None
@@ -237,6 +258,8 @@
             return reasons.DECLARED_LOST
         if self.usage.has_unknown:
             return reasons.UNKNOWN_RUN
+        if not self.is_lease_bound_stored:
+            return reasons.LEASE_NOT_STORED
         if now - self.received_at >= AGENT_TIMEOUT_SECONDS:
             return reasons.NO_RECENT_REPORT
         if not self.is_receiving_orders:
--- a/crocusrudder/workflows/leases.py
+++ b/crocusrudder/workflows/leases.py
@@ -10,7 +10,7 @@
 """Time after an agent's last lease grant at which its worker certainly runs nothing.
 
 A lease never extends more than ``LEASE_SECONDS`` beyond the grant; 0.3 s covers the drift of the
-agents' clocks."""
+agents' clocks. The exception is a worker that has restarted under its id; see ``worker_lease``."""
 
 INCOMPLETE_LIST_SECONDS = LEASE_EXPIRY_SECONDS
 """Time for which a run that an incomplete list of its worker does not name counts as present.
@@ -20,6 +20,12 @@
 STOP_TIMEOUT_SECONDS = 3.0
 """Time after an accepted stop at which the run has certainly ended; workers take 0.9 s at most."""
 
+LATE_CALL_SECONDS = 12.0
+"""Greatest delay after which a worker may execute a call without a response, as the users state."""
+
+MAX_UNBOUNDED_SECONDS = 60.0
+"""Limit of the time that an agent's report may name for a lease without a bound by renewals."""
+
 ORDER_VALID_SECONDS = 2.0
 """Greatest age, on the agent's clock, of the report that orders are based on."""
 
@@ -31,7 +37,10 @@
 """Time after the first order of a start from which it can no longer begin.
 
 The agent calls the worker while the last order is valid, and the call names the end of the lease at
-that time, after which the worker refuses it."""
+that time, after which the worker refuses it. One that has restarted under its id does not."""
+
+LATE_START_EXPIRY_SECONDS = START_REPEAT_SECONDS + ORDER_VALID_SECONDS + LATE_CALL_SECONDS
+"""The same for a worker that may have restarted under its id."""
 
 OWNER_LEASE_SECONDS = 2.0
 """Time for which an owner may send orders, from the start of its last successful commit."""
--- a/crocusrudder/workflows/list_checks.py
+++ b/crocusrudder/workflows/list_checks.py
@@ -79,7 +79,7 @@
     Their agents get no answer to the start and to the stop, or the worker refuses the stop. While a
     list may not name all runs, such a run may be at work.
     """
-    if view.list_completeness.is_incomplete:
+    if view.list_completeness.is_incomplete or now < view.unbounded_until:
         return []
     requested_at = now - report.list_age_seconds - POLL_SECONDS
     return [
--- a/crocusrudder/workflows/owner.py
+++ b/crocusrudder/workflows/owner.py
@@ -71,6 +71,8 @@
     removed_jobs: tuple[ids.JobId, ...]
     expired_cancellations: tuple[ids.JobId, ...]
     """Jobs without a row whose cancellation is removed."""
+    unbounded_until: dict[ids.ProcessId, float]
+    """Time up to which runs may go on without a lease grant, by agent."""
 
 
 class Owner:
@@ -85,6 +87,7 @@
         bounds: model.EvacuationBounds | None = None,
         far_factor: float = 1.0,
         learned_order: bool = False,
+        unbounded: Mapping[ids.ProcessId, float] = types.MappingProxyType({}),
     ) -> None:
         self._epoch = epoch
         self._evacuation_monitor = evacuation.EvacuationMonitor(epoch, bounds)
@@ -111,6 +114,7 @@
         self._awaited_agents: dict[ids.ProcessId, float] = {}
         """When the leases of agents expire that have not reported in this epoch, by agent."""
         self._logged: list[effects.LogChange] = []
+        self._load_unbounded(unbounded)
         self._load_lost(lost)
 
     @property
@@ -145,12 +149,19 @@
             view.registered_address = address
             if not view.is_declared_lost:
                 view.received_at = self._started_at
-                self._awaited_agents[agent] = self._started_at + leases.LEASE_EXPIRY_SECONDS
+                expires_at = self._started_at + leases.LEASE_EXPIRY_SECONDS
+                self._awaited_agents[agent] = max(expires_at, view.unbounded_until)
 
     def list_lost_agents(self, now: float) -> dict[ids.ProcessId, float]:
-        """Return the agents declared lost, with the minimum seconds without a lease grant."""
+        """Return the agents declared lost, with the minimum seconds without a lease grant.
+
+        A longer wait for the lease of one, which earlier releases do not know, is deducted.
+        """
         return {
-            view.agent: self._compute_lost_seconds(view, now)
+            view.agent: min(
+                self._compute_lost_seconds(view, now),
+                leases.LEASE_EXPIRY_SECONDS - (view.unbounded_until - now),
+            )
             for view in self._views.values()
             if view.is_declared_lost
         }
@@ -314,7 +325,14 @@
         expired = self._list_expired_cancellations(wall_time, MAX_WRITES - len(writes))
         writes += [(rows.JOBS_TABLE, rows.make_cancel_key(job), None) for job in expired]
         lost = tuple(view.agent for view in self._views.values() if view.is_declared_lost)
-        return Commit(tuple(writes), states, written, ends, registered, lost, removed, expired)
+        unbounded = {
+            view.agent: view.unbounded_until
+            for view in self._views.values()
+            if view.unbounded_until
+        }
+        return Commit(
+            tuple(writes), states, written, ends, registered, lost, removed, expired, unbounded
+        )
 
     def _take_unsaved(self, limit: int) -> list[_UnsavedRows]:
         """Return jobs with at most ``limit`` of their unsaved rows, as many as one commit holds."""
@@ -341,6 +359,7 @@
             bool(self._job_registry.unsaved)
             or bool(self._list_unregistered())
             or any(v.is_declared_lost != v.is_stored_as_lost for v in self._views.values())
+            or any(not v.is_lease_bound_stored for v in self._views.values())
             or any(v.last_processed_end > v.last_durable_end for v in self._views.values())
         )
 
@@ -367,6 +386,7 @@
                 view.lost_stored_at = None
             elif view.lost_stored_at is None:
                 view.lost_stored_at = now
+            view.stored_unbounded_until = commit.unbounded_until.get(view.agent, 0.0)
         for job in commit.removed_jobs:
             self._job_registry.remove(job)
         for job in commit.expired_cancellations:
@@ -418,9 +438,18 @@
             view = self._get_view(agent)
             view.is_declared_lost = True
             # Seconds that no owner can have stored would end the wait at once or never.
-            seconds = seconds if 0.0 <= seconds < math.inf else 0.0
-            view.lost_stored_at = self._started_at - seconds
-            self._awaited_agents[agent] = view.lost_stored_at + leases.LEASE_EXPIRY_SECONDS
+            is_plausible = -leases.MAX_UNBOUNDED_SECONDS <= seconds < math.inf
+            view.lost_stored_at = self._started_at - (seconds if is_plausible else 0.0)
+            expires_at = view.lost_stored_at + leases.LEASE_EXPIRY_SECONDS
+            self._awaited_agents[agent] = max(expires_at, view.unbounded_until)
+
+    def _load_unbounded(self, unbounded: Mapping[ids.ProcessId, float]) -> None:
+        """Continue the wait for leases that the grants of an earlier owner do not bound."""
+        for agent, seconds in unbounded.items():
+            if not 0.0 < seconds <= 2 * leases.MAX_UNBOUNDED_SECONDS:
+                continue
+            view = self._get_view(agent)
+            view.unbounded_until = self._started_at + seconds
 
     def _compute_lost_seconds(self, view: fleet.AgentView, now: float) -> float:
         """Return for how many seconds, at least, an agent has had no grant to renew leases."""
@@ -443,6 +472,7 @@
         if (
             view.is_declared_lost
             and self._compute_lost_seconds(view, now) >= leases.LEASE_EXPIRY_SECONDS
+            and now >= view.unbounded_until
             and view.assignments
         ):
             self._report_handler.release_all(view, now, "lease_over")
--- a/crocusrudder/workflows/owner_service.py
+++ b/crocusrudder/workflows/owner_service.py
@@ -128,6 +128,7 @@
             bounds,
             far_factor,
             learned_order,
+            lease.row.unbounded,
         )
         self._attempts: dict[int, _CommitAttempt] = {}
         self._incarnations: dict[ids.ProcessId, str] = {}
@@ -505,7 +506,11 @@
             is_releasing = self._is_releasing
             commit = self._owner.make_commit(time.time())
             now = clocks.read_boot_time()
-            row = self._lease.make_next_row(self._owner.list_lost_agents(now), is_releasing)
+            unbounded = {
+                agent: until - now for agent, until in commit.unbounded_until.items() if until > now
+            }
+            lost = self._owner.list_lost_agents(now)
+            row = self._lease.make_next_row(lost, is_releasing, unbounded)
             attempt = _CommitAttempt(commit, row, now)
             try:
                 await self._try_commit(attempt)
--- a/crocusrudder/workflows/ownership.py
+++ b/crocusrudder/workflows/ownership.py
@@ -6,6 +6,7 @@
 (Gray and Cheriton, "Leases", SOSP 1989). Times are seconds on a clock that counts suspension.
 """
 
+import types
 from collections.abc import Iterable
 from collections.abc import Mapping
 
@@ -84,13 +85,22 @@
         self._has_stepped_down = True
 
     def make_next_row(
-        self, lost: Mapping[ids.ProcessId, float], released: bool = False
+        self,
+        lost: Mapping[ids.ProcessId, float],
+        released: bool = False,
+        unbounded: Mapping[ids.ProcessId, float] = types.MappingProxyType({}),
     ) -> rows.OwnerRow:
         """Return the row of the next commit attempt; its ``sequence`` is unique in the epoch."""
         row = self._row
         self._attempts += 1
         return rows.OwnerRow(
-            row.epoch, row.holder, row.address, self._attempts, released, dict(lost)
+            row.epoch,
+            row.holder,
+            row.address,
+            self._attempts,
+            released,
+            dict(lost),
+            dict(unbounded),
         )
 
     def record_renewal(self, row: rows.OwnerRow, version: int, started_at: float) -> None:
@@ -168,5 +178,8 @@
         """Return the row to write and the version that the stored row must have."""
         epoch = self._row.epoch + 1 if self._row else 1
         lost = self._row.lost if self._row else {}
-        row = rows.OwnerRow(model.OwnerEpoch(epoch), self._process, self._address, 0, lost=lost)
+        unbounded = self._row.unbounded if self._row else {}
+        row = rows.OwnerRow(
+            model.OwnerEpoch(epoch), self._process, self._address, 0, False, lost, unbounded
+        )
         return row, self._version or 0
--- a/crocusrudder/workflows/reports.py
+++ b/crocusrudder/workflows/reports.py
@@ -87,6 +87,7 @@
         self._crash_register.handle(view, report, wall_time)
         view.report_sent_at = report.sent_at
         view.received_at = now
+        view.record_unbounded(report.unbounded_seconds, now)
         view.data_centre = report.data_centre
         if report.orders_seen >= view.orders_sent:
             view.orders_unseen_since = None
--- a/crocusrudder/workflows/rows.py
+++ b/crocusrudder/workflows/rows.py
@@ -74,7 +74,10 @@
     released: bool = False
     lost: dict[ids.ProcessId, float] = {}
     """Agents to which this row grants no lease renewals, with the least number of seconds since the
-    last grant."""
+    last grant. Negative if the lease may have been longer than usual, by the difference."""
+    unbounded: dict[ids.ProcessId, float] = {}
+    """Agents on whose workers runs may go on however long ago the last grant was, with the number
+    of seconds for which they may."""
 
 
 def encode(value: msgspec.Struct) -> bytes:
--- a/crocusrudder/workflows/waiting_reasons.py
+++ b/crocusrudder/workflows/waiting_reasons.py
@@ -43,6 +43,8 @@
     EVACUATED = "evacuated"
     """The operator allows no starts in the worker's data centre."""
     DECLARED_LOST = "declared_lost"
+    LEASE_NOT_STORED = "lease_not_stored"
+    """That the worker's lease has no bound by renewals is not stored for a later owner yet."""
     UNKNOWN_RUN = "unknown_run"
     """A run of an unknown job is being stopped there, and what it takes is unknown."""
     NO_RECENT_REPORT = "no_recent_report"
--- a/tests/workflows/test_restarted_workers.py
+++ b/tests/workflows/test_restarted_workers.py
@@ -16,6 +16,8 @@
 from crocusrudder.workflows import job_registry
 from crocusrudder.workflows import leases
 from crocusrudder.workflows import model
+from crocusrudder.workflows import owner
+from crocusrudder.workflows import worker_lease
 from tests.workflows import test_agent_daemon
 from tests.workflows import test_agent_state
 from tests.workflows import world
@@ -24,14 +26,16 @@
 BORN_MS = 5
 """Time of birth of the incarnation that the agent follows first."""
 ENDED = workflow_messages.EndedRun(1, *RUN, "done")
+LONGEST_LEASE_SECONDS = 10.0 * (1 + leases.WORKER_CLOCK_ERROR)
+"""Longest lease of a worker that allows 10 s, on a clock that is slow."""
 
 
 class AgentTest(unittest.TestCase):
     """A start is open until a list of the incarnation that may have carried it out shows it."""
 
     def setUp(self):
-        self.state = agent_state.AgentState(10.0, 90.0)
-        self._follow(BORN_MS, 90.0)
+        self.state = agent_state.AgentState(10.0, 80.0)
+        self._follow(BORN_MS, 80.0)
         orders = test_agent_state.make_orders(1, 100.0, starts=(test_agent_state.START,))
         self.state.handle_orders(orders, 100.0)
         self._list(100.0)
@@ -105,14 +109,57 @@
             self.state.record_stop_result(RUN, True, at + 0.1)
             self._list(at + 0.2)
             self.assertEqual([], self._list_open(at + 0.3))
-        self._follow(13, 101.0 + agent_state.LATE_START_SECONDS + 0.1)
+        self._follow(13, 101.0 + leases.LATE_CALL_SECONDS + 0.1)
         self.assertEqual([], self.state.take_unblocked())
 
     def test_the_runs_of_a_restarted_worker_lapse_only_after_its_longest_lease(self):
         # The end of the lease was chosen by the clock of the earlier incarnation, which is ahead.
         self._follow(9, 100.2)
-        self.assertFalse(self._report(100.2 + leases.LEASE_EXPIRY_SECONDS + 0.1).lapsed)
-        self.assertTrue(self._report(100.2 + 10.0 * 1.02 + 0.3).lapsed)
+        open_until = 100.2 + worker_lease.STALE_CALL_SECONDS
+        self.assertFalse(self._report(open_until + LONGEST_LEASE_SECONDS - 0.1).lapsed)
+        self.assertTrue(self._report(open_until + LONGEST_LEASE_SECONDS + 0.3).lapsed)
+
+    def test_a_restart_makes_the_lease_independent_of_renewals(self):
+        # Guards against TWICE (recut days of issue 44): the new incarnation executed a poll that
+        # was meant for the earlier one, which gave it the longest lease. A run that it started
+        # properly later went on for 10.2 s, and the owner waits 6.3 s for a silent agent.
+        self._list(102.0)
+        self.assertEqual(0.0, self._report(102.0).unbounded_seconds)
+        self._follow(9, 102.0)
+        seconds = worker_lease.STALE_CALL_SECONDS + LONGEST_LEASE_SECONDS
+        self.assertAlmostEqual(seconds, self._report(102.0).unbounded_seconds)
+        self._list(103.0)
+        self.assertAlmostEqual(seconds - 1.0, self._report(103.0).unbounded_seconds)
+        # From then on, the usual wait for a silent agent is long enough.
+        covered_at = 102.0 + seconds - worker_lease.USUAL_WAIT_SECONDS
+        self.assertLess(0.0, self._report(covered_at - 0.1).unbounded_seconds)
+        self.assertEqual(0.0, self._report(covered_at + 0.1).unbounded_seconds)
+
+    def test_a_worker_with_another_id_refuses_the_calls_for_the_earlier_one(self):
+        self._follow(9, 102.0, "w2")
+        self.assertEqual(0.0, self._report(102.0).unbounded_seconds)
+
+    def test_a_start_that_may_be_executed_late_gives_a_late_lease(self):
+        # A start is refused as old after its stop, but its time extends the lease nevertheless.
+        self.state.record_start_failure(RUN, 101.0)
+        self.state.record_stop_result(RUN, True, 101.1)
+        self._follow(9, 102.0)
+        seconds = 101.0 + leases.LATE_CALL_SECONDS + LONGEST_LEASE_SECONDS - 102.0
+        self.assertAlmostEqual(seconds, self._report(102.0).unbounded_seconds)
+
+    def test_an_answer_with_another_clock_shows_the_restart_before_any_heartbeat(self):
+        # Guards against TWICE if the agent is lost before it follows the new incarnation.
+        self.assertFalse(self.state.record_response(1_900, 101.0))
+        self.assertEqual(0.0, self._report(101.0).unbounded_seconds)
+        self.assertTrue(self.state.record_response(700_000, 101.1))
+        self.assertAlmostEqual(LONGEST_LEASE_SECONDS, self._report(101.1).unbounded_seconds)
+
+    def test_a_restarted_agent_does_not_know_of_a_restart_of_its_worker(self):
+        # Guards against TWICE: the earlier process may have had the answer of a new incarnation.
+        state = agent_state.AgentState(10.0, 100.0)
+        report = state.make_report(ids.DataCentre("z"), 100.0)
+        self.assertAlmostEqual(LONGEST_LEASE_SECONDS, report.unbounded_seconds)
+        self.assertFalse(state.make_report(ids.DataCentre("z"), 110.1).lapsed)
 
     def test_ends_are_acknowledged_only_right_after_a_list_that_names_them(self):
         # Guards against ends of a new incarnation that it drops unread: they have low numbers, and
@@ -166,6 +213,82 @@
         self.assertEqual(0, self.client.starts)
 
 
+class RecutTest(unittest.TestCase):
+    """A worker restarts under its id, gets runs, and is cut off with its agent soon after."""
+
+    MAX_SECONDS = 10.0
+
+    def setUp(self):
+        self.world = world.World(2)
+        self.agent, self.other = self.world.agents.values()
+        self.agent.state = agent_state.AgentState(self.MAX_SECONDS, self.world.now)
+        self.world.run(15.0)
+        self.other.is_receiving = False
+        self._restart_worker()
+        for agent in self.world.agents.values():
+            agent.worker.duration = 60.0
+        self.world.run(0.4)
+
+    def _restart_worker(self) -> None:
+        """Restart the worker, which then executes a poll that was meant for its earlier life."""
+        state = self.agent.worker.state
+        restarted = world.FakeWorker(state.worker, state.born_ms + 1)
+        restarted.lease_until = self.world.now + LONGEST_LEASE_SECONDS
+        self.agent.worker = restarted
+        self.agent.state.record_stale_renewal(self.world.now)
+
+    def _run_and_check(self, seconds: float) -> None:
+        for _ in range(round(seconds / world.TICK)):
+            self.world.step()
+            runs = [run for a in self.world.agents.values() for run in a.worker.running]
+            self.assertLessEqual(len(runs), 1, "two runs of one task")
+
+    def _cut_off(self) -> None:
+        self.world.submit("j", model.Stage(1))
+        self.world.run(1.0)
+        self.assertEqual(1, len(self.agent.worker.running))
+        self.agent.is_connected = False
+        self.other.is_receiving = True
+
+    def test_the_task_is_not_placed_again_before_the_longest_lease_is_over(self):
+        # Guards against TWICE: the owner waited for 6.3 s after the last report.
+        self._cut_off()
+        self._run_and_check(9.0)
+        self._run_and_check(5.0)
+        self.assertEqual(2, self.world.count_starts("j.0.0.0"))
+
+    def test_a_new_owner_waits_as_long(self):
+        # Guards against TWICE: it never hears the agent that knows of the restart.
+        for delay in (0.5, 2.5, 5.0):
+            with self.subTest(delay=delay):
+                self.setUp()
+                self._cut_off()
+                self._run_and_check(delay)
+                self.world.replace_owner(2)
+                self._run_and_check(1.0)
+                self.world.replace_owner(3)
+                self._run_and_check(13.0)
+                self.assertEqual(2, self.world.count_starts("j.0.0.0"))
+
+    def test_no_run_starts_there_before_a_later_owner_would_know(self):
+        self.world.run(12.0)
+        self._restart_worker()
+        self.world.is_store_available = False
+        self.world.submit("j", model.Stage(1))
+        self.world.run(1.0)
+        self.assertEqual([], self.agent.worker.started)
+        self.world.is_store_available = True
+        self.world.run(1.0)
+        self.assertEqual(1, len(self.agent.worker.started))
+
+    def test_an_agent_that_is_lost_later_is_waited_for_no_longer_than_usual(self):
+        # Guards against LOST: a longer wait after each silence.
+        self.world.run(14.0)
+        self._cut_off()
+        self._run_and_check(owner.LOST_AFTER_SECONDS + leases.LEASE_EXPIRY_SECONDS + 1.0)
+        self.assertEqual(2, self.world.count_starts("j.0.0.0"))
+
+
 class OwnerTest(unittest.TestCase):
     """A task is not placed again before its agent knows what became of the start."""
 
--- a/tests/workflows/world.py
+++ b/tests/workflows/world.py
@@ -292,7 +292,11 @@
         self.owner = self.take_over(1, 0)
 
     def take_over(
-        self, epoch: int, version: int, lost: Mapping = types.MappingProxyType({})
+        self,
+        epoch: int,
+        version: int,
+        lost: Mapping = types.MappingProxyType({}),
+        unbounded: Mapping = types.MappingProxyType({}),
     ) -> owner.Owner:
         """Replace the owner by one that has loaded nothing from the store, and return it."""
         self.owner = owner.Owner(
@@ -303,6 +307,7 @@
             self.bounds,
             self.far_factor,
             self.learned_order,
+            unbounded,
         )
         queue = model.Queue(QUEUE, "host", "/q/", SERVICE, 0, 2)
         self.owner.set_configuration(model.Configuration(1, (queue,), (model.Service(SERVICE),)))
@@ -316,8 +321,14 @@
     def replace_owner(self, epoch: int) -> None:
         """Replace the owner by one that loads the state of the previous one."""
         previous = self.owner
-        roster = {v.agent: v.registered_address for v in previous.views.values() if v.is_registered}
-        self.take_over(epoch, epoch * 100, previous.list_lost_agents(self.now))
+        views = previous.views.values()
+        roster = {v.agent: v.registered_address for v in views if v.registered_address}
+        unbounded = {
+            view.agent: view.stored_unbounded_until - self.now
+            for view in views
+            if view.stored_unbounded_until > self.now
+        }
+        self.take_over(epoch, epoch * 100, previous.list_lost_agents(self.now), unbounded)
         self.owner.load_roster(roster)
         for record in previous.job_registry.records.values():
             self.owner.add_job(record.job, record.version, record.progress)
