--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -20,6 +20,16 @@
         {"taskCount": 2, "cpu": checks.TASK_MILLICORES, "after": [0]},
     ],
 }
+HOPELESS_JOB = {
+    "spec": "soak",
+    "steps": [{"taskCount": 1, "cpu": checks.TASK_MILLICORES, "requires": "no-worker"}],
+    "maxRuns": 50_000,
+}
+"""A job of occurrences that are all due and that no worker suits."""
+EMPTY_JOB = {"spec": "soak", "steps": [], "maxRuns": 1_000_000_000}
+"""A malformed job."""
+HOPELESS_JOBS = 12
+ODD_SUBMIT_INTERVAL_SECONDS = 0.5
 DEADLY_SHARE = 0.1
 BURST_SHARE = 0.1
 BURST_JOBS = 6
@@ -58,6 +68,12 @@
         self._statuses: dict[str, list[int]] = {}
         self._states: dict[str, list[str]] = collections.defaultdict(list)
         self._cancellations: dict[str, float | None] = {}
+        self._problems: list[str] = []
+
+    @property
+    def problems(self) -> list[str]:
+        """Return the wrong answers to submissions that no worker suits or that are malformed."""
+        return self._problems
 
     @property
     def accepted(self) -> set[str]:
@@ -89,6 +105,7 @@
             self._submit_until_finished,
             self._query_until_finished,
             self._cancel_until_done,
+            self._submit_odd_until_finished,
             *(
                 functools.partial(self._keep_using_connection, entry)
                 for entry in self._deployment.entries
@@ -124,6 +141,19 @@
                 self._draw_job(job)
             returning = [job for job in [*returning, *new] if not self._submit(job)]
 
+    def _submit_odd_until_finished(self) -> None:
+        """Submit jobs that cannot be done, and malformed ones, beside the others."""
+        entries = itertools.cycle(self._deployment.entries)
+        for number in itertools.count():
+            if self._finished.wait(ODD_SUBMIT_INTERVAL_SECONDS):
+                return
+            is_hopeless = number % 2 == 0 and number < 2 * HOPELESS_JOBS
+            content = HOPELESS_JOB if is_hopeless else EMPTY_JOB
+            job = f"{2**63 + number:016x}"
+            status, _ = self._deployment.call(next(entries), "POST", job, content)
+            if status == (400 if is_hopeless else 200):
+                self._problems.append(f"REFUSED: {job} was answered with {status}: {content}")
+
     def _draw_job(self, job: str) -> None:
         if self._deadly_generator.random() < DEADLY_SHARE:
             self._deadly.add(job)
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -35,6 +35,7 @@
     EVACUATE = "evacuate"
     REBIRTH = "rebirth"
     DARK = "dark"
+    RECUT = "recut"
     LATE_WRITES = "late-writes"
     HANGUP = "hangup"
     ROLL = "roll"
@@ -63,6 +64,11 @@
 DARK_SHARE = 0.2
 """Share of its duration for which the fault leaves a worker dark: 0.1 to 1 s, less than the timeout
 after which its agent notices a restart."""
+RECUT_DARK_SECONDS = 0.5
+RECUT_DELAY_SECONDS = (0.3, 2.0)
+"""Bounds of the time from the restart of a worker to the suspension of its agent."""
+RECUT_PAUSE_SECONDS = 9.0
+"""Length of the suspension, after which the owner has given up the agent's worker."""
 LINK_MODES = [mode for mode in proxy.Mode if mode is not proxy.Mode.PASS]
 
 
@@ -102,6 +108,15 @@
     return faults
 
 
+def draw_recuts(seed: int, agents: Sequence[str]) -> list[Fault]:
+    """Return restarts of workers under their ids, after which their agents are suspended."""
+    generator = random.Random(f"recut {seed}")
+    targets = [agent for agent in agents if generator.random() < 1 / len(agents)]
+    duration_seconds = RECUT_DARK_SECONDS + RECUT_DELAY_SECONDS[1] + RECUT_PAUSE_SECONDS
+    mode = proxy.Mode.PASS
+    return [Fault(0.0, duration_seconds, Kind.RECUT, target, mode) for target in targets]
+
+
 def list_stops(fault: Fault, targets: Sequence[str]) -> list[Fault]:
     """Return the stops of all processes of a role, one after the other, for a ``ROLL`` fault."""
     role = fault.target.partition("-")[0]
--- a/tools/soak/runner.py
+++ b/tools/soak/runner.py
@@ -22,6 +22,8 @@
 SHRUNK_MILLICORES = 500
 SLOWDOWN = 5.0
 DATA_CENTRES = ("bilbao", "bilbao", "santander")
+MAX_LEASE_MS = 10_000
+"""Longest lease of the workers, above the 5.9 s that agents request."""
 EVACUATED = "santander"
 EVACUATION_SECONDS = 12.0
 """Length of an evacuation; starts are forbidden after up to 10 s of it."""
@@ -72,6 +74,7 @@
             store_port,
             DATA_CENTRES,
             {"evacuation_ms": checks.EVACUATION_SECONDS * 1_000},
+            MAX_LEASE_MS,
         )
         self._odd_generator = random.Random(f"entries {seed}")
         self._callers = callers.Callers(self._deployment, seed)
@@ -167,9 +170,21 @@
                 deployment.rebirth_worker(name)
             case faults.Kind.DARK | faults.Kind.LATE_WRITES:
                 self._delay_answers(fault)
+            case faults.Kind.RECUT:
+                self._restart_and_suspend(fault)
             case _:
                 self._add_odd_entry(fault)
 
+    def _restart_and_suspend(self, fault: faults.Fault) -> None:
+        """Restart a worker under its id, and suspend its agent soon after."""
+        self._deployment.darken_worker(f"w-{fault.target}", faults.RECUT_DARK_SECONDS)
+        generator = random.Random(f"delay {fault}")
+        delay = generator.uniform(*faults.RECUT_DELAY_SECONDS)
+        time.sleep(faults.RECUT_DARK_SECONDS + delay)
+        self._deployment.send_signal(fault.target, signal.SIGSTOP)
+        time.sleep(faults.RECUT_PAUSE_SECONDS)
+        self._deployment.send_signal(fault.target, signal.SIGCONT)
+
     def _delay_answers(self, fault: faults.Fault) -> None:
         """Leave calls to a worker, or some writes to the store, without an answer."""
         deployment = self._deployment
@@ -259,7 +274,7 @@
     def _check_guarantees(self) -> list[str]:
         self._callers.wait_for_results(time.monotonic() + checks.COMPLETION_TIMEOUT_SECONDS)
         self._wait_for_cancelled_runs()
-        problems = list(self._problems.queue)
+        problems = [*self._problems.queue, *self._callers.problems]
         problems += [f"FAULT: {name} exited by itself" for name in self._deployment.list_exited()]
         observed_at = time.monotonic()
         found = checks.find_violations(
@@ -295,6 +310,7 @@
         *faults.draw_faults(f"odd {seed}", seconds, workers, faults.ODD_KIND_WEIGHTS),
         *faults.draw_faults(f"late {seed}", seconds, workers, faults.LATE_KIND_WEIGHTS),
         *faults.draw_faults(f"signals {seed}", seconds, names, faults.SIGNAL_KIND_WEIGHTS),
+        *faults.draw_recuts(seed, [name for name in names if name.startswith("agent")]),
     ]
     stops = [faults.list_stops(fault, names) for fault in drawn if fault.kind is faults.Kind.ROLL]
     found = [*itertools.chain(*stops), *drawn]
--- a/tools/standin/users/deployment.py
+++ b/tools/standin/users/deployment.py
@@ -73,7 +73,8 @@
     ``store_ports`` maps processes to the port through which they reach the store, as of a proxy;
     others use ``store_port``, which is chosen here if it is 0. ``count_per_role`` is the number of
     entries, and of agents. ``data_centres`` are those of the agents in turn, the first that of all
-    entries. ``settings`` are added to those of each process.
+    entries. ``settings`` are added to those of each process. With ``max_lease_ms``, workers allow
+    such leases, and each incarnation of one has a clock of its own.
     """
 
     def __init__(
@@ -85,9 +86,11 @@
         store_port: int = 0,
         data_centres: Sequence[str] = ("bilbao",),
         settings: Mapping[str, object] = types.MappingProxyType({}),
+        max_lease_ms: int = 0,
     ) -> None:
         self._folder = folder
-        self._settings = settings
+        self._settings = {**settings, **({"lease_max_ms": max_lease_ms} if max_lease_ms else {})}
+        self._max_lease_ms = max_lease_ms
         self._store_ports = store_ports
         self._processes: dict[str, subprocess.Popen] = {}
         self._connections: dict[tuple[int, str], http.client.HTTPConnection] = {}
@@ -341,6 +344,7 @@
             "store_port": self.store_port,
             "service": "dispatch",
             "run_seconds": run_seconds,
+            "max_lease_ms": self._max_lease_ms,
             "workers": [
                 {
                     "name": f"w-{name}",
--- a/tools/standin/users/host.py
+++ b/tools/standin/users/host.py
@@ -89,6 +89,8 @@
         self.incarnations: list[worker.UsersWorker] = []
         self.keeps_id = False
         """Whether the next incarnation starts under the id of the one before."""
+        self.max_lease_ms = 0
+        """Longest lease, if each incarnation has a clock of its own; 0 otherwise."""
         self._dark_seconds: float | None = None
 
     async def run(self) -> None:
@@ -99,6 +101,8 @@
                 name = f"{self._address.name}-{len(self.incarnations) + 1}"
             self.keeps_id = False
             current = worker.UsersWorker(name, *self._worker_arguments)
+            if self.max_lease_ms:
+                current.use_own_clock(self.max_lease_ms)
             self.incarnations.append(current)
             server = _SilentServer(HOST, self._address.port, current.handle)
             await server.start()
--- a/tools/standin/users/platform.py
+++ b/tools/standin/users/platform.py
@@ -26,6 +26,8 @@
     configuration: dict
     service: str
     run_seconds: float = 0.3
+    max_lease_ms: int = 0
+    """Longest lease, if each incarnation of a worker has a clock of its own; 0 otherwise."""
 
 
 class UsersPlatform:
@@ -38,6 +40,8 @@
             address.name: host.WorkerHost(address, settings.service, settings.run_seconds)
             for address in settings.workers
         }
+        for worker_host in self._hosts.values():
+            worker_host.max_lease_ms = settings.max_lease_ms
 
     async def run(self) -> None:
         """Serve until SIGTERM."""
--- a/tools/standin/users/worker.py
+++ b/tools/standin/users/worker.py
@@ -3,6 +3,7 @@
 It implements leases, fencing and run numbers, and reports ended runs until they are acknowledged.
 """
 
+import random
 import time
 
 import curio
@@ -16,6 +17,9 @@
 HEARTBEAT_SECONDS = 0.5
 POLL_SECONDS = 0.02
 MAX_LEASE_MS = 6_000
+MAX_LISTED_ENDS = 500
+"""Ends in one list; the others follow once these have been acknowledged."""
+MAX_CLOCK_OFFSET_MS = 10_000_000
 MAX_WAIT_MS = 2_000
 STOP_SECONDS = 0.15
 """Time that a stop takes; ``stopTimeoutMs`` of the users' pages is 0.2 s."""
@@ -50,6 +54,8 @@
         self._slowdown = 1.0
         self._born_at = time.monotonic()
         self._born_ms = round(time.time() * 1_000)
+        self._clock_offset_ms = 0
+        self._max_lease_ms = MAX_LEASE_MS
         self._fence_token = 0
         self._lease_expires_ms = 0
         self._running: dict[RunKey, float] = {}
@@ -72,8 +78,13 @@
 
     @property
     def clock_ms(self) -> int:
-        """Return the milliseconds since the worker was created."""
-        return round((time.monotonic() - self._born_at) * 1_000)
+        """Return the milliseconds since the worker was created, and the offset of its clock."""
+        return round((time.monotonic() - self._born_at) * 1_000) + self._clock_offset_ms
+
+    def use_own_clock(self, max_lease_ms: int) -> None:
+        """Use a clock that no other incarnation has, and allow leases of a length."""
+        self._clock_offset_ms = random.Random(self._born_ms).randrange(MAX_CLOCK_OFFSET_MS)
+        self._max_lease_ms = max_lease_ms
 
     def set_capacity(self, millicores: int) -> None:
         """Change the capacity that the next heartbeats report."""
@@ -122,7 +133,7 @@
         if content.get("fenceToken", 0) < self._fence_token:
             return self._respond(409, reason="fence")
         self._fence_token = content.get("fenceToken", 0)
-        limit = self.clock_ms + MAX_LEASE_MS
+        limit = self.clock_ms + self._max_lease_ms
         self._lease_expires_ms = max(
             self._lease_expires_ms, min(content.get("expiresMs", 0), limit)
         )
@@ -210,7 +221,7 @@
         running = [
             [task, run, "", self._get_percent((task, run)), 1_000] for task, run in self._running
         ]
-        lists = {"running": running, "ended": self._ended}
+        lists = {"running": running, "ended": self._ended[:MAX_LISTED_ENDS]}
         odd = {field: [msgspec.Raw(entry)] for field, entry in self._odd_entries.items() if entry}
         content = {field: odd.get(field, []) + entries for field, entries in lists.items()}
         return self._respond(200, **content)
