--- a/crocusrudder/workflows/agent_daemon.py
+++ b/crocusrudder/workflows/agent_daemon.py
@@ -150,7 +150,7 @@
                 self._log("start_blocked_again", task=run[0], run=run[1], worker=worker_id)
                 await curio.spawn(self._block, worker_id, run, daemon=True)
             if self._state.get_unbounded_seconds(clocks.read_boot_time()):
-                await self._record_stale_renewal(worker_id, "restart")
+                await self._report_unbounded_lease(worker_id, "restart")
             await self._report_worker()
         self._perform_effects()
 
@@ -276,9 +276,9 @@
     async def _record_clock(self, worker_id: ids.WorkerId, clock_ms: int) -> None:
         """Record a response of the worker, and report at once if it has another clock."""
         if self._state.record_response(clock_ms, clocks.read_boot_time()):
-            await self._record_stale_renewal(worker_id, "clock")
+            await self._report_unbounded_lease(worker_id, "clock")
 
-    async def _record_stale_renewal(self, worker_id: ids.WorkerId, cause: str) -> None:
+    async def _report_unbounded_lease(self, worker_id: ids.WorkerId, cause: str) -> None:
         """Log that the worker has a lease without a bound by renewals, and report it at once."""
         seconds = self._state.get_unbounded_seconds(clocks.read_boot_time())
         self._log("lease_unbounded", worker=worker_id, cause=cause, seconds=round(seconds, 2))
@@ -400,7 +400,7 @@
             state.record_poll_failure(clocks.read_boot_time())
             if isinstance(error, errors.RestartedWorkerError) and lease_end is not None:
                 state.record_stale_renewal(clocks.read_boot_time())
-                await self._record_stale_renewal(current.worker, "hold")
+                await self._report_unbounded_lease(current.worker, "hold")
             self._worker_log.record(False, str(error))
             return False
         self._worker_log.record(True)
--- a/crocusrudder/workflows/planning.py
+++ b/crocusrudder/workflows/planning.py
@@ -254,8 +254,8 @@
         """Assign what finds room; return the runs to stop for tasks that do not."""
         record.needs_planning = bool(record.job.occurrences)
         selected: list[moves.Move] = []
+        # Numbers of stages for which this plan has found no worker, whatever the occurrence.
         without_worker: set[int] = set()
-        """Numbers of stages for which this plan has found no worker."""
         may_open = not self._near_planner.decides(record)
         try:
             for stage in record.iterate_ready(wall_time, START_EARLY_SECONDS, may_open):
--- a/crocusrudder/workflows/worker_lease.py
+++ b/crocusrudder/workflows/worker_lease.py
@@ -37,7 +37,8 @@
     def get_unbounded_seconds(self, now: float) -> float:
         """Return for how long runs may go on however long ago the last renewal was.
 
-        The time is 0 if the owner's wait for an agent that is silent from now on covers it.
+        An owner that counts from the last grant would take them for ended too early. The time is 0
+        if the owner's wait for an agent that is silent from now on covers it.
         """
         seconds = self._unbounded_until - now
         return seconds if seconds > USUAL_WAIT_SECONDS else 0.0
