Count tasks that get state, not those that wait, against the budget of a plan

Found by reading, before a landing: with a backlog of over 20,000 waiting tasks, each plan was cut short by tasks that it only looked at, at 0.03 us each, and the next plan skipped the jobs that come first, so room could go to the wrong ones. What takes time is the state of a task, at 4 us, so only tasks that get state count now. The new test fails with the earlier count (trial on a copy).

--- a/crocusrudder/workflows/decisions/plan_budget.py
+++ b/crocusrudder/workflows/decisions/plan_budget.py
@@ -16,8 +16,8 @@
 ATTEMPT_COST = 10
 """Cost of a stage for whose tasks workers are sought in vain, beside that of the workers that are
 examined, at 1 each."""
-MAX_TASKS_VISITED = 20_000
-"""Tasks of stages without any run that one plan visits; the first visit takes 4 us for each."""
+MAX_TASKS_CREATED = 20_000
+"""Tasks for which one plan creates state, at 4 us each."""
 
 
 class PlanBudget:
@@ -27,7 +27,7 @@
         self._left = MAX_ASSIGNMENTS
         self._left_in_turn = MAX_ASSIGNMENTS_PER_TURN
         self._search_left = MAX_SEARCH_COST
-        self._tasks_left = MAX_TASKS_VISITED
+        self._tasks_left = MAX_TASKS_CREATED
 
     @property
     def is_spent(self) -> bool:
@@ -47,13 +47,13 @@
     def begin_plan(self) -> None:
         self._left = MAX_ASSIGNMENTS
         self._search_left = MAX_SEARCH_COST
-        self._tasks_left = MAX_TASKS_VISITED
+        self._tasks_left = MAX_TASKS_CREATED
 
     def begin_turn(self) -> None:
         self._left_in_turn = MAX_ASSIGNMENTS_PER_TURN
 
-    def record_visit(self, tasks: int) -> None:
-        """Count a visit to a stage of so many tasks, of which one may exceed what is left."""
+    def record_states(self, tasks: int) -> None:
+        """Count tasks that have got state; one stage may exceed what is left."""
         self._tasks_left -= tasks
 
     def record_attempt(self, workers: int) -> None:
--- a/crocusrudder/workflows/job_registry.py
+++ b/crocusrudder/workflows/job_registry.py
@@ -198,6 +198,8 @@
         """When a task of the job was last assigned to a worker."""
         self.assigned_count = 0
         """Number of tasks in the phase ``ASSIGNED``."""
+        self.created_tasks = 0
+        """Number of tasks that have got state so far."""
         self._stages: dict[tuple[int, int], StageRecord] = {}
         self._ready_stages = ready_stages.ReadyStages(self, self._stored)
 
@@ -257,6 +259,7 @@
         stage = self._stages.get(key)
         if stage is None:
             stage = self._stages[key] = self._restore(StageRecord(self, occurrence, number))
+            self.created_tasks += len(stage.tasks)
             self._ready_stages.record_state(stage)
         return stage
 
--- a/crocusrudder/workflows/planning.py
+++ b/crocusrudder/workflows/planning.py
@@ -257,6 +257,7 @@
         # Numbers of stages for which this plan has found no worker, whatever the occurrence.
         without_worker: set[int] = set()
         may_open = not self._near_planner.decides(record)
+        created = record.created_tasks
         try:
             for stage in record.iterate_ready(wall_time, START_EARLY_SECONDS, may_open):
                 if self._budget.is_turn_over:
@@ -264,9 +265,9 @@
                     break
                 if stage.number in without_worker and stage.is_untouched:
                     continue
-                visited = len(stage.tasks) if stage.is_untouched else 0
                 self._plan_stage(stage, queue.service, now)
-                self._budget.record_visit(visited)
+                self._budget.record_states(record.created_tasks - created)
+                created = record.created_tasks
                 if self._has_found_none(stage, now):
                     without_worker.add(stage.number)
                 if stage in self._left_pending:
--- a/tests/workflows/decisions/test_plan_budget.py
+++ b/tests/workflows/decisions/test_plan_budget.py
@@ -5,6 +5,7 @@
 """
 
 import itertools
+import math
 import unittest
 from unittest import mock
 
@@ -110,12 +111,26 @@
             self._add(f"large{number}", model.Stage(TASKS, TINY, estimated_seconds=1.0))
             for number in range(3)
         ]
-        with mock.patch.object(plan_budget, "MAX_TASKS_VISITED", TASKS):
+        with mock.patch.object(plan_budget, "MAX_TASKS_CREATED", TASKS):
             for count in (1, 2, 3):
                 self._plan()
                 states = [bool(list(record.iterate_tasks())) for record in records]
                 self.assertEqual(count, sum(states))
 
+    def test_large_jobs_that_wait_are_all_considered_in_the_order_of_their_ranks(self):
+        # Guards against room that goes to the wrong job: with a large backlog, each plan was cut
+        # short by tasks that only waited, and the next one skipped the jobs that came first.
+        large = model.Stage(TASKS, messages.Resources(40_000, 1, 0))
+        for number in range(3):
+            self._add(f"large{number}", large, URGENT)
+        small = self._add("small", model.Stage(1, TINY))
+        self._plan()
+        small.get_stage(0, 0).tasks[0].not_before = math.inf
+        with mock.patch.object(plan_budget, "MAX_TASKS_CREATED", TASKS):
+            for _ in range(3):
+                self._plan()
+                self.assertEqual(0, len(self.system.owner._planner._tried))
+
     def test_a_gang_is_not_divided(self):
         gang = self._add("gang", model.Stage(700, TINY, gang=True))
         self._plan()
