--- a/crocusrudder/workflows/decisions/plan_budget.py
+++ b/crocusrudder/workflows/decisions/plan_budget.py
@@ -11,8 +11,9 @@
 MAX_ASSIGNMENTS_PER_TURN = 125
 """Tasks of one job assigned before other jobs of its priority get a turn; the users' stages have 78
 at most."""
-MAX_SEARCH_COST = 50_000
-"""Time that one plan takes for tasks without a worker, in units of about 1 us."""
+MAX_SEARCH_COST = 300_000
+"""Time that one plan takes for tasks without a worker, in units of about 1 us. With 1,128 workers
+it covers 260 shapes of tasks, of which each takes a ranking of all workers."""
 ATTEMPT_COST = 10
 """Cost of a stage for whose tasks workers are sought in vain, beside that of the workers that are
 examined, at 1 each."""
