Keep the cost of a plan for jobs without occurrences as it was

Cause: each waiting job cost 4.5 us more in each plan, for reading stored bits and for looking for further occurrences where there are none, and the pause after a plan is three times as long as the plan.

Counts now come from the state of a stage where it has one, and jobs all of whose ready stages have state are passed over quickly.

--- a/crocusrudder/workflows/job_registry.py
+++ b/crocusrudder/workflows/job_registry.py
@@ -269,15 +269,17 @@
 
     def count_left(self, occurrence: int, number: int) -> int:
         """Return how many tasks of a stage are not done."""
+        stage = self._stages.get((occurrence, number))
+        if stage is not None:
+            return len(stage.tasks) - stage.done_count
         return self._stored.count_left(occurrence, number)
 
     def list_completed_stages(self, occurrence: int) -> frozenset[int]:
         """Return the numbers of the stages whose tasks are all done."""
-        return frozenset(
-            number
-            for number in range(len(self.job.stages))
-            if self._stored.is_stage_done(occurrence, number)
-        )
+        if not self.progress.done_tasks:
+            return frozenset()
+        numbers = range(len(self.job.stages))
+        return frozenset(n for n in numbers if not self.count_left(occurrence, n))
 
     def iterate_ready(
         self, wall_time: float, early_seconds: float, may_open: bool = True
--- a/crocusrudder/workflows/planning.py
+++ b/crocusrudder/workflows/planning.py
@@ -284,7 +284,8 @@
     def _has_found_none(self, stage: job_registry.StageRecord, now: float) -> bool:
         """Return whether no worker suits a stage of any occurrence, as far as this plan knows."""
         return (
-            stage in self._left_pending
+            bool(stage.record.job.occurrences)
+            and stage in self._left_pending
             and stage.is_untouched
             # Each long-running stage counts by itself when it is starved.
             and not stage.spec.long_running
--- a/crocusrudder/workflows/ready_stages.py
+++ b/crocusrudder/workflows/ready_stages.py
@@ -54,16 +54,24 @@
 
         If ``may_open``, further ones get state as long as the caller finds places for those before.
         """
+        if not may_open or self._has_state_everywhere:
+            yield from [self._open[key] for key in sorted(self._open)]
+            return
         unplaced = [0] * len(self._specs)
         for key in sorted(self._open):
             stage = self._open.get(key)
             if stage is not None:
                 yield stage
                 unplaced[stage.number] += _count_unplaced(stage)
-        for stage in self._iterate_new(unplaced, is_due) if may_open else ():
+        for stage in self._iterate_new(unplaced, is_due):
             yield stage
             unplaced[stage.number] += _count_unplaced(stage)
 
+    @property
+    def _has_state_everywhere(self) -> bool:
+        """Return whether all ready stages have state, as those of most jobs without due times."""
+        return self._next_occurrence >= self._record.occurrence_count and not any(self._waiting)
+
     def record_state(self, stage: "job_registry.StageRecord") -> None:
         """Record that a stage has got state."""
         key = (stage.occurrence, stage.number)
