--- a/tests/workflows/test_restarted_workers.py
+++ b/tests/workflows/test_restarted_workers.py
@@ -112,6 +112,14 @@
         self._follow(13, 101.0 + leases.LATE_CALL_SECONDS + 0.1)
         self.assertEqual([], self.state.take_unblocked())
 
+    def test_a_start_is_stopped_on_an_incarnation_that_may_execute_it_11_9_s_late(self):
+        # Guards against TWICE (review/9): the start was forgotten after 10 s; the pages say 12 s.
+        self.state.record_start_failure(RUN, 100.0)
+        self.state.record_stop_result(RUN, True, 100.1)
+        self._list(111.0)
+        self._follow(9, 111.9)
+        self.assertEqual([RUN], self.state.take_unblocked())
+
     def test_the_runs_of_a_restarted_worker_lapse_only_after_its_longest_lease(self):
         # The end of the lease was chosen by the clock of the earlier incarnation, which is ahead.
         self._follow(9, 100.2)
