--- a/review/platform_3.py
+++ b/review/platform_3.py
@@ -375,11 +375,10 @@
         self._server = None
         self._tasks = []
 
-    async def start(self, keeps_id=False, beat_after=0.0):
-        """Start a new incarnation, which holds and knows nothing.
-
-        Its first heartbeat follows after ``beat_after`` seconds.
-        """
+    async def start(self, keeps_id=False):
+        """Start a new incarnation, which holds and knows nothing."""
+        if self._server is not None:
+            await self._server.stop()
         self.born_count += 1
         if not keeps_id:
             self.worker_id = f"i-{self.name}-{self.born_count}"
@@ -400,16 +399,20 @@
         await self._server.start()
         self._record.add("worker-up", worker=self.worker_id)
         self._tasks = [
-            asyncio.create_task(self._beat_forever(beat_after)),
+            asyncio.create_task(self._beat_forever()),
             asyncio.create_task(self._advance_forever()),
         ]
 
-    async def crash(self):
-        """End without notice, with all that runs."""
+    async def crash(self, is_dark=False):
+        """End without notice, with all that runs.
+
+        A dark worker leaves its connections open and calls without an answer until it starts again.
+        """
         self.is_up = False
         for task in self._tasks:
             task.cancel()
-        await self._server.stop()
+        if not is_dark:
+            await self._server.stop()
         running = ",".join(f"{task}#{run.number}" for task, run in self._running.items())
         self._record.add("worker-crash", worker=self.worker_id, running=running or "-")
         runs, self._running = list(self._running.values()), {}
@@ -425,8 +428,7 @@
     def clock_ms(self):
         return round((time.monotonic() - self._born_at) * 1_000) + 1_000
 
-    async def _beat_forever(self, delay):
-        await asyncio.sleep(delay)
+    async def _beat_forever(self):
         while True:
             self._sequence += 1
             content = {
@@ -491,6 +493,8 @@
         return status, {"clockMs": self.clock_ms, **fields}
 
     async def _handle(self, request):
+        if not self.is_up:
+            raise NoAnswerError
         expected = request.headers.get("x-crocusrudder-expect-worker")
         if expected and expected != self.worker_id:
             return 421, None
