Log which part of an entry or an agent ended the process

Two causes were possible by reading: the export of the learned figures, which the commit of the owner calls, and the division of the planner by the same floor.

process_failed has the code, the error and the calls that led to it, the innermost last.

--- a/crocusrudder/workflows/agent_daemon.py
+++ b/crocusrudder/workflows/agent_daemon.py
@@ -8,6 +8,7 @@
 
 from crocusrudder.core import clocks
 from crocusrudder.core import effects
+from crocusrudder.core import errors as core_errors
 from crocusrudder.core import ids
 from crocusrudder.hosting import http_messages
 from crocusrudder.hosting import http_server
@@ -99,6 +100,7 @@
         await server.close(CLOSE_TIMEOUT_SECONDS)
         await inspection_server.close(CLOSE_TIMEOUT_SECONDS)
         if group.exception:
+            self._log("process_failed", **core_errors.describe_unexpected(group.exception))
             raise group.exception
         self._log("stopped", incarnation=self._incarnation)
 
--- a/crocusrudder/workflows/entry_daemon.py
+++ b/crocusrudder/workflows/entry_daemon.py
@@ -9,6 +9,7 @@
 
 from crocusrudder.core import clocks
 from crocusrudder.core import effects
+from crocusrudder.core import errors as core_errors
 from crocusrudder.core import ids
 from crocusrudder.hosting import http_connection
 from crocusrudder.hosting import http_messages
@@ -116,6 +117,7 @@
         for server in (caller_server, ready_server, inspection_server):
             await server.close(CLOSE_TIMEOUT_SECONDS)
         if group.exception:
+            self._log("process_failed", **core_errors.describe_unexpected(group.exception))
             raise group.exception
         self._log("stopped", incarnation=self._incarnation)
 
