Keep what is learned of an image with one target apart from others

Cause: the latency without load of an image (its floor) was a quarter of the target of whichever job named the image first. It was only ever lowered, was shared by all jobs of that name, outlived the job and was stored for later owners.

Change: - Floor, coefficients and excess belong to an image with its target (model.ServedImage). A floor is 1 ms at least, as measures come in whole milliseconds. - A target below 1 ms counts as none, also in rows that are stored: no measure tells it from 0. - A target that is off from the measured latencies by more than a factor of 10 tells nothing of the best-effort images, and is not stored. - Stored figures out of range are left out one by one.

Why it works: no figure of a caller is shared by jobs with other figures, and none reaches a logarithm or a division without a bound.

Two tests of the model pass images with their targets and rows of the present format instead of names; what they check is unchanged.

--- a/crocusrudder/workflows/decisions/candidates.py
+++ b/crocusrudder/workflows/decisions/candidates.py
@@ -110,9 +110,9 @@
             self.best_effort_millicores += sign * spec.demand.millicores
         else:
             self.millicores -= sign * spec.demand.millicores
-            share = 1 - LATENCY_CRITICAL_IDLE_SHARE if spec.latency_target_ms else 1
+            share = 1 - LATENCY_CRITICAL_IDLE_SHARE if spec.target_ms else 1
             self.idle_millicores -= sign * share * spec.demand.millicores
-        if spec.latency_target_ms:
+        if spec.target_ms:
             self.latency_critical_count += sign
             self.latency_critical_images.add(spec.image)
 
--- a/crocusrudder/workflows/decisions/cpu_shares.py
+++ b/crocusrudder/workflows/decisions/cpu_shares.py
@@ -9,6 +9,8 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
+from crocusrudder.workflows import model
+
 MIN_CPU_SHARE = 25
 """CPU share in percent below which a run is paused; it would delay its job as much as a pause."""
 MAX_RISE = 35
@@ -24,7 +26,7 @@
 class Target(NamedTuple):
     """Latency-critical tasks of one stage on a worker."""
 
-    image: str
+    image: model.ServedImage
     slack: float
     """Inflation of the service time that is predicted to keep them within their target."""
     excess: float
--- a/crocusrudder/workflows/decisions/latency_model.py
+++ b/crocusrudder/workflows/decisions/latency_model.py
@@ -10,6 +10,10 @@
 before there are enough, from the pressure of the best-effort image and the sensitivity of the
 latency-critical one (Bubble-Up: Mars et al., MICRO 2011; Paragon: Delimitrou and Kozyrakis, ASPLOS
 2013).
+
+The floor follows from the target until a lower latency has been measured, and the coefficients
+depend on the floor. A target is whatever a caller has submitted, so what is learned of an image
+with one target is kept apart from what is learned of it with another.
 """
 
 import collections
@@ -17,11 +21,14 @@
 import math
 import statistics
 from collections.abc import Hashable
+from collections.abc import Iterable
 from collections.abc import Mapping
 from typing import NamedTuple
 
 from crocusrudder.core import ids
 from crocusrudder.placement import filters
+from crocusrudder.workflows import model
+from crocusrudder.workflows import rows
 
 PRIOR_MEAN = 0.3
 PRIOR_DEVIATION = 0.6
@@ -51,6 +58,19 @@
 
 FLOOR_SHARE = 0.25
 """Latency without load as a share of the target, until a lower one has been measured."""
+MIN_FLOOR_MS = 1.0
+"""Least latency without load; workers measure in whole milliseconds."""
+CREDIBLE_RATIO = 10.0
+"""Ratio of a target to the lowest measured latency, either way, up to which the target tells of the
+latency without load. Beyond it, nothing is concluded for other images and for later owners."""
+MAX_LOG_FLOOR = 100.0
+"""Limit of the logarithm of a stored floor in ms; exp(710) has no value."""
+MAX_COEFFICIENT = 100.0
+"""Limit of a restored coefficient: a tenth of the processors that slows a service down by this
+factor leaves it no target to keep."""
+RESTORED_FLOOR_RATIO = 2.0
+"""Ratio of a floor without a known target to that of a target, either way, up to which the
+estimates stored with it are used."""
 DEFAULT_LOAD = 0.4
 """Load of a stage that has not been measured yet."""
 MAX_LOAD = 0.98
@@ -75,9 +95,6 @@
 """Time in which a queue that has built up drains; until then, a latency above the prediction is not
 put down to the images that still work."""
 
-FLOOR = ""
-"""Name under which the logarithm of an image's floor is exported."""
-
 
 class Estimate(NamedTuple):
     """Mean and standard deviation of a coefficient, and the number of its observations."""
@@ -150,15 +167,40 @@
 
 
 class _Image:
-    """Coefficients of one latency-critical image."""
+    """Coefficients of one latency-critical image with one target."""
 
-    def __init__(self, floor_ms: float, now: float) -> None:
-        self.floor_ms = floor_ms
+    def __init__(self, target_ms: float, now: float) -> None:
+        self._target_ms = target_ms
+        self._lowest_ms = math.inf
+        """Lowest latency measured in this epoch."""
+        self.floor_ms = compute_floor(target_ms)
         self.filter = filters.ShrinkageFilter(1.0)
         self.reports: collections.Counter[str] = collections.Counter()
         self.updated_at = now
         self.sensitivity = 1.0
 
+    @property
+    def is_credible(self) -> bool:
+        """Return False if the target is too far from what was measured to tell of the floor."""
+        if self._lowest_ms == math.inf:
+            return True
+        ratio = self._target_ms / self._lowest_ms
+        return 1 / CREDIBLE_RATIO <= ratio <= CREDIBLE_RATIO
+
+    def record_lowest(self, latency_ms: float) -> None:
+        """Lower the floor to a measured latency of ``MIN_FLOOR_MS`` or more."""
+        self._lowest_ms = min(self._lowest_ms, latency_ms)
+        self.floor_ms = min(self.floor_ms, latency_ms)
+
+    def restore(self, floor_ms: float, coefficients: rows.Coefficients) -> int:
+        """Adopt stored estimates; return how many of them are out of range."""
+        self.floor_ms = min(self.floor_ms, floor_ms)
+        accepted = {n: c for n, c in coefficients.items() if is_coefficient_valid(c)}
+        for name, (mean, deviation, reports) in accepted.items():
+            self.filter.add(name, mean, PRIOR_DEVIATION, DRIFT, deviation)
+            self.reports[name] = reports
+        return len(coefficients) - len(accepted)
+
     def get_information(self, name: str) -> tuple[float, float]:
         """Return the mean of a pair's own observations and their weight, as inverse variance."""
         if name not in self.filter:
@@ -172,21 +214,39 @@
         return (mean * precision - PRIOR_MEAN * prior) / weight, weight
 
 
+def compute_floor(target_ms: float) -> float:
+    """Return the latency without load that a target suggests, in ms."""
+    return max(FLOOR_SHARE * target_ms, MIN_FLOOR_MS)
+
+
+def is_coefficient_valid(coefficient: rows.Coefficient) -> bool:
+    """Return whether a filter can have learned this mean, deviation and number of reports."""
+    mean, deviation, reports = coefficient
+    return abs(mean) <= MAX_COEFFICIENT and 0.0 < deviation < math.inf and reports >= 0
+
+
+def _list_coefficients(state: _Image) -> rows.Coefficients:
+    learned = {n: (*state.filter.get(n), state.reports[n]) for n in state.filter.names}
+    return {name: item for name, item in learned.items() if is_coefficient_valid(item)}
+
+
 class LatencyModel:
     """Learn loads, and how much each best-effort image slows each latency-critical one down."""
 
     def __init__(self) -> None:
-        self._images: dict[str, _Image] = {}
+        self._images: dict[model.ServedImage, _Image] = {}
+        self._untargeted: rows.PairEstimates = {}
+        """Estimates of an earlier release by latency-critical image, with no target known."""
         self._loads: dict[Hashable, StageLoad] = {}
         self._exposures: dict[ids.ProcessId, dict[str, float]] = {}
         self._averages: dict[ids.ProcessId, dict[str, float]] = {}
         """Exposures averaged over the memory of the latencies, by agent."""
         self._averaged_at: dict[ids.ProcessId, float] = {}
-        self._fell_at: dict[tuple[ids.ProcessId, str], float] = {}
+        self._fell_at: dict[tuple[ids.ProcessId, model.ServedImage], float] = {}
         """When the inflation last fell, by agent and latency-critical image."""
         self._pressures: dict[str, tuple[float, float]] = {}
         """Mean and standard deviation by best-effort image."""
-        self._estimates: dict[tuple[str, str], Estimate] = {}
+        self._estimates: dict[tuple[model.ServedImage, str], Estimate] = {}
 
     def record_exposure(
         self, agent: ids.ProcessId, exposure: Mapping[str, float], now: float
@@ -202,12 +262,18 @@
         self._exposures[agent] = present
 
     def record_latency(
-        self, agent: ids.ProcessId, stage: Hashable, image: str, latency_ms: float, now: float
+        self,
+        agent: ids.ProcessId,
+        stage: Hashable,
+        image: model.ServedImage,
+        latency_ms: float,
+        now: float,
     ) -> float:
         """Learn from a latency; return by how much the inflation exceeds the prediction."""
         self._average(agent, now)
         state = self._images[image]
-        state.floor_ms = min(state.floor_ms, latency_ms)
+        latency_ms = max(latency_ms, MIN_FLOOR_MS)
+        state.record_lowest(latency_ms)
         exposure = self._averages.get(agent, {})
         load = self._loads.setdefault(stage, StageLoad())
         if self._reckon(image, exposure) < NO_INFLATION:
@@ -233,10 +299,17 @@
         """Return the exposure that the last latency of a worker reflects."""
         return self._averages.get(agent, {})
 
-    def ensure_image(self, image: str, target_ms: float, now: float) -> None:
-        """Add a latency-critical image unless it is known."""
-        if image not in self._images:
-            self._images[image] = _Image(FLOOR_SHARE * target_ms, now)
+    def ensure_image(self, image: model.ServedImage, now: float) -> None:
+        """Add a latency-critical image unless it is known with this target."""
+        if image in self._images:
+            return
+        state = self._images[image] = _Image(image.target_ms, now)
+        known = self._untargeted.get(image.image, {})
+        floor_ms = math.exp(known[rows.FLOOR][0]) if rows.FLOOR in known else math.inf
+        ratio = floor_ms / state.floor_ms
+        if 1 / RESTORED_FLOOR_RATIO <= ratio <= RESTORED_FLOOR_RATIO:
+            state.restore(floor_ms, {n: c for n, c in known.items() if n != rows.FLOOR})
+            self.refresh()
 
     def get_load(self, stage: Hashable) -> StageLoad:
         """Return the load of a stage."""
@@ -246,19 +319,23 @@
         """Discard the loads of stages that are gone."""
         self._loads = {stage: load for stage, load in self._loads.items() if stage in present}
 
-    def compute_slack(self, image: str, limit_ms: float, load: float) -> float:
-        """Return the inflation beyond 1 with which the latency just reaches a limit."""
-        ratio = limit_ms / self._get_floor(image, limit_ms)
+    def compute_slack(self, image: model.ServedImage, share: float, load: float) -> float:
+        """Return the inflation beyond 1 with which the latency reaches a share of the target."""
+        state = self._images.get(image)
+        limit_ms = share * image.target_ms
+        ratio = limit_ms / (state.floor_ms if state else compute_floor(limit_ms))
         return ratio / (1 + ratio * load) - 1
 
-    def predict_ms(self, image: str, load: float, exposure: Mapping[str, float]) -> float:
+    def predict_ms(
+        self, image: model.ServedImage, load: float, exposure: Mapping[str, float]
+    ) -> float:
         """Return the expected latency under an exposure, in ms; 0 for an unknown image."""
         if image not in self._images:
             return 0.0
         service = 1 + sum(max(self.estimate(image, n).mean, 0.0) * x for n, x in exposure.items())
         return self._images[image].floor_ms * service / (1 - min(load * service, MAX_LOAD))
 
-    def estimate(self, image: str, name: str) -> Estimate:
+    def estimate(self, image: model.ServedImage, name: str) -> Estimate:
         """Return the coefficient of a latency-critical and a best-effort image."""
         found = self._estimates.get((image, name))
         if found is None:
@@ -273,36 +350,48 @@
         self._pressures = {name: self._estimate_pressure(name) for name in names}
         self._estimates.clear()
 
-    def export_estimates(self) -> dict[str, dict[str, tuple[float, float, int]]]:
-        """Return mean, deviation and reports by image, and the logarithm of its floor in ms."""
-        return {
-            image: {FLOOR: (math.log(state.floor_ms), 0.0, 0)}
-            | {name: (*state.filter.get(name), state.reports[name]) for name in state.filter.names}
-            for image, state in self._images.items()
-        }
+    def export_estimates(self) -> tuple[rows.ServedEstimates, ...]:
+        """Return the estimates of each image that is credible, the latest updated first."""
+        images = sorted(self._images.items(), key=lambda item: -item[1].updated_at)
+        return tuple(
+            rows.ServedEstimates(*image, state.floor_ms, _list_coefficients(state))
+            for image, state in images
+            if state.is_credible
+        )
 
-    def restore_estimates(
-        self, estimates: Mapping[str, Mapping[str, tuple[float, float, int]]], now: float
-    ) -> None:
-        """Adopt exported estimates for images not observed yet."""
-        for image, coefficients in estimates.items():
-            if image in self._images or FLOOR not in coefficients:
-                continue
-            state = self._images[image] = _Image(math.exp(coefficients[FLOOR][0]), now)
-            for name, (mean, deviation, reports) in coefficients.items():
-                if name != FLOOR:
-                    state.filter.add(name, mean, PRIOR_DEVIATION, DRIFT, deviation)
-                    state.reports[name] = reports
+    def restore_estimates(self, estimates: Iterable[rows.ServedEstimates], now: float) -> int:
+        """Adopt exported estimates for images not observed yet; return how many are out of range.
+
+        One that is out of range is left out, and the others hold.
+        """
+        left_out = 0
+        for stored in estimates:
+            image = model.ServedImage(stored.image, stored.target_ms)
+            is_target_valid = model.MIN_TARGET_MS <= image.target_ms < math.inf
+            if not is_target_valid or not MIN_FLOOR_MS <= stored.floor_ms < math.inf:
+                left_out += 1
+            elif image not in self._images:
+                state = self._images[image] = _Image(image.target_ms, now)
+                left_out += state.restore(stored.floor_ms, stored.coefficients)
         self.refresh()
+        return left_out
 
-    def _reckon(self, image: str, exposure: Mapping[str, float]) -> float:
+    def restore_untargeted(self, estimates: rows.PairEstimates) -> int:
+        """Keep estimates of an earlier release; return how many images are out of range.
+
+        They are used for an image whose target accounts for the floor that is stored with them.
+        """
+        self._untargeted = {
+            image: pairs
+            for image, pairs in estimates.items()
+            if rows.FLOOR in pairs and abs(pairs[rows.FLOOR][0]) <= MAX_LOG_FLOOR
+        }
+        return len(estimates) - len(self._untargeted)
+
+    def _reckon(self, image: model.ServedImage, exposure: Mapping[str, float]) -> float:
         """Return the inflation beyond 1 to reckon with under an exposure."""
         return sum(self.estimate(image, name).upper * x for name, x in exposure.items())
 
-    def _get_floor(self, image: str, limit_ms: float) -> float:
-        state = self._images.get(image)
-        return state.floor_ms if state else FLOOR_SHARE * limit_ms
-
     def _invert(self, state: _Image, load: float, latency_ms: float) -> float:
         """Return the inflation beyond 1 that explains a latency."""
         return latency_ms / (state.floor_ms + load * latency_ms) - 1
@@ -310,7 +399,7 @@
     def _update(
         self,
         state: _Image,
-        image: str,
+        image: model.ServedImage,
         exposure: Mapping[str, float],
         inflation: float,
         is_load_measured: bool,
@@ -329,7 +418,7 @@
         for name in state.filter.names:
             self._estimates.pop((image, name), None)
 
-    def _combine(self, image: str, name: str) -> Estimate:
+    def _combine(self, image: model.ServedImage, name: str) -> Estimate:
         state = self._images.get(image)
         pressure, pressure_deviation = self._pressures.get(name, (PRIOR_MEAN, PRIOR_DEVIATION))
         sensitivity = state.sensitivity if state else 1.0
@@ -348,7 +437,7 @@
         precision = 1 / PRIOR_DEVIATION**2
         for state in self._images.values():
             own, weight = state.get_information(name)
-            if weight:
+            if weight and state.is_credible:
                 # A pair tells no more of the pressure than its own deviation from it allows.
                 spread = PAIR_SPREAD * max(own, 0.0) + MIN_PAIR_SPREAD
                 weight = 1 / (1 / weight + spread**2)
--- a/crocusrudder/workflows/decisions/over_target.py
+++ b/crocusrudder/workflows/decisions/over_target.py
@@ -7,6 +7,8 @@
 import math
 from typing import NamedTuple
 
+from crocusrudder.workflows import model
+
 LATE_SECONDS = 1.2
 """Time for which a latency may still follow an exposure that has been lowered."""
 LOAD_RISE = 0.06
@@ -43,13 +45,13 @@
     """Find causes on one worker."""
 
     def __init__(self) -> None:
-        self._exposed_at: dict[str, float] = {}
-        self._loads: dict[str, float] = {}
+        self._exposed_at: dict[model.ServedImage, float] = {}
+        self._loads: dict[model.ServedImage, float] = {}
         """Loads at the last measurement within target, by latency-critical image."""
-        self._causes: dict[str, Cause] = {}
+        self._causes: dict[model.ServedImage, Cause] = {}
         """What put the images over target that are over it."""
 
-    def find(self, image: str, situation: Situation, now: float) -> Cause | None:
+    def find(self, image: model.ServedImage, situation: Situation, now: float) -> Cause | None:
         """Return what put an image over its target; None if it is not over it."""
         if situation.is_exposed:
             self._exposed_at[image] = now
@@ -61,7 +63,7 @@
             self._causes[image] = self._classify(image, situation, now)
         return self._causes[image]
 
-    def _classify(self, image: str, situation: Situation, now: float) -> Cause:
+    def _classify(self, image: model.ServedImage, situation: Situation, now: float) -> Cause:
         if not situation.is_exposed:
             exposed_at = self._exposed_at.get(image, -math.inf)
             return Cause.LATE_REACTION if now - exposed_at <= LATE_SECONDS else Cause.OWN_LOAD
--- a/crocusrudder/workflows/decisions/placement.py
+++ b/crocusrudder/workflows/decisions/placement.py
@@ -313,7 +313,7 @@
             spec.required_label,
             spec.data_rack,
             spec.image,
-            spec.latency_target_ms,
+            spec.target_ms,
             spec.best_effort,
             self._find_preferred_rack(task.stage, service) if spec.same_rack else None,
             frozenset(task.avoided_agents),
@@ -400,7 +400,7 @@
         if shape.preferred_rack is not None:
             is_remote = is_remote or candidate.rack != shape.preferred_rack
         capacity = max(candidate.capacity.millicores, 1)
-        if spec.latency_target_ms:
+        if spec.target_ms:
             # Latency-critical tasks are packed on few workers, which leaves the other workers to
             # interfering tasks. A worker is shared by few images, as each best-effort image
             # interferes with some of them.
--- a/crocusrudder/workflows/decisions/preemption.py
+++ b/crocusrudder/workflows/decisions/preemption.py
@@ -183,7 +183,7 @@
                 continue
             other = self._queues.get(task.record.job.queue)
             spec = task.stage.spec
-            is_exempt = spec.long_running or spec.latency_target_ms or spec.gang
+            is_exempt = spec.long_running or spec.target_ms or spec.gang
             if is_exempt or other is None or other.priority <= queue.priority:
                 continue
             if task in self._preempted or not task.is_running:
--- a/crocusrudder/workflows/decisions/throttling.py
+++ b/crocusrudder/workflows/decisions/throttling.py
@@ -65,13 +65,14 @@
         logged, self._logged = self._logged, []
         return logged
 
-    def export_estimates(self) -> rows.PairEstimates:
+    def export_estimates(self) -> tuple[rows.ServedEstimates, ...]:
         """Return the estimated interference between images, for storage."""
         return self._model.export_estimates()
 
-    def restore_estimates(self, known: rows.PairEstimates, now: float) -> None:
-        """Restore the estimates that an earlier owner stored."""
-        self._model.restore_estimates(known, now)
+    def restore_estimates(self, known: rows.InterferenceEstimates, now: float) -> int:
+        """Restore the estimates that an earlier owner stored; return how many are out of range."""
+        left_out = self._model.restore_estimates(known.served, now)
+        return left_out + self._model.restore_untargeted(known.inflations)
 
     def predict_latency_ratio(
         self, view: fleet.AgentView, added: model.Stage | None = None
@@ -86,9 +87,9 @@
             exposure[added.image] = exposure.get(added.image, 0.0) + units
         return max(
             (
-                self._model.predict_ms(image, self._model.get_load(stage).get_current(), exposure)
-                / target_ms
-                for stage, image, target_ms in workers.list_targets(view)
+                self._model.predict_ms(served, self._model.get_load(stage).get_current(), exposure)
+                / served.target_ms
+                for stage, served in workers.list_targets(view)
             ),
             default=0.0,
         )
@@ -104,15 +105,14 @@
         exposure = self._measure_exposure(view)
         units = max(workers.compute_units(view, added.demand.millicores), 1e-6)
         share = 1.0
-        for stage, image, target_ms in workers.list_targets(view):
+        for stage, served in workers.list_targets(view):
             load = self._model.get_load(stage)
             expected = max(load.compute_mean(), load.predict(self._now))
-            limit_ms = PREDICTED_LIMIT * target_ms
             slack = self._model.compute_slack(
-                image, limit_ms, load.get_peak() if at_peak else expected
+                served, PREDICTED_LIMIT, load.get_peak() if at_peak else expected
             )
-            upper = self._model.estimate(image, added.image).upper
-            coefficients = {n: self._model.estimate(image, n).mean for n in exposure}
+            upper = self._model.estimate(served, added.image).upper
+            coefficients = {n: self._model.estimate(served, n).mean for n in exposure}
             slack -= sum(c * exposure[n] for n, c in coefficients.items() if c <= upper)
             share = min(share, max(slack, cpu_shares.MIN_SLACK) / max(upper * units, 1e-6))
         return share
@@ -133,19 +133,19 @@
         """Return whether the best-effort runs of an image are paused on the worker."""
         return not self._get_cpu_share(view, image)
 
-    def list_untested(self, view: fleet.AgentView, image: str) -> list[str]:
+    def list_untested(self, view: fleet.AgentView, image: str) -> list[model.ServedImage]:
         """Return the latency-critical images beside which an image's interference is unknown."""
         return [
-            latency_critical
-            for latency_critical in view.usage.latency_targets_ms
-            if not self._model.estimate(latency_critical, image).is_tested
+            served
+            for served in view.usage.served_images
+            if not self._model.estimate(served, image).is_tested
         ]
 
     def predict_stage_latency_ratio(self, view: fleet.AgentView, stage: model.Stage) -> float:
         """Return the expected ratio of latency to target for a task of the stage on the worker."""
         exposure = self._measure_exposure(view)
         load = latency_model.DEFAULT_LOAD
-        return self._model.predict_ms(stage.image, load, exposure) / stage.latency_target_ms
+        return self._model.predict_ms(stage.served_image, load, exposure) / stage.target_ms
 
     def adjust(self, view: fleet.AgentView, now: float) -> None:
         """Learn from a worker's latest measurements and set the CPU shares of its runs."""
@@ -228,20 +228,20 @@
         highest: dict[job_registry.StageRecord, float] = {}
         for task in view.usage.latency_critical:
             latency_ms = view.measurements.get(task.name, -1.0)
-            if latency_ms > 0:
+            if 0 < latency_ms < math.inf:
                 highest[task.stage] = max(highest.get(task.stage, 0.0), latency_ms)
         worker.excess = {
-            image: (1 - EXCESS_WEIGHT) * value
-            for image, value in worker.excess.items()
-            if image in view.usage.latency_targets_ms
+            served: (1 - EXCESS_WEIGHT) * value
+            for served, value in worker.excess.items()
+            if served in view.usage.served_images
         }
         for stage, latency_ms in highest.items():
-            spec = stage.spec
+            served = stage.spec.served_image
             self._stages[stage] = now
-            self._model.ensure_image(spec.image, spec.latency_target_ms, now)
-            excess = self._model.record_latency(view.agent, stage, spec.image, latency_ms, now)
-            known = worker.excess.get(spec.image, 0.0)
-            worker.excess[spec.image] = known + EXCESS_WEIGHT * excess
+            self._model.ensure_image(served, now)
+            excess = self._model.record_latency(view.agent, stage, served, latency_ms, now)
+            known = worker.excess.get(served, 0.0)
+            worker.excess[served] = known + EXCESS_WEIGHT * excess
 
     def _choose_cpu_shares(self, view: fleet.AgentView, worker: workers.Worker, now: float) -> None:
         usage = view.usage
@@ -281,10 +281,10 @@
             {
                 image: [
                     self._model.estimate(target.image, image).upper
-                    * workers.compute_units(view, millicores)
+                    * workers.compute_image_units(view, image)
                     for target in targets
                 ]
-                for image, millicores in view.usage.best_effort_by_image.items()
+                for image in view.usage.best_effort_by_image
             },
         )
 
@@ -292,11 +292,11 @@
         self, view: fleet.AgentView, worker: workers.Worker, now: float
     ) -> list[cpu_shares.Target]:
         targets = []
-        for stage, image, target_ms in workers.list_targets(view):
+        for stage, served in workers.list_targets(view):
             load = self._model.get_load(stage).predict(now)
-            slack = self._model.compute_slack(image, PREDICTED_LIMIT * target_ms, load)
-            excess = max(worker.excess.get(image, 0.0), 0.0)
-            targets.append(cpu_shares.Target(image, slack, excess))
+            slack = self._model.compute_slack(served, PREDICTED_LIMIT, load)
+            excess = max(worker.excess.get(served, 0.0), 0.0)
+            targets.append(cpu_shares.Target(served, slack, excess))
         return targets
 
     def _measure_over_target(self, worker: workers.Worker, highest: float, now: float) -> float:
@@ -311,29 +311,29 @@
         self,
         view: fleet.AgentView,
         worker: workers.Worker,
-        latency_ratios: dict[str, float],
+        latency_ratios: dict[model.ServedImage, float],
         now: float,
     ) -> None:
-        stages = {image: stage for stage, image, _ in workers.list_targets(view)}
+        stages = {served: stage for stage, served in workers.list_targets(view)}
         exposure = self._measure_exposure(view)
-        for image, latency_ratio in latency_ratios.items():
-            load = self._model.get_load(stages[image]).get_current()
-            target_ms = view.usage.latency_targets_ms[image]
+        for served, latency_ratio in latency_ratios.items():
+            load = self._model.get_load(stages[served]).get_current()
             reflected = self._model.get_average_exposure(view.agent)
+            estimates = {n: self._model.estimate(served, n) for n, x in exposure.items() if x}
             situation = over_target.Situation(
                 latency_ratio,
                 load,
-                self._model.predict_ms(image, load, exposure) / target_ms,
-                self._model.predict_ms(image, load, reflected) / target_ms,
+                self._model.predict_ms(served, load, exposure) / served.target_ms,
+                self._model.predict_ms(served, load, reflected) / served.target_ms,
                 any(exposure.values()),
-                any(not self._model.estimate(image, n).is_tested for n, x in exposure.items() if x),
+                any(not estimate.is_tested for estimate in estimates.values()),
                 any(n in worker.last_resort and x for n, x in exposure.items()),
             )
-            cause = worker.causes.find(image, situation, now)
+            cause = worker.causes.find(served, situation, now)
             if cause is not None:
                 fields = {
                     "agent": view.agent,
-                    "image": image,
+                    "image": served.label,
                     "pressure": round(latency_ratio, 2),
                     "expected": round(situation.predicted_ratio, 2),
                     "load": round(load, 2),
@@ -342,17 +342,20 @@
                 self._logged.append(effects.LogChange(cause.value, fields))
 
     def _log_cpu_shares(
-        self, view: fleet.AgentView, latency_ratios: dict[str, float], shares: dict[str, int]
+        self,
+        view: fleet.AgentView,
+        latency_ratios: dict[model.ServedImage, float],
+        shares: dict[str, int],
     ) -> None:
-        rounded = {image: round(value, 2) for image, value in latency_ratios.items()}
+        rounded = {served.label: round(value, 2) for served, value in latency_ratios.items()}
         fields = {"agent": view.agent, "pressures": rounded, "paces": shares}
         self._logged.append(effects.LogChange("paces_chosen", fields))
 
     def _measure_exposure(self, view: fleet.AgentView) -> dict[str, float]:
         """Return the exposure to each best-effort image at its present CPU share."""
         return {
-            image: workers.compute_units(view, millicores) * self._get_cpu_share(view, image) / 100
-            for image, millicores in view.usage.best_effort_by_image.items()
+            image: workers.compute_image_units(view, image) * self._get_cpu_share(view, image) / 100
+            for image in view.usage.best_effort_by_image
         }
 
     def _set_cpu_shares(self, view: fleet.AgentView, worker: workers.Worker, now: float) -> None:
--- a/crocusrudder/workflows/fleet.py
+++ b/crocusrudder/workflows/fleet.py
@@ -127,13 +127,15 @@
     latency_critical: tuple[job_registry.Task, ...] = ()
     latency_critical_stages: tuple[job_registry.StageRecord, ...] = ()
     """Stages of the tasks in ``latency_critical``."""
-    latency_targets_ms: dict[str, float] = {}
-    """Lowest latency target by image of the latency-critical tasks; the same object as long as it
-    holds for further tasks."""
+    served_images: tuple[model.ServedImage, ...] = ()
+    """What the tasks in ``latency_critical`` run; the same object as long as it holds for further
+    tasks."""
     best_effort: tuple[Assignment, ...] = ()
     """The best-effort runs that are not being stopped."""
     best_effort_by_image: dict[str, int] = {}
     """Millicores requested by the runs in ``best_effort``."""
+    best_effort_counts: dict[str, int] = {}
+    """Number of the runs in ``best_effort`` by image."""
     has_unknown: bool = False
     """Whether a run's task is unknown, and so is what it takes; such a run is being stopped.
 
@@ -381,9 +383,10 @@
 def _compute_usage(assignments: Iterable[Assignment]) -> Usage:
     millicores = memory = accelerators = best_effort_millicores = latency_critical_millicores = 0
     latency_critical = []
-    targets_ms: dict[str, float] = {}
+    served_images: dict[model.ServedImage, None] = {}
     best_effort = []
     by_image: dict[str, int] = {}
+    counts: dict[str, int] = {}
     has_unknown = False
     for assignment in assignments:
         if assignment.task is None:
@@ -398,13 +401,13 @@
             if assignment.phase is not AssignmentPhase.STOPPING:
                 best_effort.append(assignment)
                 by_image[spec.image] = by_image.get(spec.image, 0) + demand.millicores
+                counts[spec.image] = counts.get(spec.image, 0) + 1
         else:
             millicores += demand.millicores
-        if spec.latency_target_ms:
+        if spec.target_ms:
             latency_critical_millicores += demand.millicores
             latency_critical.append(assignment.task)
-            known_ms = targets_ms.get(spec.image, spec.latency_target_ms)
-            targets_ms[spec.image] = min(known_ms, spec.latency_target_ms)
+            served_images[spec.served_image] = None
     return Usage(
         millicores,
         memory,
@@ -413,9 +416,10 @@
         latency_critical_millicores,
         tuple(latency_critical),
         tuple(dict.fromkeys(task.stage for task in latency_critical)),
-        targets_ms,
+        tuple(served_images),
         tuple(best_effort),
         by_image,
+        counts,
         has_unknown,
     )
 
@@ -427,13 +431,13 @@
     """
     added = _compute_usage((assignment,))
     stages = usage.latency_critical_stages
-    targets_ms = usage.latency_targets_ms
-    for image, target_ms in added.latency_targets_ms.items():
-        if target_ms < targets_ms.get(image, math.inf):
-            targets_ms = targets_ms | added.latency_targets_ms
+    served_images = usage.served_images
+    new_images = tuple(image for image in added.served_images if image not in served_images)
     by_image = usage.best_effort_by_image
+    counts = usage.best_effort_counts
     for image, millicores in added.best_effort_by_image.items():
         by_image = by_image | {image: by_image.get(image, 0) + millicores}
+        counts = counts | {image: counts.get(image, 0) + added.best_effort_counts[image]}
     return Usage(
         usage.millicores + added.millicores,
         usage.memory_mb + added.memory_mb,
@@ -442,8 +446,9 @@
         usage.latency_critical_millicores + added.latency_critical_millicores,
         usage.latency_critical + added.latency_critical,
         stages + tuple(s for s in added.latency_critical_stages if s not in stages),
-        targets_ms,
+        served_images + new_images if new_images else served_images,
         usage.best_effort + added.best_effort,
         by_image,
+        counts,
         usage.has_unknown or added.has_unknown,
     )
--- a/crocusrudder/workflows/model.py
+++ b/crocusrudder/workflows/model.py
@@ -1,6 +1,8 @@
 """Data model of jobs, stages, queues and services."""
 
 import enum
+import math
+from typing import NamedTuple
 from typing import NewType
 
 import msgspec
@@ -31,6 +33,23 @@
 FINAL_STATES = (JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED)
 
 
+MIN_TARGET_MS = 1.0
+"""Least latency target that counts. Workers measure in whole milliseconds, so no measure can tell a
+lower one from 0, which stands for no target."""
+
+
+class ServedImage(NamedTuple):
+    """What latency-critical tasks run, and the tail latency that they have to stay below."""
+
+    image: str
+    target_ms: float
+
+    @property
+    def label(self) -> str:
+        """Return the name for log lines."""
+        return f"{self.image}@{self.target_ms:g}"
+
+
 class Stage(msgspec.Struct, frozen=True, array_like=True):
     """A group of identical tasks within a job."""
 
@@ -49,13 +68,23 @@
     long_running: bool = False
     image: str = ""
     latency_target_ms: float = 0.0
-    """Tail latency target of a latency-critical task; 0 for a task that is not latency-critical."""
+    """Tail latency target as submitted; decisions use ``target_ms``."""
     best_effort: bool = False
     """The tasks run on processors that others leave idle, and reserve no CPU capacity."""
     disruption_budget: int = 0
     """How many tasks of a long-running stage the scheduler may disrupt at the same time."""
     checkpoints: bool = False
 
+    @property
+    def target_ms(self) -> float:
+        """Return the tail latency target; 0 for a task that is not latency-critical."""
+        target_ms = self.latency_target_ms
+        return target_ms if MIN_TARGET_MS <= target_ms < math.inf else 0.0
+
+    @property
+    def served_image(self) -> ServedImage:
+        return ServedImage(self.image, self.target_ms)
+
 
 class Job(msgspec.Struct, frozen=True, array_like=True):
     """A job as submitted by a caller."""
--- a/crocusrudder/workflows/owner.py
+++ b/crocusrudder/workflows/owner.py
@@ -180,12 +180,15 @@
     def export_estimates(self) -> rows.InterferenceEstimates:
         """Return the learned estimates to store for a later owner."""
         return rows.InterferenceEstimates(
-            {}, self._duration_model.export_ratios(), self._throttle_controller.export_estimates()
+            {},
+            self._duration_model.export_ratios(),
+            {},
+            self._throttle_controller.export_estimates(),
         )
 
     def restore_estimates(self, learned: rows.InterferenceEstimates) -> None:
         """Restore the estimates that an earlier owner stored."""
-        self._throttle_controller.restore_estimates(learned.inflations, self._started_at)
+        self._throttle_controller.restore_estimates(learned, self._started_at)
         self._duration_model.restore_ratios(learned.durations)
 
     def add_job(self, job: model.Job, version: int, progress: model.Progress | None = None) -> None:
--- a/crocusrudder/workflows/rows.py
+++ b/crocusrudder/workflows/rows.py
@@ -13,7 +13,6 @@
 from crocusrudder.wire import workflow_messages
 from crocusrudder.workflows import errors
 from crocusrudder.workflows import model
-from crocusrudder.workflows.decisions import latency_model
 
 JOBS_TABLE = "jobs"
 """One row per accepted job, and another one per cancellation."""
@@ -46,14 +45,30 @@
 """Characters of an unreadable value that an error quotes."""
 
 
-PairEstimates = dict[str, dict[str, tuple[float, float, int]]]
-"""Mean, deviation and number of reports, by latency-critical image and colocated image."""
+Coefficient = tuple[float, float, int]
+"""Mean, deviation and number of reports."""
+Coefficients = dict[str, Coefficient]
+"""Coefficients by best-effort image."""
+PairEstimates = dict[str, Coefficients]
+"""Coefficients of earlier releases, by latency-critical image."""
+FLOOR = ""
+"""Name in ``PairEstimates`` of the logarithm of a latency-critical image's floor in ms."""
 
 
 Ratios = dict[str, tuple[float, float, float]]
 """Weight, mean and mean square of the logarithms of duration over estimate, by queue."""
 
 
+class ServedEstimates(msgspec.Struct, frozen=True, array_like=True):
+    """Estimates of one latency-critical image with one target."""
+
+    image: str
+    target_ms: float
+    floor_ms: float
+    """Latency without load and without best-effort tasks."""
+    coefficients: Coefficients
+
+
 class InterferenceEstimates(msgspec.Struct, frozen=True):
     """Estimates that a later owner restores instead of measuring them again."""
 
@@ -61,7 +76,9 @@
     """Logarithms of slowdowns, which owners of earlier releases read; empty."""
     durations: Ratios = {}
     inflations: PairEstimates = {}
-    """Coefficients of ``latency_model.LatencyModel``."""
+    """Coefficients of earlier releases, which do not tell the targets they were learned with."""
+    served: tuple[ServedEstimates, ...] = ()
+    """Estimates of ``latency_model.LatencyModel``."""
 
 
 class OwnerRow(msgspec.Struct, frozen=True):
@@ -163,7 +180,7 @@
         *estimates.durations.values(),
         *itertools.chain.from_iterable(p.values() for p in pairs),
     ]
-    floors = [pair[latency_model.FLOOR][0] for pair in pairs if latency_model.FLOOR in pair]
+    floors = [pair[FLOOR][0] for pair in pairs if FLOOR in pair]
     if not (
         all(abs(number) <= MAX_ESTIMATE for number in itertools.chain.from_iterable(values))
         and all(abs(floor) <= MAX_FLOOR for floor in floors)
--- a/tests/workflows/decisions/test_starvation.py
+++ b/tests/workflows/decisions/test_starvation.py
@@ -1,13 +1,11 @@
 """Tests of jobs that are passed over with nothing running."""
 
-import math
 import unittest
 from unittest import mock
 
 import msgspec
 
 from crocusrudder.core import ids
-from crocusrudder.placement import filters
 from crocusrudder.wire import messages
 from crocusrudder.workflows import job_registry
 from crocusrudder.workflows import model
@@ -32,12 +30,10 @@
             for name, view in self.views.items()
         ]
         throttle_controller = throttling.ThrottleController()
-        estimates = rows.InterferenceEstimates(
-            {},
-            {},
-            {"front": {filters.INTERCEPT: (math.log(10.0), 0.1, 50), "noisy": (1.8, 0.1, 50)}},
-        )
-        throttle_controller.restore_estimates(estimates.inflations, 100.0)
+        target_ms = test_throttling.LATENCY_CRITICAL.target_ms
+        learned = rows.ServedEstimates("front", target_ms, 10.0, {"noisy": (1.8, 0.1, 50)})
+        estimates = rows.InterferenceEstimates({}, served=(learned,))
+        throttle_controller.restore_estimates(estimates, 100.0)
         self.registry = job_registry.JobRegistry()
         self.planner = planning.Planner(model.OwnerEpoch(1), self.registry, 1, throttle_controller)
         self.planner.set_configuration(model.Configuration(1, (QUEUE,)))
--- a/tests/workflows/decisions/test_throttling.py
+++ b/tests/workflows/decisions/test_throttling.py
@@ -1,6 +1,5 @@
 """Tests of throttling and placement."""
 
-import math
 import unittest
 from collections.abc import Iterable
 from unittest import mock
@@ -137,9 +136,9 @@
         self.assertTrue(self.throttle_controller.is_tested(self.view, BEST_EFFORT))
         later = throttling.ThrottleController()
         learned = rows.encode(
-            rows.InterferenceEstimates({}, {}, self.throttle_controller.export_estimates())
+            rows.InterferenceEstimates({}, served=self.throttle_controller.export_estimates())
         )
-        later.restore_estimates(rows.decode_estimates(learned).inflations, 200.0)
+        later.restore_estimates(rows.decode_estimates(learned), 200.0)
         self.assertTrue(later.is_tested(self.view, BEST_EFFORT))
         self.assertEqual(self.throttle_controller.export_estimates(), later.export_estimates())
         other = make_view("a2")
@@ -155,11 +154,11 @@
     def test_adopted_runs_are_paused_only_if_they_interfere(self):
         # Guards against runs paused by an earlier owner that stay paused for good, and against
         # runs that continue to interfere.
-        level = math.log(0.3 * TARGET_MS)
-        known = {"": (level, 0.1, 20), "noisy": (2.0, 0.1, 20), "quiet": (0.0, 0.1, 20)}
+        known = {"noisy": (2.0, 0.1, 20), "quiet": (0.0, 0.1, 20)}
+        learned = rows.ServedEstimates("front", TARGET_MS, 0.3 * TARGET_MS, known)
         quiet = assign(self.view, "quiet", msgspec.structs.replace(BEST_EFFORT, image="quiet"))
         later = throttling.ThrottleController()
-        later.restore_estimates({"front": known}, 200.0)
+        later.restore_estimates(rows.InterferenceEstimates({}, served=(learned,)), 200.0)
         for assignment in self.view.usage.best_effort:
             assignment.is_adopted = True
         self.view.measurements = {self.latency_critical.name: 0.3 * TARGET_MS}
