Learn no durations from estimates that are off by a factor of 100

Cause: the logarithm of duration over estimate went into the mean of the queue whatever its size, and an infinite one made the mean nan for good. A forecast of a running task with such an estimate also divided and took logarithms of numbers that are 0 or infinite.

Evidence: the new test plays six estimates beside sound jobs of the same queue, through a change of the owner.

Change: a run that takes over 100 times as long as estimated, or under a hundredth, teaches nothing; estimate_ignored names the job once, and a metric counts such jobs. Callers' estimates are off by a factor of two. Forecasts use estimates between 1 ms and 1e12 s. Stored ratios out of range are left out one by one.

Why it works: what a queue learns is bounded by the factor, so it is finite, and the first stage of a queue moves its estimates by a factor of 3.2 at most.

--- a/crocusrudder/workflows/owner.py
+++ b/crocusrudder/workflows/owner.py
@@ -136,6 +136,7 @@
             self._report_handler,
             self._planner,
             self._throttle_controller,
+            self._duration_model,
             self._cancellation_monitor,
         )
         logged = [*self._logged, *itertools.chain.from_iterable(s.drain_log() for s in sources)]
--- a/crocusrudder/workflows/owner_service.py
+++ b/crocusrudder/workflows/owner_service.py
@@ -27,6 +27,7 @@
 from crocusrudder.workflows import reports
 from crocusrudder.workflows import rows
 from crocusrudder.workflows import waiting_reasons
+from crocusrudder.workflows.decisions import durations
 from crocusrudder.workflows.decisions import evacuation
 from crocusrudder.workflows.decisions import near_places
 from crocusrudder.workflows.decisions import over_target
@@ -83,6 +84,7 @@
     **{cause.value: cause.value for cause in over_target.Cause},
     waiting.OUTLOOK_WORSE: "outlooks_worse",
     waiting.RANK_FAILED: "jobs_not_ranked",
+    durations.ESTIMATE_IGNORED: "estimates_ignored",
     cancellations.OVERDUE: "cancellations_overdue",
 }
 """Metrics that count the log events of these names."""
--- a/tests/workflows/decisions/test_durations.py
+++ b/tests/workflows/decisions/test_durations.py
@@ -1,5 +1,6 @@
 """Tests of the learned durations of tasks."""
 
+import math
 import unittest
 
 from crocusrudder.core import ids
@@ -7,6 +8,7 @@
 from crocusrudder.workflows import job_registry
 from crocusrudder.workflows import model
 from crocusrudder.workflows.decisions import durations
+from crocusrudder.workflows.decisions import locality
 from tests.workflows import world
 
 ONE_CORE = messages.Resources(1_000, 100, 0)
@@ -63,6 +65,38 @@
         duration_model.restore_ratios({"a": (0.0, 0.0, 0.0), "b": (5.0, nan, 1.0)})
         self.assertEqual({}, duration_model.export_ratios())
 
+    def test_estimates_that_are_far_off_teach_nothing_and_are_named_once_a_job(self):
+        # Guards against a queue whose expected durations are 1e153 s after one job.
+        duration_model = durations.DurationModel()
+        train(duration_model, 1.0)
+        learned = duration_model.export_ratios()
+        for estimated in (5e-324, 1e-313, 1e-308, 1e-12, 1e-6, 1e3, 1e12, 1e308):
+            stage = make_stage(f"odd-{estimated}", estimated)
+            for _ in range(3):
+                duration_model.record_run(stage, 0.3)
+            seconds = duration_model.estimate(stage).seconds
+            self.assertTrue(0.0 < seconds <= 2 * durations.MAX_SECONDS, estimated)
+            place = locality.estimate_remaining(seconds, 0.5, 3.0, 50, 2.0)
+            self.assertFalse(math.isnan(place.seconds), estimated)
+        self.assertEqual(learned, duration_model.export_ratios())
+        self.assertEqual(8, len(duration_model.drain_log()))
+
+    def test_one_stage_moves_the_estimates_of_its_queue_by_a_bounded_factor(self):
+        # Guards against a bound that only the extremes meet.
+        for factor in (1.0 / 99, 99.0):
+            duration_model = durations.DurationModel()
+            train(duration_model, factor, stages=1)
+            ratio = duration_model.correct(world.QUEUE, 2.0).seconds / 2.0
+            self.assertTrue(0.3 <= ratio <= 3.3, ratio)
+
+    def test_stored_ratios_out_of_range_are_left_out_one_by_one(self):
+        # Guards against one figure that takes those of all queues from a later owner.
+        duration_model = durations.DurationModel()
+        for odd in (float("nan"), float("inf"), -1e300, 1e15, 710.0):
+            known = {"sound": (5.0, 0.5, 0.3), "mean": (5.0, odd, 1.0), "square": (5.0, 0.1, odd)}
+            self.assertEqual(3, duration_model.restore_ratios(known | {"weight": (odd, 0.1, 0.1)}))
+        self.assertEqual({"sound": (5.0, 0.5, 0.3)}, duration_model.export_ratios())
+
     def test_a_later_owner_continues_with_what_was_learned(self):
         first, second = durations.DurationModel(), durations.DurationModel()
         train(first, 3.0)
--- a/tests/workflows/test_odd_numbers.py
+++ b/tests/workflows/test_odd_numbers.py
@@ -158,6 +158,14 @@
                 filling = {**FILLING, "estRuntimeMs": 0}
                 self._check({**SERVING, "targetMs": target_ms}, filling)
 
+    def test_an_estimate_of_a_duration_moves_no_other_job_of_its_queue(self):
+        # Guards against one job that makes the expected durations of its queue infinite, zero or
+        # not a number, for later owners too, which then refuse the whole row.
+        for estimated_ms in ESTIMATES_MS:
+            with self.subTest(estimated_ms=estimated_ms):
+                steps = [{**PLAIN, "estRuntimeMs": estimated_ms}] * 4
+                self._check(*steps)
+
 
 if __name__ == "__main__":
     unittest.main()
