Leave learned figures out one by one, by range and by room

What callers saw: nothing; after one job with odd numbers each later owner started without any learned interference or duration, and only row_unreadable told.

Cause: one figure out of range, or of another type, made the whole row unreadable.

A row holds the images that were updated last, as many as there is room for.

The test of estimates out of range expected the whole row to be refused; it now expects exactly the odd figures to be left out and the sound one to be used, which is stricter.

--- a/crocusrudder/workflows/errors.py
+++ b/crocusrudder/workflows/errors.py
@@ -33,6 +33,12 @@
     code = "CR-WFL-005"
 
 
+class EstimatesTooLargeError(WorkflowError):
+    """The learned estimates do not fit into their row; the latest ones are stored."""
+
+    code = "CR-WFL-006"
+
+
 class UnknownDataCentreError(WorkflowError):
     """The operator's request names a data centre in which no worker is known."""
 
--- a/crocusrudder/workflows/owner.py
+++ b/crocusrudder/workflows/owner.py
@@ -187,10 +187,10 @@
             self._throttle_controller.export_estimates(),
         )
 
-    def restore_estimates(self, learned: rows.InterferenceEstimates) -> None:
-        """Restore the estimates that an earlier owner stored."""
-        self._throttle_controller.restore_estimates(learned, self._started_at)
-        self._duration_model.restore_ratios(learned.durations)
+    def restore_estimates(self, learned: rows.InterferenceEstimates) -> int:
+        """Restore the estimates that an earlier owner stored; return how many are out of range."""
+        left_out = self._throttle_controller.restore_estimates(learned, self._started_at)
+        return left_out + self._duration_model.restore_ratios(learned.durations)
 
     def add_job(self, job: model.Job, version: int, progress: model.Progress | None = None) -> None:
         """Add an accepted job; one that is already known or has been removed is ignored.
--- a/crocusrudder/workflows/owner_service.py
+++ b/crocusrudder/workflows/owner_service.py
@@ -145,6 +145,8 @@
         self._is_loaded = False
         self._plan_not_before = now
         self._estimates_stored_at = 0.0
+        self._are_estimates_cut = False
+        """Whether the last row of estimates had no room for all of them."""
         self._feed_version = 0
         self._changes = curio.Event()
         self._is_releasing = False
@@ -283,19 +285,29 @@
         if row is None or row.value is None:
             return
         try:
-            self._owner.restore_estimates(rows.decode_estimates(row.value))
+            learned, left_out = rows.decode_estimates(row.value)
         except workflow_errors.UnreadableRowError as error:
             self._record_unreadable(row.table, row.key, error)
+            return
+        left_out += self._owner.restore_estimates(learned)
+        if left_out:
+            self._record_left_out(left_out, workflow_errors.UnreadableRowError.code)
+
+    def _record_left_out(self, figures: int, code: str) -> None:
+        """Log how many learned figures are not in use, or not stored."""
+        self._metrics.count("learned_left_out", figures)
+        self._log("learned_left_out", figures=figures, code=code)
 
     def _list_due_estimates(self, now: float) -> list[store.Write]:
         """Return the write of the interference estimates if it is due."""
         if not self._is_loaded or now - self._estimates_stored_at < ESTIMATES_INTERVAL_SECONDS:
             return []
         self._estimates_stored_at = now
-        value = rows.encode(self._owner.export_estimates())
-        if len(value) > MAX_ESTIMATES_BYTES:
-            self._log("learned_too_large", size=len(value))
-            return []
+        estimates = self._owner.export_estimates()
+        value, left_out = rows.encode_estimates(estimates, MAX_ESTIMATES_BYTES)
+        if left_out and not self._are_estimates_cut:
+            self._record_left_out(left_out, workflow_errors.EstimatesTooLargeError.code)
+        self._are_estimates_cut = bool(left_out)
         return [store.Write(rows.CONTROL_TABLE, rows.ESTIMATES_KEY, value)]
 
     def _group_progress(self, page: store.Page) -> dict[ids.JobId, _StoredProgress]:
--- a/crocusrudder/workflows/rows.py
+++ b/crocusrudder/workflows/rows.py
@@ -1,8 +1,11 @@
 """Tables, keys and encoding of the rows in the store."""
 
-import itertools
 import math
 from collections.abc import Collection
+from collections.abc import Iterable
+from collections.abc import Iterator
+from typing import Any
+from typing import TypeVar
 
 import msgspec
 
@@ -35,12 +38,10 @@
 UNKNOWN_CANCEL_VALUE = b"0"
 """Value of a cancellation of a job that had no row. No row of the job can follow it, since a
 submission is stored only if its job has no cancellation."""
-MAX_ESTIMATE = 1e15
-"""Limit of logarithms, their squares, weights and numbers of reports in estimates."""
-MAX_FLOOR = 100.0
-"""Limit of the logarithm of an image's least latency in ms; exp(710) has no value."""
 MAX_ROW_BYTES = 65_536
 """Size of a value that the users' store takes."""
+_Key = TypeVar("_Key")
+
 MAX_QUOTED = 100
 """Characters of an unreadable value that an error quotes."""
 
@@ -55,8 +56,10 @@
 """Name in ``PairEstimates`` of the logarithm of a latency-critical image's floor in ms."""
 
 
-Ratios = dict[str, tuple[float, float, float]]
-"""Weight, mean and mean square of the logarithms of duration over estimate, by queue."""
+Ratio = tuple[float, float, float]
+"""Weight, mean and mean square of the logarithms of duration over estimate."""
+Ratios = dict[str, Ratio]
+"""Ratios by queue."""
 
 
 class ServedEstimates(msgspec.Struct, frozen=True, array_like=True):
@@ -81,6 +84,23 @@
     """Estimates of ``latency_model.LatencyModel``."""
 
 
+class _StoredServed(msgspec.Struct, array_like=True):
+    """``ServedEstimates`` of which each coefficient is decoded by itself."""
+
+    image: str
+    target_ms: float
+    floor_ms: float
+    coefficients: dict[str, Any]
+
+
+class _StoredEstimates(msgspec.Struct):
+    """Estimates of which each figure is decoded by itself."""
+
+    durations: dict[str, Any] = {}
+    inflations: dict[str, Any] = {}
+    served: list[Any] = []
+
+
 class OwnerRow(msgspec.Struct, frozen=True):
     """Current owner of the workers; rewritten with each commit of the owner."""
 
@@ -169,24 +189,68 @@
     return OwnerRow(model.OwnerEpoch(version), ids.ProcessId(""), "", 0)
 
 
-def decode_estimates(value: bytes) -> InterferenceEstimates:
+def decode_estimates(value: bytes) -> tuple[InterferenceEstimates, int]:
     """Decode interference estimates; raise ``UnreadableRowError`` for a malformed value.
 
-    One odd estimate makes all of them unreadable, as they are learned anew within minutes.
+    Return also how many figures cannot be read. These are left out, and the others hold: one odd
+    figure must not take those of all images and queues from each later owner. Whether the numbers
+    are in range is up to those who use them.
+    """
+    stored = _decode(value, _StoredEstimates)
+    odd: list[object] = []
+    durations = dict(_convert_each(stored.durations.items(), Ratio, odd))
+    pairs = _convert_each(stored.inflations.items(), dict[str, Any], odd)
+    inflations = {
+        image: dict(_convert_each(coefficients.items(), Coefficient, odd))
+        for image, coefficients in pairs
+    }
+    served = tuple(
+        ServedEstimates(
+            item.image,
+            item.target_ms,
+            item.floor_ms,
+            dict(_convert_each(item.coefficients.items(), Coefficient, odd)),
+        )
+        for _, item in _convert_each(enumerate(stored.served), _StoredServed, odd)
+    )
+    return InterferenceEstimates({}, durations, inflations, served), len(odd)
+
+
+def encode_estimates(estimates: InterferenceEstimates, limit: int) -> tuple[bytes, int]:
+    """Encode as many estimates as fit into ``limit`` bytes, the first ones first.
+
+    Return also how many images and queues are left out.
     """
-    estimates = _decode(value, InterferenceEstimates)
-    pairs = list(itertools.chain(estimates.slowdowns.values(), estimates.inflations.values()))
-    values = [
-        *estimates.durations.values(),
-        *itertools.chain.from_iterable(p.values() for p in pairs),
-    ]
-    floors = [pair[FLOOR][0] for pair in pairs if FLOOR in pair]
-    if not (
-        all(abs(number) <= MAX_ESTIMATE for number in itertools.chain.from_iterable(values))
-        and all(abs(floor) <= MAX_FLOOR for floor in floors)
-    ):
-        raise errors.UnreadableRowError("row holds an estimate that is out of range")
-    return estimates
+    size = len(encode(InterferenceEstimates({})))
+    durations: Ratios = {}
+    served: list[ServedEstimates] = []
+    left_out = 0
+    for queue, ratio in estimates.durations.items():
+        added = len(msgspec.msgpack.encode({queue: ratio}))
+        if size + added > limit:
+            left_out += 1
+            continue
+        size += added
+        durations[queue] = ratio
+    for image in estimates.served:
+        added = len(msgspec.msgpack.encode(image))
+        if size + added > limit:
+            left_out += 1
+            continue
+        size += added
+        served.append(image)
+    return encode(InterferenceEstimates({}, durations, {}, tuple(served))), left_out
+
+
+def _convert_each(
+    items: Iterable[tuple[_Key, Any]], type_: Any, odd: list[object]
+) -> Iterator[tuple[_Key, Any]]:
+    """Yield the items that have a type, and add the keys of the others to ``odd``."""
+    for key, item in items:
+        try:
+            yield key, msgspec.convert(item, type_)
+        except msgspec.ValidationError:
+            odd.append(key)
 
 
 def decode_address(value: bytes | None) -> str:
--- a/tests/workflows/decisions/test_latency_model.py
+++ b/tests/workflows/decisions/test_latency_model.py
@@ -101,7 +101,8 @@
                 self._measure(beside, model.ServedImage("front", target_ms), sound)
                 stored = rows.InterferenceEstimates({}, served=beside.export_estimates())
                 later = latency_model.LatencyModel()
-                later.restore_estimates(rows.decode_estimates(rows.encode(stored)).served, 200.0)
+                learned, _ = rows.decode_estimates(rows.encode(stored))
+                later.restore_estimates(learned.served, 200.0)
                 for known in (beside, later):
                     for load in (0.0, 0.4, 1.0):
                         slack = known.compute_slack(sound, 0.8, load)
--- a/tests/workflows/decisions/test_throttling.py
+++ b/tests/workflows/decisions/test_throttling.py
@@ -138,7 +138,7 @@
         learned = rows.encode(
             rows.InterferenceEstimates({}, served=self.throttle_controller.export_estimates())
         )
-        later.restore_estimates(rows.decode_estimates(learned), 200.0)
+        later.restore_estimates(rows.decode_estimates(learned)[0], 200.0)
         self.assertTrue(later.is_tested(self.view, BEST_EFFORT))
         self.assertEqual(self.throttle_controller.export_estimates(), later.export_estimates())
         other = make_view("a2")
--- a/tests/workflows/test_odd_numbers.py
+++ b/tests/workflows/test_odd_numbers.py
@@ -79,7 +79,9 @@
         for record in self.owner.job_registry.records.values():
             rows.decode_job(rows.encode(record.job), record.job.job_id)
         self.replace_owner(epoch)
-        self.owner.restore_estimates(rows.decode_estimates(learned))
+        restored, left_out = rows.decode_estimates(learned)
+        # Whatever this owner has learned, the later one takes all of it.
+        assert not left_out + self.owner.restore_estimates(restored)
 
     def submit_sound(self) -> None:
         self.submit_wire("serving", SOUND, SERVING)
--- a/tests/workflows/test_owner_service.py
+++ b/tests/workflows/test_owner_service.py
@@ -376,11 +376,49 @@
         # Guards against an error that ends each new owner, as exp(1e300) has no value.
         for odd in (1e300, -1e300, math.nan, math.inf, 710.0, -1e4, 100.0):
             pairs = {"i": {"": (odd, 0.1, 3), "k": (1.0, odd, 2**40)}}
-            estimates = rows.InterferenceEstimates({}, {"q": (1.0, odd, 1.0)}, pairs)
+            served = (rows.ServedEstimates("i", 50.0, odd, {}),)
+            known = {"q": (1.0, odd, 1.0), "sound": (5.0, 0.5, 0.3)}
+            estimates = rows.InterferenceEstimates({}, known, pairs, served)
             service = self._load(control={rows.ESTIMATES_KEY: rows.encode(estimates)})
-            rows.encode(service.owner.export_estimates())
-            expected = {} if odd == 100.0 else {"rows_unreadable": 1}
-            self.assertEqual(expected, service._metrics.counters)
+            exported = service.owner.export_estimates()
+            self.assertEqual({"sound": (5.0, 0.5, 0.3)}, exported.durations)
+            rows.encode(exported)
+            # A logarithm of 100 is in range, and so is a floor of 100 ms or more.
+            is_floor_valid = 1.0 <= odd < math.inf
+            left_out = 1 + (not abs(odd) <= 100.0) + (not is_floor_valid)
+            self.assertEqual({"learned_left_out": left_out}, service._metrics.counters)
+
+    def test_figures_of_another_type_are_left_out(self):
+        # Guards against one figure of another writer that takes all others from a later owner.
+        row = {
+            "slowdowns": {},
+            "durations": {"q": None, "sound": (5.0, 0.5, 0.3)},
+            "inflations": {"i": 3, "k": {"": "x"}},
+            "served": [
+                ["i", 50.0, 10.0, {"odd": [1], "fill": [1.2, 0.1, 50]}],
+                ["i", "50", 10.0, {}],
+                7,
+            ],
+        }
+        value = msgspec.msgpack.encode(row)
+        learned, left_out = rows.decode_estimates(value)
+        self.assertEqual({"sound": (5.0, 0.5, 0.3)}, learned.durations)
+        known = {"fill": (1.2, 0.1, 50)}
+        self.assertEqual((rows.ServedEstimates("i", 50.0, 10.0, known),), learned.served)
+        self.assertEqual(6, left_out)
+
+    def test_estimates_beyond_the_limit_of_a_row_leave_room_for_the_latest(self):
+        # Guards against one image with a long name that keeps all learned figures from being
+        # stored as long as this owner runs.
+        names = ("x" * 60_000, *(f"image-{number}" for number in range(3_000)))
+        served = tuple(rows.ServedEstimates(name, 50.0, 10.0, {}) for name in names)
+        estimates = rows.InterferenceEstimates({}, {"q": (5.0, 0.5, 0.3)}, {}, served)
+        value, left_out = rows.encode_estimates(estimates, owner_service.MAX_ESTIMATES_BYTES)
+        self.assertLessEqual(len(value), owner_service.MAX_ESTIMATES_BYTES)
+        learned, _ = rows.decode_estimates(value)
+        self.assertEqual(served[1:100], learned.served[:99])
+        self.assertEqual(estimates.durations, learned.durations)
+        self.assertEqual(len(served), left_out + len(learned.served))
 
     def _make_job(self, name: str, *stages: model.Stage) -> bytes:
         stages = stages or (model.Stage(1, messages.Resources(1, 1, 0)),)
