Go on after an unexpected error in one step of the owner

Cause: the first task of a process that raises ends it, and only planning a job, ranking it and loading it were guarded one by one. Commits, reports, orders, the counts of pending jobs, CPU shares, near places, learned durations, log lines and the receivers of messages were not.

A report that cannot be applied counts as not received, an end is numbered as processed after it has been applied, a task is done before its run is released, and rows taken for a commit that failed count as unsaved again; so nothing is lost or run twice after an error halfway. A commit that cannot be made still renews the ownership.

--- a/crocusrudder/workflows/agent_daemon.py
+++ b/crocusrudder/workflows/agent_daemon.py
@@ -29,6 +29,7 @@
 from crocusrudder.workflows import model
 from crocusrudder.workflows import rows
 from crocusrudder.workflows import settings
+from crocusrudder.workflows import step_guard
 from crocusrudder.workflows import worker_prober
 
 POLL_WAIT_SECONDS = 0.5
@@ -69,6 +70,7 @@
         sender = codec.Sender(document.process, self._incarnation, document.peer_address)
         self._link = transport.Transport(sender, document.peer_address, self._metrics.count)
         self._client = store.StoreClient.from_address(document.store_address)
+        self._guard = step_guard.StepGuard()
         self._worker = worker.WorkerClient(document.worker_address)
         self._state = agent_state.AgentState(document.lease_max_ms / 1_000, clocks.read_boot_time())
         self._owner: ids.ProcessId | None = None
@@ -182,6 +184,22 @@
     # Orders of the owner
 
     async def _deliver(self, envelope: messages.Envelope, message: messages.Message) -> None:
+        """Handle a message; an unexpected error, which is logged, must not end the receiver."""
+        step = type(message).__name__
+        try:
+            await self._handle_message(envelope, message)
+        except workflow_errors.RepeatedFailureError:
+            raise
+        except Exception as error:
+            now = clocks.read_boot_time()
+            self._guard.record_failure(step, error, now, is_essential=True, sender=envelope.sender)
+            for change in self._guard.drain_log():
+                self._metrics.count("steps_failed")
+                logs.write_change(change)
+        else:
+            self._guard.record_success(step)
+
+    async def _handle_message(self, envelope: messages.Envelope, message: messages.Message) -> None:
         if isinstance(message, workflow_messages.OwnerHello):
             await self._handle_owner_hello(envelope.sender, message)
             return
--- a/crocusrudder/workflows/entry_daemon.py
+++ b/crocusrudder/workflows/entry_daemon.py
@@ -35,6 +35,7 @@
 from crocusrudder.workflows import ownership
 from crocusrudder.workflows import rows
 from crocusrudder.workflows import settings
+from crocusrudder.workflows import step_guard
 from crocusrudder.workflows import submission_gate
 from crocusrudder.workflows.decisions import outage
 
@@ -74,6 +75,7 @@
         sender = codec.Sender(document.process, self._incarnation, document.peer_address)
         self._link = transport.Transport(sender, document.peer_address, self._metrics.count)
         self._client = store.StoreClient.from_address(document.store_address)
+        self._guard = step_guard.StepGuard()
         self._jobs = calls.JobStore(self._client)
         self._configuration: model.Configuration | None = None
         self._evacuation_reader = evacuations.EvacuationReader(self._client)
@@ -347,6 +349,22 @@
     # Messages
 
     async def _deliver(self, envelope: messages.Envelope, message: messages.Message) -> None:
+        """Handle a message; an unexpected error, which is logged, must not end the receiver."""
+        step = type(message).__name__
+        try:
+            await self._handle_message(envelope, message)
+        except workflow_errors.RepeatedFailureError:
+            raise
+        except Exception as error:
+            now = clocks.read_boot_time()
+            self._guard.record_failure(step, error, now, is_essential=True, sender=envelope.sender)
+            for change in self._guard.drain_log():
+                self._metrics.count("steps_failed")
+                logs.write_change(change)
+        else:
+            self._guard.record_success(step)
+
+    async def _handle_message(self, envelope: messages.Envelope, message: messages.Message) -> None:
         service = self._service
         sender = envelope.sender
         match message:
--- a/crocusrudder/workflows/errors.py
+++ b/crocusrudder/workflows/errors.py
@@ -39,6 +39,12 @@
     code = "CR-WFL-006"
 
 
+class RepeatedFailureError(WorkflowError):
+    """An essential step of a process keeps failing unexpectedly, so the process ends."""
+
+    code = "CR-WFL-007"
+
+
 class UnknownDataCentreError(WorkflowError):
     """The operator's request names a data centre in which no worker is known."""
 
--- a/crocusrudder/workflows/owner.py
+++ b/crocusrudder/workflows/owner.py
@@ -4,6 +4,7 @@
 which tasks are running; for an unreachable worker, the owner waits until its lease has expired.
 """
 
+import functools
 import itertools
 import math
 import types
@@ -23,6 +24,7 @@
 from crocusrudder.workflows import planning
 from crocusrudder.workflows import reports
 from crocusrudder.workflows import rows
+from crocusrudder.workflows import step_guard
 from crocusrudder.workflows.decisions import durations
 from crocusrudder.workflows.decisions import evacuation
 from crocusrudder.workflows.decisions import throttling
@@ -96,12 +98,13 @@
         self._configuration = model.Configuration()
         self._throttle_controller = throttling.ThrottleController()
         self._duration_model = durations.DurationModel()
+        self._guard = step_guard.StepGuard()
         learned = (self._throttle_controller, self._duration_model)
         self._planner = planning.Planner(
-            epoch, self._job_registry, version, *learned, far_factor, learned_order
+            epoch, self._job_registry, version, *learned, far_factor, learned_order, self._guard
         )
         self._report_handler = reports.ReportHandler(
-            epoch, self._job_registry, self._duration_model
+            epoch, self._job_registry, self._duration_model, self._guard
         )
         self._cancellation_monitor = cancellations.CancellationMonitor(epoch)
         self._early_cancellations: dict[ids.JobId, tuple[int, float]] = {}
@@ -138,6 +141,7 @@
             self._throttle_controller,
             self._duration_model,
             self._cancellation_monitor,
+            self._guard,
         )
         logged = [*self._logged, *itertools.chain.from_iterable(s.drain_log() for s in sources)]
         self._logged.clear()
@@ -240,11 +244,32 @@
         now: float,
         wall_time: float,
     ) -> None:
-        """Apply an agent's report unless it is older than one already applied."""
+        """Apply an agent's report unless it is older than one already applied.
+
+        A report that raises an unexpected error counts as not received: the agent repeats what has
+        not been confirmed, and is lost if none of its reports can be applied.
+        """
         self._seen_at = now
         view = self._get_view(agent)
         if report.sent_at <= view.report_sent_at:
             return
+        known = view.report_sent_at, view.received_at, view.is_declared_lost
+        apply = functools.partial(self._apply_report, view, report, now, wall_time)
+        if not self._guard.run("report", now, apply, False, is_essential=True, agent=agent):
+            view.report_sent_at, view.received_at, view.is_declared_lost = known
+            return
+        adjust = functools.partial(self._throttle_controller.adjust, view, now)
+        self._guard.run("cpu_shares", now, adjust, None, agent=agent)
+        self._deactivate_final_jobs()
+
+    def _apply_report(
+        self,
+        view: fleet.AgentView,
+        report: workflow_messages.AgentReport,
+        now: float,
+        wall_time: float,
+    ) -> bool:
+        agent = view.agent
         self._report_handler.handle(view, report, now, wall_time)
         self._report_handler.stop_incomplete_gangs(self._views.values())
         if view.is_reconciled or report.lapsed:
@@ -252,8 +277,7 @@
         elif report.has_more_ends and agent in self._awaited_agents:
             # Tasks whose ends the worker has yet to list must not be started before.
             self._awaited_agents[agent] = now + leases.LEASE_EXPIRY_SECONDS
-        self._throttle_controller.adjust(view, now)
-        self._deactivate_final_jobs()
+        return True
 
     def handle_agent_start(self, agent: ids.ProcessId, address: str) -> None:
         """Record that an agent has started, and accept its reports even if its clock differs."""
@@ -270,13 +294,14 @@
         self._evacuation_monitor.update(self._views, now, is_reconciled)
         if not is_plan_due or not self._evacuation_monitor.may_start(now):
             return
-        for move in self._planner.plan(self._views, now, wall_time, is_reconciled):
+        plan = functools.partial(self._planner.plan, self._views, now, wall_time, is_reconciled)
+        for move in self._guard.run("plan", now, plan, [], is_essential=True):
             self._report_handler.move_run(move.view, move.run)
 
     def make_orders(self, now: float) -> list[tuple[ids.ProcessId, workflow_messages.AgentOrders]]:
         """Return the orders that are due, by agent."""
-        orders = [
-            (view.agent, self._make_orders(view, now))
+        due = [
+            view
             for view in self._views.values()
             if view.worker is not None
             and view.report_sent_at >= 0
@@ -284,6 +309,14 @@
             and now - view.received_at < leases.ORDER_VALID_SECONDS
             and (view.has_updates or now - view.sent_at >= ORDER_INTERVAL_SECONDS)
         ]
+        orders = []
+        for view in due:
+            make = functools.partial(self._make_orders, view, now)
+            made = self._guard.run("orders", now, make, None, is_essential=True, agent=view.agent)
+            if made is None:
+                view.record_unsent_orders()
+            else:
+                orders.append((view.agent, made))
         self._cancellation_monitor.check(now)
         return orders
 
@@ -301,16 +334,25 @@
 
     def make_commit(self, wall_time: float) -> Commit:
         """Return the changes to store; they are not durable until ``record_commit``."""
+        written: dict[ids.JobId, tuple[int, ...]] = {}
+        try:
+            return self._collect_changes(wall_time, written)
+        except Exception:
+            self._mark_unsaved(written)
+            raise
+
+    def _collect_changes(
+        self, wall_time: float, written: dict[ids.JobId, tuple[int, ...]]
+    ) -> Commit:
+        """Return the changes to store, and record in ``written`` which rows have been taken."""
         writes: list[tuple[str, str, bytes | None]] = []
         registered = self._list_unregistered()
         for agent, address in registered.items():
             writes.append((rows.ROSTER_TABLE, agent, address.encode() or None))
         states: dict[ids.JobId, model.JobState] = {}
-        written: dict[ids.JobId, tuple[int, ...]] = {}
-        for record, stored in self._take_unsaved(MAX_WRITES - len(writes)):
+        for record, stored in self._take_unsaved(MAX_WRITES - len(writes), written):
             job = record.job.job_id
             writes += [(rows.PROGRESS_TABLE, key, value) for _, key, value in stored]
-            written[job] = tuple(number for number, _, _ in stored)
             if job_progress.MAIN_ROW in written[job]:
                 states[job] = record.progress.state
         is_complete = not self._job_registry.unsaved
@@ -329,17 +371,40 @@
         expired = self._list_expired_cancellations(wall_time, MAX_WRITES - len(writes))
         writes += [(rows.JOBS_TABLE, rows.make_cancel_key(job), None) for job in expired]
         lost = tuple(view.agent for view in self._views.values() if view.is_declared_lost)
-        unbounded = {
+        return Commit(
+            tuple(writes),
+            states,
+            written,
+            ends,
+            registered,
+            lost,
+            removed,
+            expired,
+            self._list_unbounded(),
+        )
+
+    def make_renewal(self) -> Commit:
+        """Return a commit that stores no changes, so that an error in them ends no ownership.
+
+        No end is acknowledged by it.
+        """
+        lost = tuple(view.agent for view in self._views.values() if view.is_declared_lost)
+        return Commit((), {}, {}, {}, {}, lost, (), (), self._list_unbounded())
+
+    def _list_unbounded(self) -> dict[ids.ProcessId, float]:
+        return {
             view.agent: view.unbounded_until
             for view in self._views.values()
             if view.unbounded_until
         }
-        return Commit(
-            tuple(writes), states, written, ends, registered, lost, removed, expired, unbounded
-        )
 
-    def _take_unsaved(self, limit: int) -> list[_UnsavedRows]:
-        """Return jobs with at most ``limit`` of their unsaved rows, as many as one commit holds."""
+    def _take_unsaved(
+        self, limit: int, written: dict[ids.JobId, tuple[int, ...]]
+    ) -> list[_UnsavedRows]:
+        """Return jobs with at most ``limit`` of their unsaved rows, as many as one commit holds.
+
+        The numbers of the rows are recorded in ``written`` as they are taken.
+        """
         found: list[_UnsavedRows] = []
         size = 0
         for record in list(self._job_registry.unsaved.values()):
@@ -352,6 +417,7 @@
                 size += sum(len(value or b"") for _, _, value in more)
                 limit -= len(more)
                 taken += more
+                written[record.job.job_id] = tuple(number for number, _, _ in taken)
             if not taken:
                 break
             found.append((record, taken))
@@ -399,7 +465,10 @@
 
     def record_commit_failure(self, commit: Commit) -> None:
         """Mark a commit's jobs for storing again, as the commit may not have taken effect."""
-        for job, numbers in commit.job_rows.items():
+        self._mark_unsaved(commit.job_rows)
+
+    def _mark_unsaved(self, written: Mapping[ids.JobId, tuple[int, ...]]) -> None:
+        for job, numbers in written.items():
             record = self._job_registry.get(job)
             if record is not None:
                 record.mark_unsaved(numbers)
--- a/crocusrudder/workflows/owner_service.py
+++ b/crocusrudder/workflows/owner_service.py
@@ -1,7 +1,9 @@
 """Run one ownership epoch: load the state, commit changes and send orders to agents."""
 
+import functools
 import time
 from collections.abc import Callable
+from typing import TypeVar
 
 import curio
 import msgspec
@@ -26,6 +28,7 @@
 from crocusrudder.workflows import ownership
 from crocusrudder.workflows import reports
 from crocusrudder.workflows import rows
+from crocusrudder.workflows import step_guard
 from crocusrudder.workflows import waiting_reasons
 from crocusrudder.workflows.decisions import durations
 from crocusrudder.workflows.decisions import evacuation
@@ -65,6 +68,7 @@
 STEP_DOWN_UNANSWERED_SECONDS = 1.7
 """The same for an owner whose commit is still unanswered, as with a slow store."""
 
+_Result = TypeVar("_Result")
 _StoredProgress = dict[int, bytes | None]
 """Values of the progress rows of a job, by their numbers."""
 
@@ -85,6 +89,7 @@
     waiting.OUTLOOK_WORSE: "outlooks_worse",
     waiting.RANK_FAILED: "jobs_not_ranked",
     durations.ESTIMATE_IGNORED: "estimates_ignored",
+    step_guard.STEP_FAILED: "steps_failed",
     cancellations.OVERDUE: "cancellations_overdue",
 }
 """Metrics that count the log events of these names."""
@@ -142,6 +147,7 @@
         self._set_aside: set[ids.JobId] = set()
         """Jobs that could not be loaded, or whose progress is unreadable: tasks of these that have
         ended must not run again."""
+        self._guard = step_guard.StepGuard()
         self._is_loaded = False
         self._plan_not_before = now
         self._estimates_stored_at = 0.0
@@ -202,7 +208,8 @@
             # The path works again, but an open connection may deliver nothing for seconds, until
             # the packets that were lost are repeated.
             self._link.reconnect(agent)
-        self._owner.handle_report(agent, report, clocks.read_boot_time(), time.time())
+        now = clocks.read_boot_time()
+        self._owner.handle_report(agent, report, now, time.time())
         await self._changes.set()
 
     async def handle_stored_job(self, stored: workflow_messages.JobStored) -> None:
@@ -409,9 +416,9 @@
             configuration = self._get_configuration()
             if configuration is not None:
                 self._owner.set_configuration(configuration)
-            has_planned = self._send_orders()
+            has_planned = self._run_step("orders", self._send_orders, True)
             await self._link.retry_unsent()
-            self._write_log()
+            self._run_step("log", self._write_log, None)
 
     def _write_log(self) -> None:
         for change in self._owner.drain_log():
@@ -486,7 +493,7 @@
         has_stepped_down = self._lease.has_stepped_down
         if not has_stepped_down and not self._lease.may_act(now):
             return
-        pending = self._owner.count_pending()
+        pending = self._run_step("pending", self._owner.count_pending, {})
         version = self._lease.version
         hello = workflow_messages.OwnerHello(
             self._lease.row.epoch, pending, version, has_stepped_down
@@ -518,7 +525,7 @@
         while not self._is_superseded:
             await self._wait_for_changes()
             is_releasing = self._is_releasing
-            commit = self._owner.make_commit(time.time())
+            commit = self._make_commit()
             now = clocks.read_boot_time()
             unbounded = {
                 agent: until - now for agent, until in commit.unbounded_until.items() if until > now
@@ -537,6 +544,27 @@
                 await self._link.retry_unsent()
                 return
 
+    def _make_commit(self) -> "owner.Commit":
+        """Return the changes to store; after an unexpected error, what renews the ownership."""
+        make = functools.partial(self._owner.make_commit, time.time())
+        return self._run_step("commit", make, None) or self._owner.make_renewal()
+
+    def _run_step(
+        self,
+        step: str,
+        action: Callable[[], _Result],
+        default: _Result,
+        is_essential: bool = True,
+    ) -> _Result:
+        """Return what a step returns; after an unexpected error, which is logged, the default."""
+        now = clocks.read_boot_time()
+        try:
+            return self._guard.run(step, now, action, default, is_essential=is_essential)
+        finally:
+            for change in self._guard.drain_log():
+                self._metrics.count(_COUNTED_EVENTS[change.name])
+                self._log(change.name, **change.fields)
+
     async def _wait_for_changes(self) -> None:
         while not self._is_releasing:
             now = clocks.read_boot_time()
@@ -551,7 +579,8 @@
         self._attempts[attempt.row.sequence] = attempt
         writes = [store.Write(rows.CONTROL_TABLE, rows.OWNER_KEY, rows.encode(attempt.row))]
         writes += [store.Write(*write) for write in attempt.commit.writes]
-        writes += self._list_due_estimates(attempt.started_at)
+        estimates = functools.partial(self._list_due_estimates, attempt.started_at)
+        writes += self._run_step("estimates", estimates, [], is_essential=False)
         expected = store.Expectation(rows.CONTROL_TABLE, rows.OWNER_KEY, self._lease.version)
         self._metrics.count("store_commits")
         try:
--- a/crocusrudder/workflows/planning.py
+++ b/crocusrudder/workflows/planning.py
@@ -1,5 +1,6 @@
 """Decide which tasks start next and where."""
 
+import functools
 import itertools
 import math
 import weakref
@@ -12,6 +13,7 @@
 from crocusrudder.workflows import fleet
 from crocusrudder.workflows import job_registry
 from crocusrudder.workflows import model
+from crocusrudder.workflows import step_guard
 from crocusrudder.workflows import waiting_reasons
 from crocusrudder.workflows.decisions import candidates
 from crocusrudder.workflows.decisions import durations
@@ -47,8 +49,10 @@
         duration_model: durations.DurationModel | None = None,
         far_factor: float = 1.0,
         learned_order: bool = False,
+        guard: step_guard.StepGuard | None = None,
     ) -> None:
         self._epoch = epoch
+        self._guard = guard or step_guard.StepGuard()
         self._job_registry = jobs
         self._version = version
         self._throttle_controller = throttle_controller
@@ -149,7 +153,9 @@
         self._preemptions.begin_plan(now)
         self._is_reconciled = is_reconciled
         limited = {stage.record.job.queue for stage in self._left_pending}
-        self._forecast.begin_plan(self._job_registry.active.values(), limited, wall_time)
+        active = self._job_registry.active.values()
+        forecast = functools.partial(self._forecast.begin_plan, active, limited, wall_time)
+        self._guard.run("forecast", now, forecast, None)
         if not self._tried:
             self._left_pending.clear()
         selected = []
@@ -160,7 +166,8 @@
             and (queue := self._queues.get(record.job.queue)) is not None
         ]
         plannable = ((r, queue) for r, queue in jobs if self._find_job_obstacle(r, now) is None)
-        left_out = self._near_planner.begin_plan(plannable, now, wall_time)
+        find_near = functools.partial(self._near_planner.begin_plan, plannable, now, wall_time)
+        left_out = self._guard.run("near_places", now, find_near, ())
         jobs = [job for job in jobs if job[0] not in left_out]
         for _, group in itertools.groupby(jobs, lambda job: job[1].priority):
             selected += self._plan_in_turns(list(group), now, wall_time)
@@ -169,10 +176,13 @@
         if not left_out and not self._is_job_untried(jobs, now):
             self._tried.clear()
         self._limit_remaining(now)
-        self._logged += self._near_planner.finish_plan(now)
+        finish_near = functools.partial(self._near_planner.finish_plan, now)
+        self._logged += self._guard.run("near_places_log", now, finish_near, [])
         self._logged += self._forecast.drain_log()
-        active = self._job_registry.active.values()
-        self._logged += self._waiting_monitor.check(active, now, wall_time, self._explain)
+        explain = functools.partial(
+            self._waiting_monitor.check, active, now, wall_time, self._explain
+        )
+        self._logged += self._guard.run("waiting_reasons", now, explain, [])
         return selected
 
     def _plan_in_turns(
@@ -509,7 +519,7 @@
         """
         runs = len(view.assignments)
         if runs - self._limited_runs.get(view.agent, 0) >= max(runs // MIN_RUNS_PER_LIMIT, 1):
-            self._throttle_controller.limit_started(view, now)
+            self._limit_view(view, now)
             self._limited_runs[view.agent] = runs
             self._unlimited.pop(view.agent, None)
         else:
@@ -518,9 +528,14 @@
     def _limit_remaining(self, now: float) -> None:
         """Lower the CPU shares for the runs that no call has covered yet."""
         for view in self._unlimited.values():
-            self._throttle_controller.limit_started(view, now)
+            self._limit_view(view, now)
         self._unlimited.clear()
 
+    def _limit_view(self, view: fleet.AgentView, now: float) -> None:
+        # An error must not leave a run that is assigned while its task counts as pending.
+        limit = functools.partial(self._throttle_controller.limit_started, view, now)
+        self._guard.run("cpu_shares", now, limit, None, agent=view.agent)
+
     def _undo_assignment(
         self, task: job_registry.Task, candidate: candidates.CandidateWorker
     ) -> None:
--- a/crocusrudder/workflows/reports.py
+++ b/crocusrudder/workflows/reports.py
@@ -1,5 +1,6 @@
 """Update the owner's state from agents' reports."""
 
+import functools
 import itertools
 import math
 from collections.abc import Iterable
@@ -18,6 +19,7 @@
 from crocusrudder.workflows import list_checks
 from crocusrudder.workflows import list_completeness
 from crocusrudder.workflows import model
+from crocusrudder.workflows import step_guard
 from crocusrudder.workflows.decisions import durations
 
 NO_CAPACITY_BLOCK_SECONDS = 0.3
@@ -49,8 +51,10 @@
         epoch: model.OwnerEpoch,
         jobs: job_registry.JobRegistry,
         duration_model: durations.DurationModel | None = None,
+        guard: step_guard.StepGuard | None = None,
     ) -> None:
         self._epoch = epoch
+        self._guard = guard or step_guard.StepGuard()
         self._duration_model = duration_model or durations.DurationModel()
         self._job_registry = jobs
         self._queues: dict[model.QueueName, model.Queue] = {}
@@ -255,8 +259,9 @@
             if not self._list_filter.is_run_plausible(view, ended.task, ended.run):
                 # Its number may be ahead of the worker's, so it must not be acknowledged.
                 continue
-            view.last_processed_end = ended.number
             self._apply_end(view, ended, now, wall_time)
+            # An end that could not be applied must not be acknowledged.
+            view.last_processed_end = ended.number
 
     def _apply_end(
         self,
@@ -271,15 +276,17 @@
         self._log_run("run_ended", assignment, view, how=ended.how)
         task = assignment.task
         kind = model.EndKind(ended.how)
-        self._release(view, assignment, now)
-        if task is None:
-            return
-        if kind is model.EndKind.DONE and not task.stage.spec.long_running:
+        is_done = kind is model.EndKind.DONE
+        if task is not None and is_done and not task.stage.spec.long_running:
+            # Until this has succeeded the task is assigned, so that it cannot start again.
             self._health_register.get(view).record_success(now)
             if assignment.is_comparable and task.run == assignment.run:
-                self._duration_model.record_run(task.stage, now - task.assigned_at)
+                seconds = now - task.assigned_at
+                learn = functools.partial(self._duration_model.record_run, task.stage, seconds)
+                self._guard.run("durations", now, learn, None, task=task.name)
             self._mark_done(task, wall_time)
-        elif kind is model.EndKind.FAILED and not task.record.is_final:
+        self._release(view, assignment, now)
+        if task is not None and kind is model.EndKind.FAILED and not task.record.is_final:
             self._health_register.check_failures(view, task, now)
             self._count_failure(view, task, ended.run, wall_time)
 
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -2,6 +2,7 @@
 
 import collections
 import math
+import pathlib
 import types
 from collections.abc import Iterable
 from collections.abc import Iterator
@@ -92,6 +93,14 @@
         yield f"LOST: the cancellation of {job} was not acknowledged"
 
 
+def find_caught_errors(folder: pathlib.Path) -> Iterator[str]:
+    """Yield the lines of unexpected errors after which a process went on or ended."""
+    for path in sorted(folder.glob("*.log")):
+        for line in path.read_text(errors="replace").splitlines():
+            if '"step_failed"' in line or '"process_failed"' in line:
+                yield f"FAULT: {path.stem}: {line}"
+
+
 def list_final_states(
     job: str, deadly: Set[str], cancellations: Mapping[str, float | None]
 ) -> Set[str]:
--- a/tools/soak/runner.py
+++ b/tools/soak/runner.py
@@ -288,7 +288,7 @@
             self._disturbances,
             observed_at,
         )
-        return [*problems, *found]
+        return [*problems, *found, *checks.find_caught_errors(self._folder)]
 
     def _wait_for_cancelled_runs(self) -> None:
         """Wait until the runs of cancelled jobs have ended, or for as long as they may take."""
