Play random jobs at the limits of the decoder beside sound ones

The sound jobs beside it get the same starts, CPU shares and learned durations as without it, and no step of the owner may fail.

Only tests change.

--- a/tests/workflows/test_odd_numbers.py
+++ b/tests/workflows/test_odd_numbers.py
@@ -6,11 +6,15 @@
 
 import json
 import math
+import os
 import unittest
 
+import hypothesis
 import msgspec
+from hypothesis import strategies
 
 from crocusrudder.core import ids
+from crocusrudder.platform import errors
 from crocusrudder.platform import operator
 from crocusrudder.wire import workflow_messages
 from crocusrudder.workflows import model
@@ -21,6 +25,8 @@
 """Labels of the workers for the sound jobs and for the odd ones."""
 JOBS = ("serving", "plain", "filling", "later")
 WORKERS = {"a0": SOUND, "a1": SOUND, "a2": ODD}
+RACKS = {"a0": "r1", "a1": "r2", "a2": "r1"}
+FAR_FACTOR = 3.0
 LATENCY_MS = 20.0
 INFLATION = 0.6
 """Increase of a latency for each best-effort task beside it."""
@@ -32,13 +38,45 @@
 TARGETS_MS = (0, 5e-324, 1e-323, 1.5e-323, 1e-300, 0.001, 0.5, 1, 1e15)
 ESTIMATES_MS = (0, 5e-324, 1e-310, 1e-305, 1e-9, 0.001, 1, 1e15)
 
+COUNTS = strategies.sampled_from((0, 1, 3, operator.MAX_COUNT, operator.MAX_COUNT + 1, -1))
+BEYOND_MS = math.nextafter(operator.MAX_MILLISECONDS, math.inf)
+STEPS = strategies.fixed_dictionaries(
+    {"taskCount": strategies.sampled_from((1, 2, 3))},
+    optional={
+        "cpu": strategies.sampled_from((0, 1, 2_000, 2_000, operator.MAX_COUNT)),
+        "memMb": COUNTS,
+        "gpu": COUNTS,
+        "antiAffinity": COUNTS,
+        "mayMiss": COUNTS,
+        "targetMs": strategies.sampled_from((*TARGETS_MS, BEYOND_MS, -1)),
+        "estRuntimeMs": strategies.sampled_from((*ESTIMATES_MS, BEYOND_MS, -1)),
+        "image": strategies.sampled_from(("web", "fill")),
+        "dataRack": strategies.sampled_from(("r1", "none")),
+        "longRunning": strategies.booleans(),
+        "fills": strategies.booleans(),
+        "gang": strategies.booleans(),
+        "sameRack": strategies.booleans(),
+        "checkpoint": strategies.booleans(),
+    },
+)
+"""Steps of an odd job. Few draws combine the fields in which every number is accepted."""
+TIMES = strategies.fixed_dictionaries(
+    {},
+    optional={
+        "maxRuns": strategies.sampled_from((0, 1, 3, -1)),
+        "startAtMs": strategies.sampled_from((0, 5e-324, 0.001, 1e15, BEYOND_MS)),
+        "intervalMs": strategies.sampled_from((0, 5e-324, 1e-300, 1, 1e15)),
+    },
+)
+EXAMPLES = int(os.environ.get("CROCUSRUDDER_EXAMPLES", "60"))
+
 
 class Worker(world.FakeWorker):
     """A worker that measures latencies of tasks that last."""
 
-    def __init__(self, name: str, label: str) -> None:
+    def __init__(self, name: str, label: str, rack: str) -> None:
         super().__init__(name, 1_000)
-        self.state = msgspec.structs.replace(self.state, labels=(label, "r1"))
+        self.state = msgspec.structs.replace(self.state, labels=(label, rack))
 
     def _make_running(
         self, run: tuple[str, int], end: float, now: float
@@ -54,11 +92,11 @@
     """A deployment that reads everything back from its rows when the owner changes."""
 
     def __init__(self) -> None:
-        super().__init__(len(WORKERS), learned_order=True)
+        super().__init__(len(WORKERS), far_factor=FAR_FACTOR, learned_order=True)
         self.shares: list[dict[str, list[tuple[str, int]]]] = []
         """CPU shares on the workers for the sound jobs, after each change."""
         for name, agent in self.agents.items():
-            agent.worker = Worker(f"w-{name}", WORKERS[name])
+            agent.worker = Worker(f"w-{name}", WORKERS[name], RACKS[name])
 
     def submit_wire(self, name: str, label: str, *steps: dict, **fields: object) -> None:
         """Submit a job as an entry does; raises ``MalformedInputError`` if it is refused."""
@@ -85,7 +123,7 @@
 
     def submit_sound(self) -> None:
         self.submit_wire("serving", SOUND, SERVING)
-        self.submit_wire("plain", SOUND, PLAIN, PLAIN)
+        self.submit_wire("plain", SOUND, PLAIN, {**PLAIN, "dataRack": "r1"})
         self.submit_wire("filling", SOUND, FILLING, {**FILLING, "after": [0]})
 
     def step(self) -> None:
@@ -168,6 +206,17 @@
                 steps = [{**PLAIN, "estRuntimeMs": estimated_ms}] * 4
                 self._check(*steps)
 
+    @hypothesis.settings(max_examples=EXAMPLES, derandomize=True, deadline=None, database=None)
+    @hypothesis.given(steps=strategies.lists(STEPS, min_size=1, max_size=3), times=TIMES)
+    def test_no_accepted_number_moves_another_job_or_ends_an_owner(self, steps, times):
+        # Guards against the class of review/11: a number of one job that an owner cannot compute
+        # with, or that moves what is learned for all jobs, also for later owners.
+        try:
+            found = play(tuple(steps), **times)
+        except errors.MalformedInputError:
+            return
+        self.assertEqual(self.expected, found)
+
 
 if __name__ == "__main__":
     unittest.main()
