Expect no room from a run that lasts far beyond its estimate

An urgent job whose tasks have no room waits for a run that is expected to end in time instead of stopping one. A run that was overdue counted as one that ends at once, so one batch job with an estimate of a microsecond made urgent jobs wait until they were late, as long as its run lasted.

Change: a run of which, by its estimate and the error of it, fewer than one in a million last as long (the rule that near places have) promises no room. For runs of an earlier owner, the time since the first plan of this one is the least age.

Evidence: both new tests fail before (0 preempted, the urgent job late), one of them through a change of the owner.

--- a/crocusrudder/workflows/decisions/preemption.py
+++ b/crocusrudder/workflows/decisions/preemption.py
@@ -21,6 +21,7 @@
 from crocusrudder.workflows.decisions import candidates
 from crocusrudder.workflows.decisions import constraints
 from crocusrudder.workflows.decisions import durations
+from crocusrudder.workflows.decisions import locality
 from crocusrudder.workflows.decisions import moves
 from crocusrudder.workflows.decisions import placement
 from crocusrudder.workflows.decisions import waiting
@@ -76,6 +77,8 @@
         self._queues = queues
         self._served: dict[job_registry.Task, tuple[ids.ProcessId | None, float]] = {}
         """Worker whose room a task waits for, if any, and until when it is not examined again."""
+        self._started_at = math.inf
+        """When this owner made its first plan."""
         self._searches = 0
         self._preempted: set[job_registry.Task] = set()
         self._claimed: set[ids.ProcessId] = set()
@@ -84,6 +87,7 @@
 
     def begin_plan(self, now: float) -> None:
         """Begin a plan: forget the stops that are over and the tasks that have ended."""
+        self._started_at = min(self._started_at, now)
         self._served = {
             task: served
             for task, served in self._served.items()
@@ -210,9 +214,15 @@
     def _predict_remaining(self, run: fleet.Assignment, now: float) -> float:
         if run.phase is fleet.AssignmentPhase.STOPPING:
             return STOP_SECONDS
-        expected = self._duration_model.estimate(run.task.stage).seconds
+        estimate = self._duration_model.estimate(run.task.stage)
+        expected = estimate.seconds
         if run.task.stage.spec.long_running or not expected:
             return math.inf
+        age = now - (self._started_at if run.is_adopted else run.task.assigned_at)
+        place = locality.estimate_remaining(expected, estimate.deviation, age, 0, 0.0)
+        if place.seconds == math.inf:
+            # Such an estimate would promise room at any moment, for as long as the run lasts.
+            return math.inf
         if run.is_adopted:
             # This owner does not know when the run was ordered.
             return expected * (1.0 - min(run.task.percent, 100) / 100.0)
--- a/tests/workflows/decisions/test_preemption.py
+++ b/tests/workflows/decisions/test_preemption.py
@@ -107,6 +107,27 @@
         self.assertEqual([], self.list_preempted())
         self.assertIs(model.JobState.COMPLETED, self.system.get_state("urgent"))
 
+    def test_a_run_that_lasts_far_beyond_its_estimate_promises_no_room(self):
+        # Guards against one job with an odd estimate for which urgent jobs wait until they are
+        # late: a run that is overdue was taken to end at once, however long it had lasted.
+        odd = msgspec.structs.replace(LONG, task_count=1, estimated_seconds=1e-6)
+        self._fill(odd, msgspec.structs.replace(LONG, task_count=3))
+        self.assertEqual(1, len(self.list_preempted()))
+        self.assertIs(model.JobState.COMPLETED, self.system.get_state("urgent"))
+
+    def test_an_earlier_owners_run_that_lasts_far_beyond_its_estimate_promises_no_room(self):
+        self.set_duration(30.0)
+        odd = msgspec.structs.replace(LONG, task_count=1, estimated_seconds=1e-6)
+        self.submit("odd", BATCH, odd)
+        self.submit("batch", BATCH, msgspec.structs.replace(LONG, task_count=3))
+        self.run_for(5.0)
+        self.system.replace_owner(2)
+        self.system.owner.set_configuration(model.Configuration(2, (URGENT, BATCH)))
+        self.run_for(1.0)
+        self._fill()
+        self.assertEqual(1, len(self.list_preempted()))
+        self.assertIs(model.JobState.COMPLETED, self.system.get_state("urgent"))
+
     def test_a_job_that_is_late_anyway_stops_nothing(self):
         self.set_duration(30.0)
         self.submit("batch", BATCH, LONG)
