Pass over completed occurrences before looking at a due time

Cause: a new owner asked whether occurrence 0 was due, which it was, and opened the first open one. It came with the state that keeps in memory and that was never played through a change of the owner.

Evidence: test_a_later_owner_starts_no_occurrence_before_it_is_due fails before the fix: occurrence 1 starts at 1000103.2 and is due at 1000121.0. It changes the owner after each occurrence.

--- a/crocusrudder/workflows/ready_stages.py
+++ b/crocusrudder/workflows/ready_stages.py
@@ -93,6 +93,9 @@
         """Yield stages that get state, while ``unplaced`` counts few tasks without a place."""
         examined = 0
         while True:
+            # What an earlier owner has completed is passed over before a due time is looked at.
+            first_open = self._progress.first_open_occurrence
+            self._next_occurrence = max(self._next_occurrence, first_open)
             numbers = [n for n, count in enumerate(unplaced) if count < MAX_UNPLACED_TASKS]
             waiting = [(self._waiting[n][0], n) for n in numbers if self._waiting[n]]
             if waiting:
@@ -115,10 +118,8 @@
 
     def _examine_next(self) -> None:
         """Find the ready stages of the next occurrence."""
-        occurrence = max(self._next_occurrence, self._progress.first_open_occurrence)
+        occurrence = self._next_occurrence
         self._next_occurrence = occurrence + 1
-        if occurrence >= self._record.occurrence_count:
-            return
         is_begun = self._progress.is_begun(occurrence)
         for number in range(len(self._specs)) if is_begun else self._first_numbers:
             if self._is_ready(occurrence, number):
--- a/tests/workflows/test_ready_stages.py
+++ b/tests/workflows/test_ready_stages.py
@@ -49,6 +49,29 @@
             self.assertLessEqual(len(list(record.iterate_tasks())), ready_stages.MAX_UNPLACED_TASKS)
         self.assertIs(model.JobState.COMPLETED, self.system.get_state("j"))
 
+    def test_a_later_owner_starts_no_occurrence_before_it_is_due(self):
+        # Guards against ORDER (review/13): a later owner took the first open occurrence for due as
+        # soon as the first of all was.
+        now = world.WALL_TIME_OFFSET + self.system.now
+        due_times = (now, now + 20.0, now + 40.0)
+        job = model.Job(
+            ids.JobId("timed"), world.QUEUE, "", (model.Stage(1, SMALL),), now, 3, now, 20.0
+        )
+        self.system.owner.add_job(job, 10)
+        for epoch, due_at in enumerate(due_times, start=2):
+            self.system.run(2.0)
+            self.system.replace_owner(epoch)
+            self.system.run(18.0)
+            starts = [
+                world.WALL_TIME_OFFSET + at
+                for agent in self.system.agents.values()
+                for at, task, _ in agent.worker.started
+                if task == f"timed.{epoch - 2}.0.0"
+            ]
+            self.assertEqual(1, len(starts))
+            self.assertTrue(due_at <= starts[0] <= due_at + 1.0, (starts, due_at))
+        self.assertIs(model.JobState.COMPLETED, self.system.get_state("timed"))
+
     def test_they_run_as_soon_as_a_worker_suits(self):
         # Guards against LOST: a job that can be done later must not be given up.
         record = self._add("h", HOPELESS, occurrences=200)
