Acknowledge ends of runs only that an owner has ordered

Cause: the entry was taken for the worker's own if an owner may have given its run number, although its task was unknown, and was acknowledged with its number, which was ahead of the worker's.

New: the number of an ordered run with another task's name, and the same after a change of the owner.

Change: the owner remembers which runs it has ordered on a worker (16 bytes each, 20,000 at most). An end with a number of its epoch counts if its task and run are among them, one of an earlier epoch if its task is known. Entries of runs at work are treated as before.

Two tests of stored progress reported the end of a run that no owner had ordered; they record it as ordered now, and what they check is unchanged.

--- a/crocusrudder/workflows/fleet.py
+++ b/crocusrudder/workflows/fleet.py
@@ -1,5 +1,7 @@
 """The owner's view of agents, their workers and the runs on them."""
 
+import array
+import bisect
 import enum
 import math
 import types
@@ -16,6 +18,8 @@
 from crocusrudder.workflows import model
 from crocusrudder.workflows import waiting_reasons
 
+MAX_ORDERED_RUNS = 20_000
+"""Runs of a worker that are remembered after their end; they take 16 bytes each."""
 AGENT_TIMEOUT_SECONDS = 1.3
 """Time without a report after which an agent gets no new starts; it reports every 0.5 s."""
 UNBOUNDED_TOLERANCE_SECONDS = 0.3
@@ -142,6 +146,30 @@
     False once the stop has had no effect for ``list_checks.UNKNOWN_RUN_SECONDS``."""
 
 
+class OrderedRuns:
+    """The runs that this owner has assigned to one worker, of which it knows each."""
+
+    def __init__(self) -> None:
+        self._runs = array.array("q")
+        """Run numbers, which rise; the members of a gang share one."""
+        self._tasks = array.array("q")
+        """Hashes of the names of their tasks, which take less memory."""
+
+    def add(self, task_name: str, run: int) -> None:
+        """Record a run whose number is not lower than those before."""
+        self._runs.append(run)
+        self._tasks.append(hash(task_name))
+        if len(self._runs) > MAX_ORDERED_RUNS:
+            del self._runs[: MAX_ORDERED_RUNS // 2]
+            del self._tasks[: MAX_ORDERED_RUNS // 2]
+
+    def __contains__(self, key: model.RunKey) -> bool:
+        task_name, run = key
+        first = bisect.bisect_left(self._runs, run)
+        last = bisect.bisect_right(self._runs, run)
+        return hash(task_name) in self._tasks[first:last]
+
+
 class AgentView:
     """An agent, its worker and the runs that may exist on the worker."""
 
@@ -182,6 +210,7 @@
         self._assignments_view = types.MappingProxyType(self._assignments)
         self._task_counts: dict[job_registry.StageRecord, int] = {}
         self._usage: Usage | None = None
+        self.ordered_runs = OrderedRuns()
         self.orders_sent = 0
         self.orders_seen = 0
         self.orders_unseen_since: float | None = None
--- a/crocusrudder/workflows/list_checks.py
+++ b/crocusrudder/workflows/list_checks.py
@@ -25,6 +25,8 @@
 
 RUN_LEFT_OUT = "run_number_implausible"
 """Log event of a listed run or end that no owner can have ordered; it is left out."""
+END_LEFT_OUT = "end_implausible"
+"""Log event of a listed end of a run that no owner has ordered on the worker; it is left out."""
 START_EXPIRED = "start_expired"
 """Log event of a run that is not listed and can no longer begin."""
 UNKNOWN_RUN_IGNORED = "unknown_run_ignored"
@@ -37,8 +39,9 @@
     Each is logged once per incarnation of its worker, up to ``MAX_LOGGED_ENTRIES``.
     """
 
-    def __init__(self, epoch: model.OwnerEpoch) -> None:
+    def __init__(self, epoch: model.OwnerEpoch, jobs: job_registry.JobRegistry) -> None:
         self._epoch = epoch
+        self._job_registry = jobs
         self._known: dict[ids.ProcessId, tuple[tuple[ids.WorkerId, int], set[object]]] = {}
         """Entries left out so far, with the incarnation of the worker, by agent."""
         self._logged: list[effects.LogChange] = []
@@ -60,6 +63,23 @@
         self._log_once(view, (task, run), RUN_LEFT_OUT, task=task, run=run)
         return False
 
+    def is_end_plausible(self, view: fleet.AgentView, task: str, run: int) -> bool:
+        """Return whether an owner up to this one may have ordered the run of a listed end.
+
+        The number of another writer's end may be ahead of the worker's. To acknowledge it would
+        make the worker forget its next ends, which nobody has read. This owner knows each run that
+        it has ordered; one of an earlier owner is of a known task.
+        """
+        if not self.is_run_plausible(view, task, run):
+            return False
+        if run > self._epoch * job_registry.RUNS_PER_EPOCH:
+            is_ordered = (task, run) in view.ordered_runs
+        else:
+            is_ordered = self._job_registry.find_task(task) is not None
+        if not is_ordered:
+            self._log_once(view, (task, run, "end"), END_LEFT_OUT, task=task, run=run)
+        return is_ordered
+
     def _log_once(self, view: fleet.AgentView, entry: object, name: str, **fields: object) -> None:
         incarnation = view.worker.incarnation
         if self._known.get(view.agent, (None,))[0] != incarnation:
--- a/crocusrudder/workflows/owner_service.py
+++ b/crocusrudder/workflows/owner_service.py
@@ -75,6 +75,7 @@
 _COUNTED_EVENTS = {
     reports.CAPACITY_EXCEEDED: "capacity_exceeded",
     list_checks.RUN_LEFT_OUT: "runs_left_out",
+    list_checks.END_LEFT_OUT: "ends_left_out",
     list_checks.START_EXPIRED: "starts_expired",
     list_checks.UNKNOWN_RUN_IGNORED: "unknown_runs_ignored",
     "worker_crashed": "workers_crashed",
--- a/crocusrudder/workflows/planning.py
+++ b/crocusrudder/workflows/planning.py
@@ -486,6 +486,7 @@
         assignment.planned_on = view.report_sent_at
         distance = self._near_planner.record_assignment(assignment, candidate)
         view.add_assignment(assignment)
+        view.ordered_runs.add(task.name, run)
         view.has_updates = True
         self._pool.reserve(candidate, task.stage.spec)
         self._limit_started(view, now)
--- a/crocusrudder/workflows/reports.py
+++ b/crocusrudder/workflows/reports.py
@@ -59,7 +59,7 @@
         self._job_registry = jobs
         self._queues: dict[model.QueueName, model.Queue] = {}
         self._crash_register = crashes.CrashRegister(epoch, jobs)
-        self._list_filter = list_checks.ListFilter(epoch)
+        self._list_filter = list_checks.ListFilter(epoch, jobs)
         self._health_register = health.HealthRegister(epoch)
         self._incomplete_gangs: set[tuple[job_registry.StageRecord, int]] = set()
         """Stages and run numbers of gangs of which a member was rejected."""
@@ -124,7 +124,7 @@
         """Record whether a run that the report does not name is certainly not on the worker."""
         # Only an end that can be applied is ever acknowledged.
         awaits_ends = report.has_more_ends and any(
-            self._list_filter.is_run_plausible(view, ended.task, ended.run)
+            self._list_filter.is_end_plausible(view, ended.task, ended.run)
             for ended in report.ended
         )
         view.list_completeness.record(not report.list_incomplete, now, awaits_ends)
@@ -256,7 +256,7 @@
         for ended in report.ended:
             if ended.number <= view.last_processed_end:
                 continue
-            if not self._list_filter.is_run_plausible(view, ended.task, ended.run):
+            if not self._list_filter.is_end_plausible(view, ended.task, ended.run):
                 # Its number may be ahead of the worker's, so it must not be acknowledged.
                 continue
             self._apply_end(view, ended, now, wall_time)
--- a/tests/workflows/test_job_progress.py
+++ b/tests/workflows/test_job_progress.py
@@ -70,6 +70,8 @@
         (agent,) = self.system.agents.values()
         report = agent.state.make_report(ids.DataCentre("bilbao"), self.system.now + 0.01)
         ended = model.RunNumber(10_000_500)
+        # Only ends of runs that the owner has ordered on the worker count.
+        self.system.owner.views[agent.process].ordered_runs.add(name, ended)
         report = msgspec.structs.replace(
             report, ended=(world.workflow_messages.EndedRun(900, name, ended, how),)
         )
--- a/tests/workflows/test_odd_lists.py
+++ b/tests/workflows/test_odd_lists.py
@@ -130,6 +130,40 @@
         self.assertIs(model.JobState.COMPLETED, self.system.get_state("j"))
         self.assertEqual(1, self.system.count_starts("j.0.0.0"))
 
+    def test_an_end_with_the_number_of_a_run_of_another_task_does_not_discard_the_later_ends(self):
+        # Guards against an end that is taken for a worker's own since its run number is one that
+        # the owner has ordered there.
+        for agent in self.agents:
+            agent.worker.duration = 0.5
+        self.system.submit("first", model.Stage(4, ONE_CORE))
+        self.system.run(0.3)
+        for agent in self.agents:
+            run = agent.worker.started[0][2]
+            for task in ("x.0.0.0", "later.0.0.0"):
+                add_entries(agent, ended=(workflow_messages.EndedRun(40, task, run, "done"),))
+        self.system.run(1.0)
+        self.system.submit("later", model.Stage(4, ONE_CORE))
+        self.system.run(3.0)
+        self.assertIs(model.JobState.COMPLETED, self.system.get_state("later"))
+        self.assertEqual(1, self.system.count_starts("later.0.0.0"))
+
+    def test_an_end_of_an_earlier_owner_does_not_discard_the_later_ends(self):
+        # Guards against the same after a change of the owner: each has knowledge of its own.
+        odd = workflow_messages.EndedRun(40, "x.0.0.0", 10_000_005, "done")
+        for agent in self.agents:
+            agent.worker.duration = 0.5
+        self.system.submit("first", model.Stage(4, ONE_CORE))
+        self.system.run(0.3)
+        self.system.replace_owner(2)
+        for agent in self.agents:
+            add_entries(agent, ended=(odd,))
+        self.system.run(2.0)
+        self.system.submit("later", model.Stage(4, ONE_CORE), version=300)
+        self.system.run(3.0)
+        for job in ("first", "later"):
+            self.assertIs(model.JobState.COMPLETED, self.system.get_state(job))
+            self.assertEqual(1, self.system.count_starts(f"{job}.0.0.0"))
+
     def test_a_start_that_is_never_answered_does_not_hold_its_task_beside_an_odd_entry(self):
         # Guards against LOST without a bound: a list with an entry that can never be read may hide
         # the run, the start is not answered and the worker refuses the stop.
