Load the jobs beside learned figures that cannot be restored

It is guarded like reading and storing them. The new test fails without the change with the error of the restored row.

--- a/crocusrudder/workflows/owner_service.py
+++ b/crocusrudder/workflows/owner_service.py
@@ -297,7 +297,8 @@
         except workflow_errors.UnreadableRowError as error:
             self._record_unreadable(row.table, row.key, error)
             return
-        left_out += self._owner.restore_estimates(learned)
+        restore = functools.partial(self._owner.restore_estimates, learned)
+        left_out += self._run_step("restore_estimates", restore, 0, is_essential=False)
         if left_out:
             self._record_left_out(left_out, workflow_errors.UnreadableRowError.code)
 
--- a/tests/workflows/test_owner_service.py
+++ b/tests/workflows/test_owner_service.py
@@ -22,6 +22,7 @@
 from crocusrudder.workflows import ownership
 from crocusrudder.workflows import rows
 from crocusrudder.workflows.decisions import near_places
+from tests.support import strict_steps
 
 START = 100.0
 CONTACT_SECONDS = 3.0
@@ -388,6 +389,20 @@
             left_out = 1 + (not abs(odd) <= 100.0) + (not is_floor_valid)
             self.assertEqual({"learned_left_out": left_out}, service._metrics.counters)
 
+    def test_an_error_while_estimates_are_restored_ends_no_owner(self):
+        # Guards against a row of learned figures that ends each new owner while it loads.
+        value = rows.encode(rows.InterferenceEstimates({}, {"q": (5.0, 0.5, 0.3)}))
+        failure = mock.Mock(side_effect=ValueError("unexpected"))
+        with (
+            strict_steps.allow_failures(),
+            mock.patch.object(owner.Owner, "restore_estimates", failure),
+        ):
+            service = self._load(
+                control={rows.ESTIMATES_KEY: value}, jobs={"j1": self._make_job("j1")}
+            )
+        self.assertEqual(["j1"], list(service.owner.job_registry.records))
+        self.assertEqual(1, service._metrics.counters["steps_failed"])
+
     def test_figures_of_another_type_are_left_out(self):
         # Guards against one figure of another writer that takes all others from a later owner.
         row = {
