--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -28,6 +28,8 @@
 """A job of occurrences that are all due and that no worker suits."""
 EMPTY_JOB = {"spec": "soak", "steps": [], "maxRuns": 1_000_000_000}
 """A malformed job."""
+ODD_NUMBERS = (5e-324, 1e-310, 1e-300, 0.001, 0.5, 1, 1e15)
+"""Latency targets and estimates that are accepted and of no use."""
 HOPELESS_JOBS = 12
 ODD_SUBMIT_INTERVAL_SECONDS = 0.5
 DEADLY_SHARE = 0.1
@@ -142,16 +144,20 @@
             returning = [job for job in [*returning, *new] if not self._submit(job)]
 
     def _submit_odd_until_finished(self) -> None:
-        """Submit jobs that cannot be done, and malformed ones, beside the others."""
+        """Submit jobs that cannot be done, malformed ones and odd numbers beside the others."""
         entries = itertools.cycle(self._deployment.entries)
+        numbers = itertools.cycle(ODD_NUMBERS)
         for number in itertools.count():
             if self._finished.wait(ODD_SUBMIT_INTERVAL_SECONDS):
                 return
-            is_hopeless = number % 2 == 0 and number < 2 * HOPELESS_JOBS
-            content = HOPELESS_JOB if is_hopeless else EMPTY_JOB
+            content = EMPTY_JOB
+            if number % 3 == 0:
+                content = _make_odd_job(next(numbers))
+            elif number % 3 == 1 and number < 3 * HOPELESS_JOBS:
+                content = HOPELESS_JOB
             job = f"{2**63 + number:016x}"
             status, _ = self._deployment.call(next(entries), "POST", job, content)
-            if status == (400 if is_hopeless else 200):
+            if status == (200 if content is EMPTY_JOB else 400):
                 self._problems.append(f"REFUSED: {job} was answered with {status}: {content}")
 
     def _draw_job(self, job: str) -> None:
@@ -239,3 +245,9 @@
                 states.append(content["state"] if status == 200 else "unknown")
             complete = complete and bool(final_states.intersection(states[-1:]))
         return complete
+
+
+def _make_odd_job(number: float) -> dict[str, object]:
+    """Return a job with a latency target and an estimate of this many milliseconds."""
+    step = {"taskCount": 1, "cpu": checks.TASK_MILLICORES, "image": "web"}
+    return {"spec": "soak", "steps": [{**step, "targetMs": number, "estRuntimeMs": number}]}
